Add design, build, event loop, HTTP and peer layers

The repository starts with the design page, the interfaces of every module, and the layers that the others build on: libev wrappers, an HTTP server and client on the loop, FlatBuffers frames over TCP with hello and heartbeats.

--- /dev/null
+++ b/src/base/NameTable.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace dotterelcove {
+
+/// One row of a table that gives each enumerator its external name.
+template <class E>
+struct NameRow {
+  E value;
+  std::string_view name;
+};
+
+/// The external names of an enumeration, as used in JSON, logs and metrics.
+template <class E, std::size_t N>
+struct NameTable {
+  std::array<NameRow<E>, N> rows;
+};
+
+template <class E, std::size_t N>
+constexpr NameTable<E, N> MakeNameTable(const NameRow<E> (&rows)[N]) {
+  NameTable<E, N> table{};
+  std::copy(std::begin(rows), std::end(rows), table.rows.begin());
+  return table;
+}
+
+/// Returns the name of `value`, or "invalid" for a value outside the table,
+/// which can only come from another process.
+template <class E, std::size_t N>
+constexpr std::string_view NameOf(const NameTable<E, N>& table, E value) {
+  for (const auto& row : table.rows) {
+    if (row.value == value) return row.name;
+  }
+  return "invalid";
+}
+
+/// Returns the enumerator called `name`, or nothing.
+template <class E, std::size_t N>
+constexpr std::optional<E> ValueOf(const NameTable<E, N>& table,
+                                   std::string_view name) {
+  for (const auto& row : table.rows) {
+    if (row.name == name) return row.value;
+  }
+  return std::nullopt;
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,229 @@
+#include "http/HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <map>
+
+namespace dotterelcove {
+namespace {
+
+/// One call in progress.
+struct Transfer {
+  uint64_t id = 0;
+  CURL* easy = nullptr;
+  curl_slist* header_list = nullptr;
+  HttpCall call;
+  HttpCallback callback;
+  HttpResult result;
+  bool too_large = false;
+};
+
+size_t OnBody(char* data, size_t size, size_t count, void* context) {
+  auto* transfer = static_cast<Transfer*>(context);
+  const size_t bytes = size * count;
+  if (transfer->result.body.size() + bytes >
+      transfer->call.max_response_bytes) {
+    transfer->too_large = true;
+    return 0;
+  }
+  transfer->result.body.append(data, bytes);
+  return bytes;
+}
+
+size_t OnHeader(char* data, size_t size, size_t count, void* context) {
+  auto* transfer = static_cast<Transfer*>(context);
+  std::string line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon == std::string::npos) return size * count;
+  std::string name = line.substr(0, colon);
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  const size_t begin = line.find_first_not_of(" \t", colon + 1);
+  const size_t end = line.find_last_not_of(" \t\r\n");
+  if (begin != std::string::npos && end >= begin) {
+    transfer->result.headers[name] = line.substr(begin, end - begin + 1);
+  }
+  return size * count;
+}
+
+HttpFailure ClassifyFailure(const Transfer& transfer, CURLcode code) {
+  if (code == CURLE_OK) return HttpFailure::kNone;
+  if (transfer.too_large) return HttpFailure::kTooLarge;
+  long sent_bytes = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  if (sent_bytes == 0) return HttpFailure::kNotSent;
+  if (code == CURLE_OPERATION_TIMEDOUT) return HttpFailure::kTimedOut;
+  return HttpFailure::kBroken;
+}
+
+}  // namespace
+
+struct HttpClient::State {
+  State(EventLoop& loop, int max_connections_per_host)
+      : loop(loop),
+        multi(curl_multi_init()),
+        timer(loop, [this] { this->OnTimeout(); }) {
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, OnSocket);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, OnTimer);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    if (max_connections_per_host > 0) {
+      curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                        static_cast<long>(max_connections_per_host));
+    }
+  }
+
+  static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*) {
+    auto* state = static_cast<State*>(self);
+    if (what == CURL_POLL_REMOVE) {
+      // Destroying a watch from inside its own callback is safe; see IoWatch.
+      state->watches.erase(fd);
+      return 0;
+    }
+    auto& watch = state->watches[fd];
+    if (watch == nullptr) {
+      watch = std::make_unique<IoWatch>(
+          state->loop, [state, fd](int events) { state->OnReady(fd, events); });
+    }
+    int events = 0;
+    if (what & CURL_POLL_IN) events |= EV_READ;
+    if (what & CURL_POLL_OUT) events |= EV_WRITE;
+    watch->Start(fd, events);
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long timeout_ms, void* self) {
+    auto* state = static_cast<State*>(self);
+    if (timeout_ms < 0) {
+      state->timer.Cancel();
+      return 0;
+    }
+    state->timer.StartAfter(timeout_ms);
+    return 0;
+  }
+
+  void OnReady(curl_socket_t fd, int events) {
+    int mask = 0;
+    if (events & EV_READ) mask |= CURL_CSELECT_IN;
+    if (events & EV_WRITE) mask |= CURL_CSELECT_OUT;
+    int running = 0;
+    curl_multi_socket_action(this->multi, fd, mask, &running);
+    this->CollectFinished();
+  }
+
+  void OnTimeout() {
+    int running = 0;
+    curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    this->CollectFinished();
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      char* context = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
+      auto* transfer = reinterpret_cast<Transfer*>(context);
+      const CURLcode code = message->data.result;
+      transfer->result.failure = ClassifyFailure(*transfer, code);
+      if (code != CURLE_OK) {
+        transfer->result.detail = curl_easy_strerror(code);
+      }
+      long status = 0;
+      curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+      transfer->result.status = static_cast<int>(status);
+      this->Finish(transfer->id);
+    }
+  }
+
+  void Release(Transfer& transfer) {
+    curl_multi_remove_handle(this->multi, transfer.easy);
+    curl_easy_cleanup(transfer.easy);
+    curl_slist_free_all(transfer.header_list);
+  }
+
+  void Finish(uint64_t id) {
+    const auto found = this->transfers.find(id);
+    if (found == this->transfers.end()) return;
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    this->transfers.erase(found);
+    this->Release(*transfer);
+    transfer->callback(std::move(transfer->result));
+  }
+
+  EventLoop& loop;
+  CURLM* multi;
+  Timer timer;
+  std::map<curl_socket_t, std::unique_ptr<IoWatch>> watches;
+  std::map<uint64_t, std::unique_ptr<Transfer>> transfers;
+  uint64_t next_id = 1;
+};
+
+HttpClient::HttpClient(EventLoop& loop, int max_connections_per_host)
+    : state(std::make_unique<State>(loop, max_connections_per_host)) {}
+
+HttpClient::~HttpClient() {
+  for (auto& [id, transfer] : this->state->transfers) {
+    this->state->Release(*transfer);
+  }
+  this->state->transfers.clear();
+  curl_multi_cleanup(this->state->multi);
+}
+
+uint64_t HttpClient::Send(HttpCall call, HttpCallback callback) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->id = this->state->next_id++;
+  transfer->call = std::move(call);
+  transfer->callback = std::move(callback);
+  transfer->easy = curl_easy_init();
+  CURL* easy = transfer->easy;
+  const HttpCall& sent = transfer->call;
+  for (const auto& [name, value] : sent.headers) {
+    transfer->header_list =
+        curl_slist_append(transfer->header_list, (name + ": " + value).c_str());
+  }
+  // "Expect: 100-continue" would cost larger bodies a round trip.
+  transfer->header_list = curl_slist_append(transfer->header_list, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_URL, sent.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
+  if (sent.method != "GET" || !sent.body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(sent.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, sent.body.data());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(sent.timeout_ms));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(sent.connect_timeout_ms));
+  if (sent.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  const uint64_t id = transfer->id;
+  this->state->transfers[id] = std::move(transfer);
+  curl_multi_add_handle(this->state->multi, easy);
+  return id;
+}
+
+void HttpClient::Cancel(uint64_t id) {
+  const auto found = this->state->transfers.find(id);
+  if (found == this->state->transfers.end()) return;
+  found->second->result = HttpResult{};
+  found->second->result.failure = HttpFailure::kCancelled;
+  this->state->Finish(id);
+}
+
+size_t HttpClient::in_progress() const { return this->state->transfers.size(); }
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/http/HttpClient.h
@@ -0,0 +1,81 @@
+/// An HTTP/1.1 client on the event loop (libcurl's multi socket interface).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dotterelcove/Types.h"
+#include "http/HttpServer.h"
+#include "loop/EventLoop.h"
+
+namespace dotterelcove {
+
+/// Why a call brought no answer. Only `kNotSent` proves that the server cannot
+/// have acted on the request.
+enum class HttpFailure : uint8_t {
+  kNone,
+  kNotSent,
+  kTimedOut,
+  kBroken,
+  kTooLarge,
+  kCancelled
+};
+inline constexpr auto kHttpFailureNames =
+    MakeNameTable<HttpFailure>({{HttpFailure::kNone, "none"},
+                                {HttpFailure::kNotSent, "not_sent"},
+                                {HttpFailure::kTimedOut, "timed_out"},
+                                {HttpFailure::kBroken, "broken"},
+                                {HttpFailure::kTooLarge, "too_large"},
+                                {HttpFailure::kCancelled, "cancelled"}});
+
+struct HttpCall {
+  std::string method = "GET";
+  std::string url;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  int64_t timeout_ms = 5'000;
+  int64_t connect_timeout_ms = 1'000;
+  size_t max_response_bytes = 16 << 20;
+  /// Opens a new connection. libcurl silently sends a request again when a
+  /// reused connection turns out to be dead, so calls that must not reach the
+  /// server twice set this.
+  bool fresh_connection = false;
+};
+
+struct HttpResult {
+  HttpFailure failure = HttpFailure::kNone;
+  int status = 0;
+  std::string body;
+  FieldMap headers;
+  /// libcurl's text for a failure.
+  std::string detail;
+};
+
+using HttpCallback = std::function<void(HttpResult)>;
+
+class HttpClient {
+ public:
+  /// `max_connections_per_host` of 0 means no limit; further calls wait.
+  explicit HttpClient(EventLoop& loop, int max_connections_per_host = 0);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Starts a call; `callback` runs later from the loop, exactly once unless
+  /// the client is destroyed first. Returns an id for Cancel().
+  uint64_t Send(HttpCall call, HttpCallback callback);
+  /// Ends a call with `kCancelled`; does nothing for an unknown id.
+  void Cancel(uint64_t id);
+  size_t in_progress() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,315 @@
+#include "http/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "base/Clock.h"
+
+namespace dotterelcove {
+
+/// One request from its first line to the end of its answer.
+struct HttpExchange {
+  HttpServer* server = nullptr;
+  MHD_Connection* connection = nullptr;
+  HttpRequest request;
+  HttpResponse response;
+  TimeMs started_ms = 0;
+  bool seen_headers = false;
+  bool too_large = false;
+  bool too_slow = false;
+  bool handled = false;
+  bool suspended = false;
+  bool answered = false;
+  bool completed = false;
+  std::function<void()> resume;
+};
+
+struct HttpServer::State {
+  State(EventLoop& loop, HttpServerOptions options, HttpHandler handler)
+      : loop(loop),
+        options(std::move(options)),
+        handler(std::move(handler)),
+        watch(loop, [this](int) { this->Pump(); }),
+        timer(loop, [this] { this->Pump(); }) {}
+
+  void Pump();
+
+  EventLoop& loop;
+  HttpServerOptions options;
+  HttpHandler handler;
+  MHD_Daemon* daemon = nullptr;
+  IoWatch watch;
+  Timer timer;
+  std::map<HttpExchange*, std::shared_ptr<HttpExchange>> exchanges;
+  size_t open_requests = 0;
+  size_t open_connections = 0;
+  bool closing = false;
+
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection,
+                             const char* url, const char* method,
+                             const char* version, const char* data,
+                             size_t* data_size, void** context);
+  static void OnCompleted(void* self, MHD_Connection* connection,
+                          void** context, MHD_RequestTerminationCode code);
+  static void OnConnection(void* self, MHD_Connection* connection,
+                           void** context, MHD_ConnectionNotificationCode code);
+
+  MHD_Result HandleHeaders(HttpExchange& exchange);
+  MHD_Result HandleBody(HttpExchange& exchange, const char* data,
+                        size_t* data_size);
+  MHD_Result Finish(HttpExchange& exchange);
+};
+
+namespace {
+
+std::string ToLower(const char* text) {
+  std::string lower = text;
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+MHD_Result CollectHeader(void* fields, MHD_ValueKind, const char* key,
+                         const char* value) {
+  (*static_cast<FieldMap*>(fields))[ToLower(key)] = value ? value : "";
+  return MHD_YES;
+}
+
+MHD_Result CollectQuery(void* fields, MHD_ValueKind, const char* key,
+                        const char* value) {
+  (*static_cast<FieldMap*>(fields))[key] = value ? value : "";
+  return MHD_YES;
+}
+
+MHD_Result QueueResponse(MHD_Connection* connection,
+                         const HttpResponse& answer) {
+  MHD_Response* response = MHD_create_response_from_buffer(
+      answer.body.size(), const_cast<char*>(answer.body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(response, "Content-Type",
+                          answer.content_type.c_str());
+  for (const auto& [name, value] : answer.headers) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  const MHD_Result result =
+      MHD_queue_response(connection, answer.status, response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+}  // namespace
+
+HttpResponse MakeErrorResponse(int status, const std::string& message) {
+  HttpResponse response;
+  response.status = status;
+  response.body = nlohmann::json{{"error", message}}.dump();
+  return response;
+}
+
+void HttpReply::Send(HttpResponse response) const {
+  HttpExchange& target = *this->exchange;
+  if (target.answered || target.completed) return;
+  target.answered = true;
+  target.response = std::move(response);
+  if (target.suspended) target.resume();
+}
+
+bool HttpReply::open() const {
+  return !this->exchange->answered && !this->exchange->completed;
+}
+
+void HttpServer::State::Pump() {
+  if (this->closing) return;
+  MHD_run(this->daemon);
+  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+  if (MHD_get_timeout(this->daemon, &timeout_ms) == MHD_YES) {
+    this->timer.StartAfter(static_cast<TimeMs>(timeout_ms));
+    return;
+  }
+  this->timer.Cancel();
+}
+
+MHD_Result HttpServer::State::HandleHeaders(HttpExchange& exchange) {
+  exchange.seen_headers = true;
+  MHD_get_connection_values(exchange.connection, MHD_HEADER_KIND, CollectHeader,
+                            &exchange.request.headers);
+  MHD_get_connection_values(exchange.connection, MHD_GET_ARGUMENT_KIND,
+                            CollectQuery, &exchange.request.query);
+  const auto length = exchange.request.headers.find("content-length");
+  if (length == exchange.request.headers.end()) return MHD_YES;
+  const unsigned long long bytes =
+      std::strtoull(length->second.c_str(), nullptr, 10);
+  if (bytes <= this->options.max_body_bytes) return MHD_YES;
+  // Answering before the body is read makes the library close the connection,
+  // so an oversize body is never received.
+  exchange.answered = true;
+  return QueueResponse(
+      exchange.connection,
+      MakeErrorResponse(413, "body is larger than " +
+                                 std::to_string(this->options.max_body_bytes) +
+                                 " bytes"));
+}
+
+MHD_Result HttpServer::State::HandleBody(HttpExchange& exchange,
+                                         const char* data, size_t* data_size) {
+  // The library's idle limit starts again with every byte, so a sender that
+  // trickles is caught here.
+  if (MonotonicMs() - exchange.started_ms > this->options.receive_timeout_ms) {
+    return MHD_NO;
+  }
+  if (exchange.request.body.size() + *data_size >
+      this->options.max_body_bytes) {
+    exchange.too_large = true;
+    exchange.request.body.clear();
+  }
+  if (!exchange.too_large) exchange.request.body.append(data, *data_size);
+  *data_size = 0;
+  return MHD_YES;
+}
+
+MHD_Result HttpServer::State::Finish(HttpExchange& exchange) {
+  if (exchange.too_large) {
+    return QueueResponse(
+        exchange.connection,
+        MakeErrorResponse(
+            413, "body is larger than " +
+                     std::to_string(this->options.max_body_bytes) + " bytes"));
+  }
+  if (!exchange.handled) {
+    exchange.handled = true;
+    this->open_requests++;
+    this->handler(exchange.request, HttpReply(this->exchanges.at(&exchange)));
+    if (!exchange.answered) {
+      exchange.suspended = true;
+      MHD_suspend_connection(exchange.connection);
+      return MHD_YES;
+    }
+  }
+  return QueueResponse(exchange.connection, exchange.response);
+}
+
+MHD_Result HttpServer::State::OnAccess(void* self, MHD_Connection* connection,
+                                       const char* url, const char* method,
+                                       const char*, const char* data,
+                                       size_t* data_size, void** context) {
+  auto* state = static_cast<State*>(self);
+  auto* exchange = static_cast<HttpExchange*>(*context);
+  if (exchange == nullptr) {
+    auto created = std::make_shared<HttpExchange>();
+    exchange = created.get();
+    exchange->connection = connection;
+    exchange->request.method = method;
+    exchange->request.path = url;
+    exchange->started_ms = MonotonicMs();
+    exchange->resume = [state, exchange] {
+      exchange->suspended = false;
+      MHD_resume_connection(exchange->connection);
+      // Resuming from inside a callback of the library must not re-enter it.
+      state->timer.StartAfter(0);
+    };
+    state->exchanges[exchange] = created;
+    *context = exchange;
+    return state->HandleHeaders(*exchange);
+  }
+  if (*data_size > 0) return state->HandleBody(*exchange, data, data_size);
+  return state->Finish(*exchange);
+}
+
+void HttpServer::State::OnCompleted(void* self, MHD_Connection*, void** context,
+                                    MHD_RequestTerminationCode) {
+  auto* state = static_cast<State*>(self);
+  auto* exchange = static_cast<HttpExchange*>(*context);
+  if (exchange == nullptr) return;
+  exchange->completed = true;
+  if (exchange->handled) state->open_requests--;
+  state->exchanges.erase(exchange);
+  *context = nullptr;
+}
+
+void HttpServer::State::OnConnection(void* self, MHD_Connection*, void**,
+                                     MHD_ConnectionNotificationCode code) {
+  auto* state = static_cast<State*>(self);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    state->open_connections++;
+    return;
+  }
+  state->open_connections--;
+}
+
+HttpServer::HttpServer(std::unique_ptr<State> state)
+    : state(std::move(state)) {}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Start(EventLoop& loop,
+                                                      HttpServerOptions options,
+                                                      HttpHandler handler) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(options.port);
+  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+    return leaf::new_error(HttpListenError{options.address, options.port});
+  }
+  auto state =
+      std::make_unique<State>(loop, std::move(options), std::move(handler));
+  const auto idle_seconds = static_cast<unsigned>(
+      std::max<int64_t>(1, state->options.receive_timeout_ms / 1000));
+  state->daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &State::OnAccess, state.get(), MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state.get(),
+      MHD_OPTION_NOTIFY_CONNECTION, &State::OnConnection, state.get(),
+      MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds, MHD_OPTION_CONNECTION_LIMIT,
+      state->options.max_connections, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+      MHD_OPTION_END);
+  if (state->daemon == nullptr) {
+    return leaf::new_error(
+        HttpListenError{state->options.address, state->options.port});
+  }
+  const auto* info =
+      MHD_get_daemon_info(state->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  state->watch.Start(info->epoll_fd, EV_READ);
+  state->Pump();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpServer::~HttpServer() {
+  // Suspended connections must be resumed before the daemon stops.
+  for (auto& [exchange, owner] : this->state->exchanges) {
+    if (!exchange->suspended) continue;
+    exchange->suspended = false;
+    exchange->answered = true;
+    exchange->response = MakeErrorResponse(503, "server is stopping");
+    MHD_resume_connection(exchange->connection);
+  }
+  MHD_run(this->state->daemon);
+  this->state->closing = true;
+  this->state->watch.Stop();
+  this->state->timer.Cancel();
+  MHD_stop_daemon(this->state->daemon);
+}
+
+uint16_t HttpServer::port() const {
+  const auto* info =
+      MHD_get_daemon_info(this->state->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info->port;
+}
+
+size_t HttpServer::open_requests() const { return this->state->open_requests; }
+
+size_t HttpServer::open_connections() const {
+  return this->state->open_connections;
+}
+
+void HttpServer::StopListening() {
+  const MHD_socket listener = MHD_quiesce_daemon(this->state->daemon);
+  if (listener != MHD_INVALID_SOCKET) close(listener);
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/peer/PeerNode.h
@@ -0,0 +1,132 @@
+/// The connections of one process to the project's other processes: listening,
+/// dialling with back-off, the hello exchange and heartbeats.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/HybridClock.h"
+#include "base/Random.h"
+#include "dotterelcove/Result.h"
+#include "peer/Link.h"
+
+namespace dotterelcove {
+
+/// Processes with another version close the connection at the hello.
+inline constexpr uint32_t kProtocolVersion = 1;
+
+/// Identifies a connection of this process; never used twice.
+using LinkId = uint64_t;
+
+struct PeerOptions {
+  std::string process;
+  uint64_t incarnation = 0;
+  wire::Role role = wire::Role::Entry;
+  std::string zone;
+  /// Address to listen on; an empty one accepts no connections.
+  std::string listen_address;
+  uint16_t listen_port = 0;
+  /// "ip:port" of each peer this process connects to.
+  std::vector<std::string> dial;
+  int64_t heartbeat_ms = 1'000;
+  /// A peer that was silent for so long is taken as lost.
+  int64_t silence_limit_ms = 3'000;
+};
+
+/// A connected peer, as it named itself in its hello.
+struct PeerInfo {
+  LinkId link = 0;
+  std::string process;
+  uint64_t incarnation = 0;
+  wire::Role role = wire::Role::Entry;
+  std::string zone;
+  /// The dialled address, empty for an accepted connection.
+  std::string dialled;
+};
+
+struct PeerCallbacks {
+  std::function<void(const PeerInfo&)> connected;
+  std::function<void(const PeerInfo&, LinkEnd)> disconnected;
+  /// Every message but Hello, heartbeats included.
+  std::function<void(const PeerInfo&, wire::FrameT&)> received;
+  /// Content of the next heartbeat.
+  std::function<wire::HeartbeatT()> make_heartbeat;
+};
+
+/// The peer port could not be opened.
+struct PeerListenError {
+  std::string address;
+  uint16_t port;
+};
+
+/// Counters for metrics.
+struct PeerStats {
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+  uint64_t bad_frames = 0;
+  uint64_t links_ended = 0;
+};
+
+class PeerNode {
+ public:
+  static Result<std::unique_ptr<PeerNode>> Start(EventLoop& loop,
+                                                 PeerOptions options,
+                                                 PeerCallbacks callbacks,
+                                                 HybridClock& clock);
+  ~PeerNode();
+  PeerNode(const PeerNode&) = delete;
+  PeerNode& operator=(const PeerNode&) = delete;
+
+  /// Sends to one connected peer; an unknown link is ignored, since the
+  /// `disconnected` callback has told of its loss.
+  void Send(LinkId link, wire::FrameT frame);
+  template <class T>
+  void Send(LinkId link, T message) {
+    this->Send(link, MakeFrame(std::move(message)));
+  }
+  /// Sends a heartbeat to every peer now, besides the periodic ones.
+  void SendHeartbeats();
+  /// Connected peers, by link.
+  const std::map<LinkId, PeerInfo>& peers() const { return this->connected; }
+  uint16_t port() const { return this->listen_port; }
+  PeerStats stats() const;
+
+ private:
+  struct Connection;
+  struct Dialer;
+
+  PeerNode(EventLoop& loop, PeerOptions options, PeerCallbacks callbacks,
+           HybridClock& clock);
+  bool Listen();
+  void OnAccept();
+  void Dial(Dialer& dialer);
+  void RetryLater(Dialer& dialer);
+  void AddConnection(int fd, Dialer* dialer);
+  void OnFrame(LinkId id, wire::FrameT& frame);
+  void OnHello(Connection& connection, const wire::HelloT& hello);
+  void OnEnded(LinkId id, LinkEnd reason);
+  void OnTick();
+
+  EventLoop& loop;
+  PeerOptions options;
+  PeerCallbacks callbacks;
+  HybridClock& clock;
+  Random random;
+  int listener = -1;
+  uint16_t listen_port = 0;
+  LinkId next_link = 1;
+  std::map<LinkId, std::unique_ptr<Connection>> connections;
+  std::map<LinkId, PeerInfo> connected;
+  std::vector<std::unique_ptr<Dialer>> dialers;
+  std::vector<std::unique_ptr<Connection>> ended;
+  PeerStats past;
+  IoWatch accept_watch;
+  Timer tick;
+  Timer reaper;
+};
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/telemetry/Log.h
@@ -0,0 +1,54 @@
+/// Structured logging: one JSON object a line, through spdlog.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "base/NameTable.h"
+
+namespace dotterelcove {
+
+enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
+inline constexpr auto kLogLevelNames =
+    MakeNameTable<LogLevel>({{LogLevel::kDebug, "debug"},
+                             {LogLevel::kInfo, "info"},
+                             {LogLevel::kWarning, "warning"},
+                             {LogLevel::kError, "error"}});
+
+/// One typed field of a log line or an event.
+struct Field {
+  std::string_view name;
+  std::variant<int64_t, double, bool, std::string> value;
+};
+
+inline Field F(std::string_view name, std::string value) {
+  return {name, std::move(value)};
+}
+inline Field F(std::string_view name, std::string_view value) {
+  return {name, std::string(value)};
+}
+inline Field F(std::string_view name, const char* value) {
+  return {name, std::string(value)};
+}
+inline Field F(std::string_view name, bool value) { return {name, value}; }
+inline Field F(std::string_view name, double value) { return {name, value}; }
+template <class T>
+requires std::is_integral_v<T>
+inline Field F(std::string_view name, T value) {
+  return {name, static_cast<int64_t>(value)};
+}
+
+/// Sets what every line carries. Lines go to standard error.
+void InitLog(std::string_view process, std::string_view zone, LogLevel level);
+void SetLogLevel(LogLevel level);
+
+/// Writes one line {"time", "level", "process", "zone", "event", fields…}.
+/// At most a fixed number of lines a second is written for each event name;
+/// the next line after that carries the number of lines left out.
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<Field> fields = {});
+
+}  // namespace dotterelcove
