Add telemetry and the operator routes of the daemons

Cause: every daemon needs logs, metrics, events and the operator routes, and had only their interfaces.

Ruled out: spdlog's own JSON pattern, which does not escape field values, and prometheus-cpp's families without a bound, which keep every label set for ever.

EventRing takes an optional wall clock, so that tests can skew it.

The routes have no test yet.

Conclusion: the daemons can link telemetry and the operator routes.

--- /dev/null
+++ b/src/border/operator/OperatorApi.h
@@ -0,0 +1,42 @@
+/// The operator's HTTP routes that every daemon serves in the same way:
+/// /metrics, /healthz, /readyz, /v1/events, /v1/state, /v1/drain and
+/// /v1/log-level.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "http/HttpServer.h"
+#include "telemetry/Events.h"
+#include "telemetry/Log.h"
+#include "telemetry/Metrics.h"
+
+namespace dotterelcove {
+
+/// What a daemon gives to the routes. Pointers must outlive the server.
+struct OperatorContext {
+  std::string process;
+  std::string zone;
+  Metrics* metrics = nullptr;
+  EventRing* events = nullptr;
+  /// Called before /metrics is rendered, to set gauges; may be empty.
+  std::function<void()> refresh_metrics;
+  /// Why the process takes no new work, or an empty string when it is ready.
+  std::function<std::string()> not_ready_reason;
+  /// State as a JSON object. The command-line tool reads "role" ("entry" or
+  /// "scheduler"), "config_version", "owner" (process), "owner_epoch",
+  /// "serving", "draining" and "store_up" where they are present; process,
+  /// zone, version and ready are added by the route.
+  std::function<std::string()> state_json;
+  /// Drains a worker or endpoint VM, or this daemon itself when `vm` is empty.
+  std::function<void(const std::string& vm, const HttpReply& reply)> drain;
+  /// Defaults to the log of this process.
+  std::function<void(LogLevel)> set_log_level = SetLogLevel;
+};
+
+/// Answers an operator request and returns true; returns false, without an
+/// answer, for a path of another interface.
+bool HandleOperatorRequest(const OperatorContext& context,
+                           const HttpRequest& request, const HttpReply& reply);
+
+}  // namespace dotterelcove
--- a/src/telemetry/Events.h
+++ b/src/telemetry/Events.h
@@ -5,13 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <initializer_list>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/Clock.h"
 #include "base/HybridClock.h"
-#include "telemetry/Log.h"
 
 namespace dotterelcove {
 
@@ -36,8 +36,10 @@
 
 class EventRing {
  public:
-  /// Keeps the newest `capacity` events.
-  EventRing(HybridClock& clock, size_t capacity);
+  /// Keeps the newest `capacity` events. `wall_ms` gives the wall time; tests
+  /// pass a skewed one.
+  EventRing(HybridClock& clock, size_t capacity,
+            std::function<int64_t()> wall_ms = WallMs);
   void Add(std::string_view name, EventSubject subject,
            std::string detail = {});
   /// Events that match every non-empty field of `filter`, oldest first.
@@ -46,10 +48,14 @@
  private:
   HybridClock& clock;
   size_t capacity;
+  std::function<int64_t()> wall_ms;
   std::deque<Event> events;
 };
 
-/// JSON array of events, as served under /v1/events.
+/// JSON array of events, as served under /v1/events: "time" is the hybrid time
+/// as 16 hexadecimal digits (a JSON number would lose its lower bits in many
+/// readers), "wall_ms" its wall-time part, then process, zone, event and the
+/// non-empty subjects.
 std::string EventsToJson(const std::vector<Event>& events,
                          std::string_view process, std::string_view zone);
 
--- a/src/telemetry/Log.h
+++ b/src/telemetry/Log.h
@@ -2,9 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 #include <variant>
 
 #include "base/NameTable.h"
@@ -45,9 +49,36 @@
 void InitLog(std::string_view process, std::string_view zone, LogLevel level);
 void SetLogLevel(LogLevel level);
 
+/// Sends lines to `output` instead of standard error; an empty function goes
+/// back to it. For tests.
+void SetLogOutput(std::function<void(const std::string& line)> output);
+
+/// Lines a second for one event name. An event that repeats with every request
+/// would otherwise cost more than the request itself.
+inline constexpr int64_t kMaxLinesPerSecond = 20;
+
+/// Counts the lines of each event name in the present second. Event names are
+/// literals in the code, so the table stays small.
+struct LogLimiter {
+  struct Window {
+    int64_t start_ms = 0;
+    int64_t written = 0;
+    int64_t left_out = 0;
+  };
+  std::map<std::string, Window, std::less<>> windows;
+};
+
+/// Whether a line may be written, and how many were left out before it.
+struct LogAdmission {
+  bool admitted = false;
+  int64_t left_out = 0;
+};
+LogAdmission AdmitLine(LogLimiter& limiter, std::string_view event,
+                       int64_t now_ms);
+
 /// Writes one line {"time", "level", "process", "zone", "event", fields…}.
 /// At most a fixed number of lines a second is written for each event name;
-/// the next line after that carries the number of lines left out.
+/// the next line after that carries the number of lines left out as "left_out".
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<Field> fields = {});
 
--- /dev/null
+++ b/tests/TelemetryTest.cpp
@@ -0,0 +1,122 @@
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "telemetry/Events.h"
+#include "telemetry/Log.h"
+#include "telemetry/Metrics.h"
+
+namespace dotterelcove {
+namespace {
+
+size_t CountLinesWith(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    count++;
+  }
+  return count;
+}
+
+}  // namespace
+
+// Guards against an event that repeats with every request filling the log, and
+// against the loss going unnoticed.
+Test(Log, limits_lines_of_one_event_and_counts_those_left_out) {
+  LogLimiter limiter;
+  int64_t written = 0;
+  for (int i = 0; i < 100; ++i) {
+    if (AdmitLine(limiter, "busy", 5).admitted) written++;
+  }
+  cr_expect_eq(written, kMaxLinesPerSecond);
+  cr_expect(AdmitLine(limiter, "rare", 5).admitted,
+            "another event keeps its own allowance");
+  const LogAdmission next = AdmitLine(limiter, "busy", 1'005);
+  cr_expect(next.admitted);
+  cr_expect_eq(next.left_out, 100 - kMaxLinesPerSecond);
+  cr_expect_eq(AdmitLine(limiter, "busy", 1'006).left_out, 0);
+}
+
+// Guards against lines that a log reader cannot parse.
+Test(Log, writes_one_json_object_a_line) {
+  std::vector<std::string> lines;
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+  InitLog("entry-1", "kpong", LogLevel::kInfo);
+  Log(LogLevel::kDebug, "hidden");
+  Log(LogLevel::kWarning, "odd_bytes",
+      {F("text", "a\nb\"\xff"), F("number", 7), F("flag", true)});
+  SetLogOutput(nullptr);
+  cr_assert_eq(lines.size(), 1u);
+  cr_expect_eq(lines[0].find('\n'), std::string::npos);
+  const auto json = nlohmann::json::parse(lines[0], nullptr, false);
+  cr_assert(json.is_object());
+  cr_expect_str_eq(json["event"].get<std::string>().c_str(), "odd_bytes");
+  cr_expect_str_eq(json["level"].get<std::string>().c_str(), "warning");
+  cr_expect_str_eq(json["process"].get<std::string>().c_str(), "entry-1");
+  cr_expect_eq(json["number"].get<int>(), 7);
+  cr_expect(json["flag"].get<bool>());
+}
+
+// Guards against a label taken from outside growing the process without bound.
+Test(Metrics, bounds_the_label_sets_of_a_family) {
+  Metrics metrics;
+  for (size_t i = 0; i < kMaxLabelSets + 50; ++i) {
+    metrics.Count("requests_total", {{"caller", "c" + std::to_string(i)}});
+    metrics.Set("depth", 1, {{"caller", "c" + std::to_string(i)}});
+    metrics.ObserveSeconds("wait_seconds", 0.001,
+                           {{"caller", "c" + std::to_string(i)}});
+  }
+  const std::string text = metrics.Render();
+  const char* families[] = {"dotterelcove_requests_total{",
+                            "dotterelcove_depth{",
+                            "dotterelcove_wait_seconds_count{"};
+  for (const char* family : families) {
+    cr_expect_eq(CountLinesWith(text, family), kMaxLabelSets + 1, "%s", family);
+  }
+  cr_expect_neq(text.find("dotterelcove_requests_total{caller=\"other\"} 50"),
+                std::string::npos);
+}
+
+// Guards against a process whose own cost cannot be seen.
+Test(Metrics, reports_the_cost_of_the_process) {
+  Metrics metrics;
+  metrics.Render();
+  const std::string text = metrics.Render();
+  cr_expect_eq(
+      CountLinesWith(text, "\ndotterelcove_process_cpu_seconds_total "), 1u);
+  cr_expect_eq(CountLinesWith(text, "\ndotterelcove_process_resident_bytes "),
+               1u);
+}
+
+// Guards against unbounded memory, and against filters that match too much.
+Test(Events, keeps_the_newest_and_filters_by_every_field) {
+  HybridClock clock;
+  EventRing ring(clock, 3, [] { return int64_t{1'000}; });
+  ring.Add("first", {});
+  ring.Add("placed", {"j1", "j1.0.0", "w-1", 4});
+  ring.Add("placed", {"j2", "j2.0.0", "w-1", 4});
+  ring.Add("fenced", {"", "", "w-2", 5});
+  struct Case {
+    const char* name;
+    EventSubject filter;
+    size_t expected;
+  };
+  const Case cases[] = {
+      {"all", {}, 3},
+      {"job", {"j1", "", "", 0}, 1},
+      {"task", {"", "j2.0.0", "", 0}, 1},
+      {"worker", {"", "", "w-1", 0}, 2},
+      {"epoch", {"", "", "", 5}, 1},
+      {"job and other epoch", {"j1", "", "", 5}, 0},
+  };
+  for (const Case& test_case : cases) {
+    cr_expect_eq(ring.Find(test_case.filter).size(), test_case.expected, "%s",
+                 test_case.name);
+  }
+  const std::vector<Event> all = ring.Find({});
+  cr_expect_lt(all[0].time, all[1].time, "equal wall times keep their order");
+}
+
+}  // namespace dotterelcove
