--- /dev/null
+++ b/standins/Traffic.cpp
@@ -0,0 +1,142 @@
+#include "standins/Traffic.h"
+
+#include "base/Clock.h"
+#include "base/Hash.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kAskAgainMs = 200;
+const char kCaller[] = "tests";
+
+}  // namespace
+
+std::string ExpectedAnswer(const std::string& key, int64_t bytes) {
+  std::string answer;
+  while (static_cast<int64_t>(answer.size()) < bytes) answer += key + ";";
+  answer.resize(static_cast<size_t>(bytes));
+  return answer;
+}
+
+Traffic::Traffic(Deployment& deployment, TrafficOptions options)
+    : deployment(deployment),
+      options(std::move(options)),
+      random(this->options.seed),
+      sender(deployment.loop(), [this] { this->SendNext(); }) {}
+
+Traffic::~Traffic() = default;
+
+void Traffic::Start() { this->sender.StartEvery(1000 / this->options.rate); }
+
+void Traffic::StopSending() { this->sender.Cancel(); }
+
+std::string Traffic::Target() {
+  const int index = static_cast<int>(
+      UniformInt(this->random, 0, this->deployment.options().entries - 1));
+  return this->deployment.entry_url(index);
+}
+
+std::string Traffic::Body(const SentRequest& request) const {
+  const nlohmann::json payload = {
+      {"run_ms", request.kind.run_ms},
+      {"result", ExpectedAnswer(request.key, request.kind.answer_bytes)}};
+  return nlohmann::json{{"service", "stepline"},
+                        {"kind", request.kind.kind},
+                        {"key", request.key},
+                        {"payload", payload.dump()},
+                        {"mode", request.kind.async ? "async" : "wait"}}
+      .dump();
+}
+
+void Traffic::SendNext() {
+  int total = 0;
+  for (const TrafficKind& kind : this->options.kinds) total += kind.weight;
+  int pick = static_cast<int>(UniformInt(this->random, 1, total));
+  SentRequest request;
+  for (const TrafficKind& kind : this->options.kinds) {
+    pick -= kind.weight;
+    if (pick > 0) continue;
+    request.kind = kind;
+    break;
+  }
+  request.key = "k" + std::to_string(this->next++);
+  request.job = MakeJobId(kCaller, request.key);
+  request.sent_ms = MonotonicMs();
+  const std::string key = request.key;
+  this->requests[key] = request;
+  this->open_requests[key] =
+      std::make_unique<Timer>(this->deployment.loop(), [] {});
+  this->Post(key);
+}
+
+void Traffic::Post(const std::string& key) {
+  SentRequest& request = this->requests.at(key);
+  request.attempts++;
+  HttpCall call;
+  call.method = "POST";
+  call.url = this->Target() + "/v1/requests";
+  call.headers = {{"X-Caller", kCaller}, {"Content-Type", "application/json"}};
+  call.body = this->Body(request);
+  call.timeout_ms = 12'000;
+  this->deployment.http().Send(call, [this, key](const HttpResult& result) {
+    this->OnAnswer(key, result, true);
+  });
+}
+
+void Traffic::Ask(const std::string& key) {
+  HttpCall call;
+  call.url = this->Target() + "/v1/requests/" + key;
+  call.headers = {{"X-Caller", kCaller}};
+  call.timeout_ms = 3'000;
+  this->deployment.http().Send(call, [this, key](const HttpResult& result) {
+    this->OnAnswer(key, result, false);
+  });
+}
+
+void Traffic::Later(const std::string& key, bool post) {
+  SentRequest& request = this->requests.at(key);
+  if (MonotonicMs() - request.sent_ms > this->options.patience_ms) {
+    this->open_requests.erase(key);
+    return;
+  }
+  auto& timer = this->open_requests.at(key);
+  timer = std::make_unique<Timer>(this->deployment.loop(), [this, key, post] {
+    post ? this->Post(key) : this->Ask(key);
+  });
+  timer->StartAfter(kAskAgainMs);
+}
+
+void Traffic::OnAnswer(const std::string& key, const HttpResult& result,
+                       bool post) {
+  SentRequest& request = this->requests.at(key);
+  request.status = result.status;
+  const auto body = nlohmann::json::parse(result.body, nullptr, false);
+  const std::string outcome =
+      body.is_object() ? body.value("outcome", std::string()) : std::string();
+  if (result.failure != HttpFailure::kNone || outcome.empty()) {
+    // No answer, or an answer about the asking and not the request. The body
+    // is sent again unless the request is known to be recorded.
+    this->Later(key, !request.was_accepted);
+    return;
+  }
+  request.reason = body.value("reason", std::string());
+  if (outcome == "accepted") {
+    request.outcome = outcome;
+    request.was_accepted = true;
+    this->Later(key, false);
+    return;
+  }
+  if (outcome == "not_run" && !post && request.was_accepted) {
+    // Recorded work may only end as not run when it was refused for good.
+    request.reason = "after accepted: " + request.reason;
+  }
+  request.outcome = outcome;
+  request.ended_ms = MonotonicMs();
+  if (outcome == "done") {
+    request.answer_matches = body.value("answer", std::string()) ==
+                             ExpectedAnswer(key, request.kind.answer_bytes);
+  }
+  this->open_requests.erase(key);
+}
+
+}  // namespace dotterelcove
