Add a first decision core: queues, best fit, gangs, ends of attempts

The scheduler daemon needs a core to drive before the policies are whole.

Change: tables and systems for class queues (by workload, size and team), best fit over an index of free capacity, spreading of services, gangs that start all members in one batch, retries, losses, cancellations, start-by times, adoption after a take-over, quarantine and usage learning. Preemption, quota return, reservations and shedding of queued jobs follow.

Conclusion: usable by the scheduler for placement; not yet measured.

--- /dev/null
+++ b/src/core/Batch.cpp
@@ -0,0 +1,36 @@
+#include "core/Placement.h"
+#include "core/Queue.h"
+#include "core/Systems.h"
+
+namespace dotterelcove::core {
+namespace {
+
+/// Backfill: a task that ends before the reservation starts may use what is
+/// reserved.
+Access AccessOf(const Cell& cell, const Job& job, TimeMs now) {
+  if (!cell.reservation || job.duration_ms == 0) return Access::kOpen;
+  return now + job.duration_ms <= cell.reservation->start_ms ? Access::kReserved
+                                                             : Access::kOpen;
+}
+
+bool PlaceBatch(Cell& cell, JobIndex index, TimeMs now, Commands& commands) {
+  const Job& job = cell.jobs[index];
+  const Resources size = AllocationOf(cell, ShapeOf(job));
+  const Access access = AccessOf(cell, job, now);
+  while (job.waiting > 0) {
+    const WorkerIndex worker = FindBestFit(cell, {size, access, job.failed_on});
+    if (worker == kNone) return false;
+    StartMember(cell, index, FirstWaiting(job), worker, size, now, commands);
+  }
+  Dequeue(cell, index);
+  return true;
+}
+
+}  // namespace
+
+void RunBatch(Cell& cell, TimeMs now, Commands& commands) {
+  PlaceQueue(cell, cell.queues[static_cast<size_t>(RequestClass::kBatch)],
+             PlaceBatch, now, commands);
+}
+
+}  // namespace dotterelcove::core
--- /dev/null
+++ b/src/core/Gang.cpp
@@ -0,0 +1,64 @@
+#include "core/Placement.h"
+#include "core/Queue.h"
+#include "core/Systems.h"
+
+namespace dotterelcove::core {
+namespace {
+
+/// Gangs tried per tick, which bounds the cost of a long gang queue.
+constexpr uint32_t kGangsPerTick = 16;
+
+/// Members of `size` that one worker can take now.
+int64_t CountFits(const Resources& size, const Resources& free) {
+  int64_t count = INT64_MAX;
+  if (size.milli_cores > 0) {
+    count = std::min(count, free.milli_cores / size.milli_cores);
+  }
+  if (size.memory_mb > 0) {
+    count = std::min(count, free.memory_mb / size.memory_mb);
+  }
+  if (size.accelerators > 0) {
+    count = std::min(count, free.accelerators / size.accelerators);
+  }
+  return std::max<int64_t>(count, 0);
+}
+
+bool CanPlaceAll(const Cell& cell, const Resources& size, uint32_t members,
+                 Access access) {
+  int64_t fits = 0;
+  for (const Worker& worker : cell.workers) {
+    if (worker.bucket == kNone) continue;
+    const int64_t room = CountFits(size, AvailableOf(worker, access));
+    // A worker on probation takes one task only.
+    fits += worker.probing ? std::min<int64_t>(room, 1) : room;
+    if (fits >= members) return true;
+  }
+  return false;
+}
+
+bool PlaceGang(Cell& cell, JobIndex index, TimeMs now, Commands& commands) {
+  const Job& job = cell.jobs[index];
+  const Resources size = AllocationOf(cell, ShapeOf(job));
+  if (!CanPlaceAll(cell, size, job.waiting, Access::kOpen)) return false;
+  for (uint32_t i = 0; i < job.members.size(); ++i) {
+    if (job.members[i].state != MemberState::kWaiting) continue;
+    const WorkerIndex worker =
+        FindBestFit(cell, {size, Access::kOpen, job.failed_on});
+    StartMember(cell, index, i, worker, size, now, commands);
+  }
+  Dequeue(cell, index);
+  return true;
+}
+
+}  // namespace
+
+void RunGangs(Cell& cell, TimeMs now, Commands& commands) {
+  uint32_t tried = 0;
+  for (auto next = cell.gangs.begin();
+       next != cell.gangs.end() && tried < kGangsPerTick; ++tried) {
+    const JobIndex index = (next++)->job;
+    PlaceGang(cell, index, now, commands);
+  }
+}
+
+}  // namespace dotterelcove::core
--- /dev/null
+++ b/src/core/Placement.h
@@ -0,0 +1,51 @@
+/// Where a task fits, and the accounting of starts and ends.
+#pragma once
+
+#include "core/Tables.h"
+
+namespace dotterelcove::core {
+
+/// Capacity of a worker that a search may use.
+enum class Access : uint8_t {
+  /// Neither claimed nor reserved.
+  kOpen,
+  /// Also reserved: the task ends before the reservation starts, or it is
+  /// urgent.
+  kReserved,
+};
+
+struct FitRequest {
+  Resources size;
+  Access access = Access::kOpen;
+  /// A worker to avoid unless nothing else fits.
+  WorkerIndex avoid = kNone;
+};
+
+/// Capacity of the worker that a request may use now.
+Resources AvailableOf(const Worker& worker, Access access);
+
+/// Returns the usable worker on which the task leaves the most useful shape
+/// free, or kNone. Visits at most a fixed number of fitting workers.
+WorkerIndex FindBestFit(const Cell& cell, const FitRequest& request);
+/// As FindBestFit, but first the zone, then the rack with the fewest members of
+/// the workload.
+WorkerIndex FindSpread(const Cell& cell, const FitRequest& request,
+                       const Workload& workload);
+
+/// Updates the index after the state or free capacity of a worker changed.
+void Reindex(Cell& cell, WorkerIndex worker);
+
+/// Allocates and emits the start of a waiting member.
+void StartMember(Cell& cell, JobIndex job, uint32_t member, WorkerIndex worker,
+                 const Resources& size, TimeMs now, Commands& commands);
+/// Books a member on a worker without a command.
+void Occupy(Cell& cell, JobIndex job, uint32_t member, WorkerIndex worker,
+            const Resources& size, MemberState state, TimeMs now);
+/// Gives back what an active member occupies and sets its new state, which
+/// must not be an active one.
+void Vacate(Cell& cell, JobIndex job, uint32_t member, MemberState state);
+
+/// Returns the first waiting member, or kNone.
+uint32_t FirstWaiting(const Job& job);
+
+}  // namespace dotterelcove::core
--- /dev/null
+++ b/src/core/Quarantine.cpp
@@ -0,0 +1,84 @@
+#include "core/Quarantine.h"
+
+#include <algorithm>
+
+#include "core/Placement.h"
+#include "core/Systems.h"
+
+namespace dotterelcove::core {
+namespace {
+
+/// A worker that fails its probes is tried ever more rarely, up to this factor.
+constexpr TimeMs kMaxProbeFactor = 16;
+
+/// Whether one more worker may be set aside. At least one may, so that small
+/// cells are protected too.
+bool HasQuarantineRoom(const Cell& cell) {
+  const auto limit =
+      static_cast<uint32_t>(cell.options.max_quarantine_share *
+                            static_cast<double>(cell.workers.size()));
+  return cell.quarantined < std::max<uint32_t>(limit, 1) &&
+         cell.workers.size() > 1;
+}
+
+}  // namespace
+
+void CountFailure(Cell& cell, JobIndex job_index, WorkerIndex worker_index,
+                  TimeMs now) {
+  Job& job = cell.jobs[job_index];
+  Worker& worker = cell.workers[worker_index];
+  const WorkerIndex before = job.failed_on;
+  job.failed_on = worker_index;
+  if (worker.quarantined) {
+    // A probe, or a task from before the quarantine, failed.
+    worker.probing = false;
+    worker.probe_delay_ms =
+        std::min(worker.probe_delay_ms * 2,
+                 cell.options.quarantine_probe_ms * kMaxProbeFactor);
+    worker.probe_at_ms = now + worker.probe_delay_ms;
+    Reindex(cell, worker_index);
+    return;
+  }
+  if (before != kNone && before != worker_index) {
+    Worker& earlier = cell.workers[before];
+    if (earlier.failures > 0) earlier.failures--;
+    return;
+  }
+  if (before == worker_index) return;
+  worker.failures++;
+}
+
+void CountSuccess(Cell& cell, WorkerIndex worker_index) {
+  Worker& worker = cell.workers[worker_index];
+  worker.failures = 0;
+  if (!worker.quarantined) return;
+  worker.quarantined = false;
+  worker.probing = false;
+  cell.quarantined--;
+  cell.capacity_epoch++;
+  Reindex(cell, worker_index);
+}
+
+void RunQuarantine(Cell& cell, TimeMs now, Commands& /*commands*/) {
+  for (WorkerIndex index = 0; index < cell.workers.size(); ++index) {
+    Worker& worker = cell.workers[index];
+    if (worker.quarantined) {
+      if (worker.probing || now < worker.probe_at_ms) continue;
+      worker.probing = true;
+      cell.capacity_epoch++;
+      Reindex(cell, index);
+      continue;
+    }
+    if (worker.failures < cell.options.quarantine_failures) continue;
+    if (!HasQuarantineRoom(cell)) continue;
+    worker.quarantined = true;
+    worker.probing = false;
+    worker.probe_delay_ms = cell.options.quarantine_probe_ms;
+    worker.probe_at_ms = now + worker.probe_delay_ms;
+    worker.failures = 0;
+    cell.quarantined++;
+    Reindex(cell, index);
+  }
+}
+
+}  // namespace dotterelcove::core
--- /dev/null
+++ b/src/core/Service.cpp
@@ -0,0 +1,29 @@
+#include "core/Placement.h"
+#include "core/Queue.h"
+#include "core/Systems.h"
+
+namespace dotterelcove::core {
+namespace {
+
+bool PlaceService(Cell& cell, JobIndex index, TimeMs now, Commands& commands) {
+  const Job& job = cell.jobs[index];
+  const Resources size = AllocationOf(cell, ShapeOf(job));
+  while (job.waiting > 0) {
+    const WorkerIndex worker =
+        FindSpread(cell, {size, Access::kOpen, job.failed_on},
+                   cell.workloads[job.workload]);
+    if (worker == kNone) return false;
+    StartMember(cell, index, FirstWaiting(job), worker, size, now, commands);
+  }
+  Dequeue(cell, index);
+  return true;
+}
+
+}  // namespace
+
+void RunServices(Cell& cell, TimeMs now, Commands& commands) {
+  PlaceQueue(cell, cell.queues[static_cast<size_t>(RequestClass::kService)],
+             PlaceService, now, commands);
+}
+
+}  // namespace dotterelcove::core
--- /dev/null
+++ b/src/core/Tables.h
@@ -0,0 +1,344 @@
+/// The tables of the decision core. Rows are addressed by index; systems in
+/// the other files of this folder read and change them.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/Core.h"
+
+namespace dotterelcove::core {
+
+using WorkerIndex = uint32_t;
+using JobIndex = uint32_t;
+using TeamIndex = uint32_t;
+using WorkloadIndex = uint32_t;
+using Commands = std::vector<Command>;
+
+inline constexpr uint32_t kNone = UINT32_MAX;
+
+enum class MemberState : uint8_t {
+  /// To be placed.
+  kWaiting,
+  /// To be placed after a back-off.
+  kDelayed,
+  kStarting,
+  kRunning,
+  /// Asked to checkpoint or stop.
+  kStopping,
+  /// May be on a worker that has not answered since the take-over.
+  kUncertain,
+  kEnded,
+};
+
+/// Returns whether a member in this state may occupy a worker.
+inline bool IsActive(MemberState state) {
+  return state == MemberState::kStarting || state == MemberState::kRunning ||
+         state == MemberState::kStopping || state == MemberState::kUncertain;
+}
+
+struct Member {
+  MemberState state = MemberState::kWaiting;
+  bool succeeded = false;
+  /// Number of the present or last attempt; the first one is 1.
+  uint32_t attempt = 0;
+  uint32_t failures = 0;
+  WorkerIndex worker = kNone;
+  Resources allocated;
+  TimeMs started_ms = 0;
+};
+
+struct Job {
+  std::string id;
+  /// Guards timers against rows that were used again for another job.
+  uint64_t sequence = 0;
+  bool live = false;
+  bool queued = false;
+  bool gang = false;
+  bool idempotent = true;
+  bool cancelled = false;
+  /// An attempt ended in another way than kNotStarted.
+  bool may_have_run = false;
+  /// The gang lost a member; it starts again once the others have ended.
+  bool restarting = false;
+  RequestClass request_class = RequestClass::kBatch;
+  TeamIndex team = 0;
+  WorkloadIndex workload = 0;
+  Resources size;
+  TimeMs duration_ms = 0;
+  TimeMs start_by_ms = 0;
+  TimeMs submitted_ms = 0;
+  /// Position within the class queue; lower goes first.
+  int64_t order = 0;
+  std::vector<Member> members;
+  uint32_t waiting = 0;
+  uint32_t active = 0;
+  uint32_t ended = 0;
+  /// Set once the end is decided; announced when no member is active.
+  std::optional<JobEnd> ending;
+  std::string message;
+  /// Workers where an attempt failed last, avoided by the next attempt.
+  WorkerIndex failed_on = kNone;
+};
+
+/// A member of a job, as kept in worker rows.
+struct MemberRef {
+  JobIndex job = kNone;
+  uint32_t member = 0;
+  friend bool operator==(const MemberRef&, const MemberRef&) = default;
+};
+
+struct Worker {
+  WorkerSpec spec;
+  uint32_t zone = 0;
+  uint32_t rack = 0;
+  WorkerState state = WorkerState::kUnreachable;
+  Resources allocated;
+  /// Capacity kept for urgent jobs that wait for preempted tasks to end.
+  Resources claimed;
+  /// Capacity kept for the job with the reservation.
+  Resources reserved;
+  std::vector<MemberRef> tasks;
+  /// Failures in a row that the jobs did not have elsewhere.
+  uint32_t failures = 0;
+  bool quarantined = false;
+  /// One task is allowed to find out whether the worker recovered.
+  bool probing = false;
+  TimeMs probe_at_ms = 0;
+  TimeMs probe_delay_ms = 0;
+  /// Position in the free-capacity index, kNone when not indexed.
+  uint32_t bucket = kNone;
+  uint32_t bucket_position = 0;
+};
+
+struct Lane;
+
+struct Team {
+  std::string name;
+  bool has_quota = false;
+  Resources quota;
+  Resources used;
+  /// Lanes with queued jobs of this team.
+  std::vector<Lane*> lanes;
+};
+
+/// Usage learned for one workload, as peaks of used against declared sizes.
+struct Workload {
+  std::string name;
+  uint32_t reports = 0;
+  /// Decaying peaks of used / declared.
+  double core_peak = 0;
+  double memory_peak = 0;
+  /// Running members by zone and by rack, for spreading of services.
+  std::map<uint32_t, uint32_t> by_zone;
+  std::map<uint32_t, uint32_t> by_rack;
+};
+
+/// Place of a job in a queue. The sequence number makes the order total.
+struct QueueEntry {
+  int64_t order = 0;
+  uint64_t sequence = 0;
+  JobIndex job = kNone;
+  friend auto operator<=>(const QueueEntry& a, const QueueEntry& b) {
+    if (a.order != b.order) return a.order <=> b.order;
+    return a.sequence <=> b.sequence;
+  }
+  friend bool operator==(const QueueEntry& a, const QueueEntry& b) {
+    return a.sequence == b.sequence;
+  }
+};
+
+/// Jobs of one workload, size and team.
+struct ShapeQueue;
+struct Lane {
+  TeamIndex team = 0;
+  ShapeQueue* shape = nullptr;
+  std::set<QueueEntry> jobs;
+  /// The head starts beyond the quota of the team.
+  bool borrowing = false;
+  /// The head as listed in ShapeQueue::heads.
+  QueueEntry listed;
+};
+
+struct LaneHead {
+  bool borrowing = false;
+  QueueEntry entry;
+  Lane* lane = nullptr;
+  friend bool operator<(const LaneHead& a, const LaneHead& b) {
+    if (a.borrowing != b.borrowing) return b.borrowing;
+    return a.entry < b.entry;
+  }
+};
+
+struct ShapeKey {
+  WorkloadIndex workload = 0;
+  Resources size;
+  /// Power of two of the declared seconds, since backfill depends on it.
+  uint32_t duration_class = 0;
+  friend bool operator<(const ShapeKey& a, const ShapeKey& b) {
+    if (a.workload != b.workload) return a.workload < b.workload;
+    if (a.duration_class != b.duration_class)
+      return a.duration_class < b.duration_class;
+    if (a.size.milli_cores != b.size.milli_cores)
+      return a.size.milli_cores < b.size.milli_cores;
+    if (a.size.memory_mb != b.size.memory_mb)
+      return a.size.memory_mb < b.size.memory_mb;
+    return a.size.accelerators < b.size.accelerators;
+  }
+};
+
+/// Jobs of one workload, size and duration class: when one of them fits
+/// nowhere, none does.
+struct ShapeQueue {
+  ShapeKey key;
+  std::map<TeamIndex, Lane> lanes;
+  std::set<LaneHead> heads;
+  /// Value of Cell::capacity_epoch when the shape last fitted nowhere.
+  uint64_t failed_epoch = 0;
+};
+
+struct ClassQueue {
+  std::map<ShapeKey, ShapeQueue> shapes;
+  uint64_t jobs = 0;
+};
+
+/// Usable workers by free accelerators and free whole cores.
+struct FreeIndex {
+  static constexpr uint32_t kAcceleratorClasses = 17;
+  static constexpr uint32_t kCoreBuckets = 64;
+  std::array<std::vector<WorkerIndex>,
+             size_t{kAcceleratorClasses} * kCoreBuckets>
+      buckets;
+  std::array<uint64_t, kAcceleratorClasses> occupied{};
+};
+
+/// Workers of equal capacity, for the check whether a job can ever run.
+struct CapacityClass {
+  Resources capacity;
+  uint32_t workers = 0;
+};
+
+enum class TimerKind : uint8_t { kRetry, kStartBy, kEscalate };
+
+struct Timer {
+  TimeMs at_ms = 0;
+  /// Makes the order of timers with equal times total.
+  uint64_t order = 0;
+  TimerKind kind = TimerKind::kRetry;
+  JobIndex job = kNone;
+  uint64_t job_sequence = 0;
+  uint32_t member = 0;
+  uint32_t attempt = 0;
+  uint32_t step = 0;
+  friend bool operator>(const Timer& a, const Timer& b) {
+    if (a.at_ms != b.at_ms) return a.at_ms > b.at_ms;
+    return a.order > b.order;
+  }
+};
+
+/// Start kept for one job that fits nowhere now.
+struct Reservation {
+  JobIndex job = kNone;
+  uint64_t job_sequence = 0;
+  TimeMs start_ms = 0;
+  TimeMs made_ms = 0;
+  std::vector<WorkerIndex> workers;
+};
+
+/// Capacity on a worker kept for a job while preempted tasks end there.
+struct Claim {
+  JobIndex job = kNone;
+  uint64_t job_sequence = 0;
+  WorkerIndex worker = kNone;
+  Resources size;
+  TimeMs made_ms = 0;
+};
+
+struct EndedTask {
+  MemberRef ref;
+  uint64_t job_sequence = 0;
+  uint32_t attempt = 0;
+  TaskEnd end = TaskEnd::kSucceeded;
+};
+
+struct UsageReport {
+  WorkloadIndex workload = 0;
+  Resources declared;
+  Resources used;
+};
+
+struct Cell {
+  CoreOptions options;
+  std::vector<Worker> workers;
+  std::vector<std::string> zones;
+  std::vector<std::string> racks;
+  std::vector<Team> teams;
+  std::vector<Workload> workloads;
+  std::vector<Job> jobs;
+  std::vector<JobIndex> free_jobs;
+
+  std::unordered_map<std::string, WorkerIndex> worker_by_id;
+  std::unordered_map<std::string, uint32_t> zone_by_name;
+  std::unordered_map<std::string, uint32_t> rack_by_name;
+  std::unordered_map<std::string, TeamIndex> team_by_name;
+  std::unordered_map<std::string, WorkloadIndex> workload_by_name;
+  std::unordered_map<std::string, JobIndex> job_by_id;
+  bool has_quotas = false;
+
+  FreeIndex free_index;
+  std::vector<CapacityClass> capacities;
+  Resources total_capacity;
+  /// Changed whenever capacity becomes free or a size estimate changes.
+  uint64_t capacity_epoch = 1;
+
+  std::array<ClassQueue, 3> queues;
+  std::set<QueueEntry> gangs;
+  uint64_t queued_jobs = 0;
+  uint64_t active_members = 0;
+  uint32_t quarantined = 0;
+
+  std::deque<std::pair<JobIndex, uint64_t>> cancellations;
+  std::vector<EndedTask> ended;
+  std::vector<EndedTask> lost;
+  std::vector<UsageReport> usage;
+  std::vector<JobIndex> shed;
+  /// Jobs found complete after a take-over.
+  std::vector<JobIndex> finished;
+  std::vector<Timer> timers;
+  std::optional<Reservation> reservation;
+  std::vector<Claim> claims;
+
+  uint64_t next_sequence = 1;
+  uint64_t next_timer = 1;
+};
+
+inline Resources FreeOf(const Worker& worker) {
+  return worker.spec.capacity - worker.allocated;
+}
+
+inline Resources Min(const Resources& a, const Resources& b) {
+  return {std::min(a.milli_cores, b.milli_cores),
+          std::min(a.memory_mb, b.memory_mb),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+inline Resources AtLeastZero(const Resources& a) {
+  return {std::max<int64_t>(a.milli_cores, 0),
+          std::max<int64_t>(a.memory_mb, 0),
+          std::max<int64_t>(a.accelerators, 0)};
+}
+
+inline bool IsZero(const Resources& a) { return a == Resources{}; }
+
+/// Adds a timer; it is delivered by the tick at or after `timer.at_ms`.
+void AddTimer(Cell& cell, Timer timer);
+
+}  // namespace dotterelcove::core
