--- /dev/null
+++ b/src/border/caller/CallerRequest.h
@@ -0,0 +1,84 @@
+/// The caller API's request format: strict reading of a submitted body and its
+/// check against the configuration in force. docs/api.md describes each field.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "config/CellConfig.h"
+#include "dotterelcove/Result.h"
+#include "dotterelcove/Types.h"
+#include "http/HttpServer.h"
+
+namespace dotterelcove {
+
+/// Whether the connection is held open for the final outcome.
+enum class SubmitMode : uint8_t { kWait, kAsync };
+inline constexpr auto kSubmitModeNames = MakeNameTable<SubmitMode>(
+    {{SubmitMode::kWait, "wait"}, {SubmitMode::kAsync, "async"}});
+
+/// A request is refused before anything was sent for it.
+struct CallerFault {
+  /// HTTP status.
+  int status = 400;
+  /// The field at fault, as "resources.memory_mb"; empty for the whole body.
+  std::string field;
+  /// What is wrong and what is allowed.
+  std::string message;
+};
+
+/// A submitted request with every default filled in.
+struct CallerRequest {
+  std::string caller;
+  std::string service;
+  std::string kind;
+  std::string key;
+  std::string payload;
+  std::string team;
+  SubmitMode mode = SubmitMode::kWait;
+  Delivery delivery = Delivery::kPlace;
+  RequestClass request_class = RequestClass::kBatch;
+  bool idempotent = true;
+  bool gang = false;
+  uint32_t tasks = 1;
+  Resources size;
+  int64_t duration_ms = 0;
+  /// Time from receipt, 0 for none; routed requests always have one.
+  int64_t deadline_ms = 0;
+};
+
+struct CallerCheckLimits {
+  /// Longest deadline of a routed request.
+  int64_t max_routed_deadline_ms = 10'000;
+};
+
+/// Longest payload. A Submit frame holds it whole, beside the other fields, and
+/// must stay below kMaxFrameBytes.
+inline constexpr size_t kMaxPayloadBytes = 768 << 10;
+inline constexpr size_t kMaxKeyBytes = 256;
+inline constexpr size_t kMaxCallerBytes = 128;
+/// Longest deadline of a placed request.
+inline constexpr int64_t kMaxPlacedDeadlineMs = 30LL * 24 * 3600 * 1000;
+inline constexpr int64_t kMaxTasks = 10'000;
+/// Upper bounds that no VM reaches; a larger size is a mistake of unit.
+inline constexpr Resources kMaxTaskSize = {1'000'000, 16 << 20, 1'024};
+
+/// Reads and checks a submitted body. Fails with a CallerFault.
+Result<CallerRequest> ParseCallerRequest(const std::string& body,
+                                         const std::string& caller,
+                                         const CellConfig& config,
+                                         const CallerCheckLimits& limits);
+
+/// The caller named by the X-Caller header, "anonymous" without one. Fails with
+/// a CallerFault.
+Result<std::string> ReadCaller(const FieldMap& headers);
+
+/// Whether `key` may name a request: 1 to 256 of A-Z a-z 0-9 . _ : ~ @ -
+bool IsValidKey(const std::string& key);
+
+/// Digest of everything that decides what runs. The deadline and the mode are
+/// left out, so that a request may be sent again with another of these.
+std::string DigestOf(const CallerRequest& request);
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/border/endpoint/EndpointClient.cpp
@@ -0,0 +1,79 @@
+#include "border/endpoint/EndpointClient.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Clock.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+/// The endpoint is told a deadline that much earlier than ours, so that it has
+/// stopped by the time the slot is returned.
+constexpr TimeMs kDeadlineMarginMs = 20;
+
+EndpointResult Convert(HttpResult answer, int64_t started_us) {
+  EndpointResult result;
+  result.latency_us = MonotonicUs() - started_us;
+  result.detail = answer.detail;
+  const auto state = answer.headers.find("x-endpoint-state");
+  result.leaving = state != answer.headers.end() && state->second == "leaving";
+  if (answer.failure == HttpFailure::kNotSent) {
+    result.status = RunStatus::kNotSent;
+    result.unreachable = true;
+    return result;
+  }
+  if (answer.failure != HttpFailure::kNone) {
+    result.status = RunStatus::kUnknown;
+    if (result.detail.empty()) {
+      result.detail = NameOf(kHttpFailureNames, answer.failure);
+    }
+    return result;
+  }
+  result.body = std::move(answer.body);
+  if (answer.status == kStatusOk) {
+    result.status = RunStatus::kDone;
+    return result;
+  }
+  result.status = answer.status == kStatusUnavailable ? RunStatus::kRefused
+                                                      : RunStatus::kFailed;
+  result.detail = "endpoint answered status " + std::to_string(answer.status);
+  return result;
+}
+
+}  // namespace
+
+uint64_t RunOnEndpoint(const EndpointClient& client, const EndpointRun& run,
+                       std::function<void(EndpointResult)> done) {
+  // Read right before the send: the process may have been paused since the
+  // grant arrived.
+  const TimeMs left_ms = run.deadline_ms - MonotonicMs();
+  if (left_ms <= 0) {
+    EndpointResult result;
+    result.status = RunStatus::kNotSent;
+    result.detail = "deadline passed before the send";
+    done(std::move(result));
+    return 0;
+  }
+  HttpCall call;
+  call.method = "POST";
+  call.url = run.address + "/run";
+  call.headers = {{"X-Request-Id", run.request_id},
+                  {"X-Deadline-Ms", std::to_string(std::max<TimeMs>(
+                                        1, left_ms - kDeadlineMarginMs))},
+                  {"Content-Type", "application/octet-stream"}};
+  call.body = run.payload;
+  call.timeout_ms = left_ms;
+  call.connect_timeout_ms = std::min(client.connect_timeout_ms, left_ms);
+  call.max_response_bytes = client.max_answer_bytes;
+  call.fresh_connection = !run.idempotent;
+  const int64_t started_us = MonotonicUs();
+  return client.http.Send(
+      std::move(call), [started_us, done = std::move(done)](HttpResult answer) {
+        done(Convert(std::move(answer), started_us));
+      });
+}
+
+}  // namespace dotterelcove
