--- a/standins/Verdict.cpp
+++ b/standins/Verdict.cpp
@@ -101,8 +101,8 @@
       violations.push_back("endpoint " + endpoint +
                            " is above its connections");
     }
-    if (event == "limit_exceeded") {
-      violations.push_back("endpoint " + endpoint + " was sent too much");
+    if (event == "over_slots" || event == "over_connections") {
+      violations.push_back("endpoint " + endpoint + " reports " + event);
     }
     if (event == "started") {
       journals.started[job]++;
