--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -92,12 +92,11 @@
                            .metrics = parts.metrics,
                            .events = parts.events,
                            .endpoints = {.http = parts.endpoint_http},
-                           .objects = std::move(parts.objects),
+                           .read_object = std::move(parts.read_object),
                            .options = options,
                            .random = MakeSystemRandom(),
                            .config = nullptr}),
       sweep(parts.loop, [this] { this->Sweep(); }) {
-  this->state->objects.timeout_ms = options.object_timeout_ms;
   this->state->limits.entries = options.entries;
   this->state->limits.max_in_progress = options.max_in_progress;
   this->sweep.StartEvery(kSweepMs);
@@ -111,6 +110,18 @@
   this->state->config = std::move(config);
 }
 
+void Entry::EndAll(const std::string& reason) {
+  EntryState& entry = *this->state;
+  while (!entry.requests.empty()) {
+    RequestEnd end;
+    end.reason = reason;
+    EndRequest(entry, *entry.requests.begin()->second, std::move(end));
+  }
+  while (!entry.queries.empty()) {
+    EndQuery(entry, entry.queries.begin()->first, reason);
+  }
+}
+
 void Entry::RefuseNew() { this->refuse_new = true; }
 
 bool Entry::ready() const {
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -16,7 +16,7 @@
   Metrics& metrics;
   EventRing& events;
   HttpClient& endpoint_http;
-  ObjectClient objects;
+  ObjectReader read_object;
 };
 
 class Entry {
@@ -39,6 +39,8 @@
   void OnDisconnected(const PeerInfo& peer);
   bool OnMessage(const PeerInfo& peer, wire::FrameT& frame);
 
+  /// Answers every open request with what is known, for the end of a stop.
+  void EndAll(const std::string& reason);
   /// Refuses new requests from now on with 503 and outcome not_run.
   void RefuseNew();
   bool refusing() const { return this->refuse_new; }
--- /dev/null
+++ b/src/entry/EntryDaemon.h
@@ -0,0 +1,49 @@
+/// The whole entry daemon on one event loop: HTTP server, connections to the
+/// schedulers, operator routes and the planned stop.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "dotterelcove/Result.h"
+#include "entry/Entry.h"
+#include "settings/DaemonSettings.h"
+
+namespace dotterelcove {
+
+struct EntryDaemonOptions {
+  DaemonSettings settings;
+  /// Time after a planned stop begins in which new requests are still served,
+  /// so that the load balancer notices /readyz first.
+  int64_t balancer_notice_ms = 2'000;
+};
+
+/// How far a planned stop has got.
+enum class StopStage : uint8_t { kRunning, kNotice, kDraining, kStopped };
+
+class EntryDaemon {
+ public:
+  /// Fails with a PeerListenError or HttpListenError. `stopped` is called once,
+  /// from the loop, with the exit status: 0 after a stop that interrupted no
+  /// request, 1 after one that did.
+  static Result<std::unique_ptr<EntryDaemon>> Start(
+      EventLoop& loop, EntryDaemonOptions options,
+      std::function<void(int)> stopped);
+  ~EntryDaemon();
+  EntryDaemon(const EntryDaemon&) = delete;
+  EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+  void SetConfig(std::shared_ptr<const CellConfig> config);
+  /// Begins a planned stop; a second call ends it at once.
+  void Stop();
+  uint16_t port() const;
+  Entry& entry();
+  StopStage stage() const;
+
+ private:
+  struct State;
+  explicit EntryDaemon(std::unique_ptr<State> state);
+  std::unique_ptr<State> state;
+};
+
+}  // namespace dotterelcove
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -18,7 +18,7 @@
 void TryFetch(EntryState& state, const std::string& object, TimeMs deadline_ms,
               int attempt, std::function<void(bool, std::string)> done) {
   GetObject(
-      state.objects, object,
+      object,
       [&state, object, deadline_ms, attempt,
        done = std::move(done)](ObjectResult got) {
         if (got.status == TableStatus::kOk && got.found) {
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -22,13 +22,15 @@
 
 namespace dotterelcove {
 
+/// Reads one object of the object store.
+using ObjectReader = std::function<void(
+    const std::string& name, std::function<void(ObjectResult)> done)>;
+
 struct EntryOptions {
   /// Number of entry daemons of the cell, which share each caller's limits.
   int64_t entries = 1;
   int64_t max_in_progress = 10'000;
   int64_t max_routed_deadline_ms = 10'000;
-  /// Time limit for one read of an answer from the object store.
-  int64_t object_timeout_ms = 5'000;
 };
 
 /// GET or DELETE of one key, waiting for the owner.
@@ -59,7 +61,7 @@
   Metrics& metrics;
   EventRing& events;
   EndpointClient endpoints;
-  ObjectClient objects;
+  ObjectReader read_object;
   EntryOptions options;
   Random random;
   std::shared_ptr<const CellConfig> config = {};
--- a/src/entry/Queries.cpp
+++ b/src/entry/Queries.cpp
@@ -31,16 +31,11 @@
 }
 
 void OnQueryDeadline(EntryState& state, uint64_t call) {
-  Query* query = FindQuery(state, call);
+  const Query* query = FindQuery(state, call);
   if (query == nullptr) return;
-  CallerAnswer answer;
-  answer.key = query->key;
-  answer.status = kUnavailableStatus;
-  answer.retry_after_ms = kRetryAfterMs;
-  answer.reason = query->wait ? "no final outcome within wait_ms"
-                              : "no scheduler answered in time";
-  if (query->cancel) answer.reason += "; the cancellation may take effect";
-  AnswerQuery(state, call, answer);
+  EndQuery(state, call,
+           query->wait ? "no final outcome within wait_ms"
+                       : "no scheduler answered in time");
 }
 
 /// Status of an answer to GET: the query itself succeeded, except that the raw
@@ -52,6 +47,18 @@
 
 }  // namespace
 
+void EndQuery(EntryState& state, uint64_t call, const std::string& reason) {
+  const Query* query = FindQuery(state, call);
+  if (query == nullptr) return;
+  CallerAnswer answer;
+  answer.key = query->key;
+  answer.status = kUnavailableStatus;
+  answer.retry_after_ms = kRetryAfterMs;
+  answer.reason = reason;
+  if (query->cancel) answer.reason += "; the cancellation may take effect";
+  AnswerQuery(state, call, answer);
+}
+
 void StartQuery(EntryState& state, const std::string& caller,
                 const std::string& key, QueryOptions options, HttpReply reply) {
   const uint64_t call = state.next_call++;
--- a/src/entry/Queries.h
+++ b/src/entry/Queries.h
@@ -21,6 +21,9 @@
 /// Sends a query to the owner, again after a change of owner.
 void SendQuery(EntryState& state, const Query& query);
 
+/// Answers a query with 503, since the owner has not answered it.
+void EndQuery(EntryState& state, uint64_t call, const std::string& reason);
+
 void OnStatusReply(EntryState& state, wire::StatusReplyT& reply);
 void OnCancelReply(EntryState& state, const wire::CancelReplyT& reply);
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -3,11 +3,13 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <cerrno>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -21,15 +23,17 @@
   MHD_Connection* connection = nullptr;
   HttpRequest request;
   HttpResponse response;
-  TimeMs started_ms = 0;
-  bool seen_headers = false;
   bool too_large = false;
-  bool too_slow = false;
   bool handled = false;
   bool suspended = false;
   bool answered = false;
   bool completed = false;
+  /// The connection is closed instead of answered.
+  bool aborted = false;
   std::function<void()> resume;
+  /// Notices that the caller closes the connection while its request is open;
+  /// the library does not look at suspended connections.
+  std::unique_ptr<IoWatch> hangup_watch;
 };
 
 struct HttpServer::State {
@@ -38,9 +42,13 @@
         options(std::move(options)),
         handler(std::move(handler)),
         watch(loop, [this](int) { this->Pump(); }),
-        timer(loop, [this] { this->Pump(); }) {}
+        timer(loop, [this] { this->Pump(); }),
+        receive_timer(loop, [this] { this->CloseSlowSenders(); }) {}
 
   void Pump();
+  void CloseSlowSenders();
+  void Suspend(HttpExchange& exchange);
+  void OnCallerReadable(HttpExchange& exchange);
 
   EventLoop& loop;
   HttpServerOptions options;
@@ -48,6 +56,11 @@
   MHD_Daemon* daemon = nullptr;
   IoWatch watch;
   Timer timer;
+  Timer receive_timer;
+  /// Since when a request is expected or being received; 0 while one is open.
+  std::map<MHD_Connection*, TimeMs> receiving_since;
+  bool listening = true;
+  bool close_after_answers = false;
   std::map<HttpExchange*, std::shared_ptr<HttpExchange>> exchanges;
   size_t open_requests = 0;
   size_t open_connections = 0;
@@ -122,6 +135,14 @@
   if (target.suspended) target.resume();
 }
 
+void HttpReply::Abort() const {
+  HttpExchange& target = *this->exchange;
+  if (target.answered || target.completed) return;
+  target.answered = true;
+  target.aborted = true;
+  if (target.suspended) target.resume();
+}
+
 bool HttpReply::open() const {
   return !this->exchange->answered && !this->exchange->completed;
 }
@@ -137,8 +158,47 @@
   this->timer.Cancel();
 }
 
+void HttpServer::State::CloseSlowSenders() {
+  const TimeMs now = MonotonicMs();
+  for (const auto& [connection, since] : this->receiving_since) {
+    if (since == 0 || now - since <= this->options.receive_timeout_ms) continue;
+    // The library's own limit starts again with every byte, so a sender that
+    // trickles is caught here. It sees the end of the stream and cleans up.
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    shutdown(info->connect_fd, SHUT_RDWR);
+  }
+}
+
+void HttpServer::State::Suspend(HttpExchange& exchange) {
+  exchange.suspended = true;
+  MHD_suspend_connection(exchange.connection);
+  const auto* info = MHD_get_connection_info(exchange.connection,
+                                             MHD_CONNECTION_INFO_CONNECTION_FD);
+  exchange.hangup_watch = std::make_unique<IoWatch>(
+      this->loop, [this, &exchange](int) { this->OnCallerReadable(exchange); });
+  exchange.hangup_watch->Start(info->connect_fd, EV_READ);
+}
+
+void HttpServer::State::OnCallerReadable(HttpExchange& exchange) {
+  const auto* info = MHD_get_connection_info(exchange.connection,
+                                             MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte = 0;
+  const ssize_t count =
+      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  // The next request of a pipeline waits; a hang-up behind it goes unnoticed.
+  if (count > 0) {
+    exchange.hangup_watch->Stop();
+    return;
+  }
+  exchange.answered = true;
+  exchange.aborted = true;
+  exchange.resume();
+}
+
 MHD_Result HttpServer::State::HandleHeaders(HttpExchange& exchange) {
-  exchange.seen_headers = true;
+  this->receiving_since[exchange.connection] = MonotonicMs();
   MHD_get_connection_values(exchange.connection, MHD_HEADER_KIND, CollectHeader,
                             &exchange.request.headers);
   MHD_get_connection_values(exchange.connection, MHD_GET_ARGUMENT_KIND,
@@ -153,18 +213,13 @@
   exchange.answered = true;
   return QueueResponse(
       exchange.connection,
-      MakeErrorResponse(413, "body is larger than " +
-                                 std::to_string(this->options.max_body_bytes) +
-                                 " bytes"));
+      this->options.make_error(
+          413, "body is larger than " +
+                   std::to_string(this->options.max_body_bytes) + " bytes"));
 }
 
 MHD_Result HttpServer::State::HandleBody(HttpExchange& exchange,
                                          const char* data, size_t* data_size) {
-  // The library's idle limit starts again with every byte, so a sender that
-  // trickles is caught here.
-  if (MonotonicMs() - exchange.started_ms > this->options.receive_timeout_ms) {
-    return MHD_NO;
-  }
   if (exchange.request.body.size() + *data_size >
       this->options.max_body_bytes) {
     exchange.too_large = true;
@@ -179,20 +234,24 @@
   if (exchange.too_large) {
     return QueueResponse(
         exchange.connection,
-        MakeErrorResponse(
+        this->options.make_error(
             413, "body is larger than " +
                      std::to_string(this->options.max_body_bytes) + " bytes"));
   }
   if (!exchange.handled) {
     exchange.handled = true;
     this->open_requests++;
+    this->receiving_since[exchange.connection] = 0;
     this->handler(exchange.request, HttpReply(this->exchanges.at(&exchange)));
     if (!exchange.answered) {
-      exchange.suspended = true;
-      MHD_suspend_connection(exchange.connection);
+      this->Suspend(exchange);
       return MHD_YES;
     }
   }
+  if (exchange.aborted) return MHD_NO;
+  if (this->close_after_answers) {
+    exchange.response.headers.emplace_back("Connection", "close");
+  }
   return QueueResponse(exchange.connection, exchange.response);
 }
 
@@ -208,9 +267,9 @@
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
-    exchange->started_ms = MonotonicMs();
     exchange->resume = [state, exchange] {
       exchange->suspended = false;
+      exchange->hangup_watch.reset();
       MHD_resume_connection(exchange->connection);
       // Resuming from inside a callback of the library must not re-enter it.
       state->timer.StartAfter(0);
@@ -223,24 +282,29 @@
   return state->Finish(*exchange);
 }
 
-void HttpServer::State::OnCompleted(void* self, MHD_Connection*, void** context,
+void HttpServer::State::OnCompleted(void* self, MHD_Connection* connection,
+                                    void** context,
                                     MHD_RequestTerminationCode) {
   auto* state = static_cast<State*>(self);
   auto* exchange = static_cast<HttpExchange*>(*context);
   if (exchange == nullptr) return;
   exchange->completed = true;
   if (exchange->handled) state->open_requests--;
+  state->receiving_since[connection] = MonotonicMs();
   state->exchanges.erase(exchange);
   *context = nullptr;
 }
 
-void HttpServer::State::OnConnection(void* self, MHD_Connection*, void**,
+void HttpServer::State::OnConnection(void* self, MHD_Connection* connection,
+                                     void**,
                                      MHD_ConnectionNotificationCode code) {
   auto* state = static_cast<State*>(self);
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
     state->open_connections++;
+    state->receiving_since[connection] = MonotonicMs();
     return;
   }
+  state->receiving_since.erase(connection);
   state->open_connections--;
 }
 
@@ -276,6 +340,9 @@
       MHD_get_daemon_info(state->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   state->watch.Start(info->epoll_fd, EV_READ);
   state->Pump();
+  // Checked often enough that the limit holds to within a quarter.
+  state->receive_timer.StartEvery(
+      std::max<int64_t>(1, state->options.receive_timeout_ms / 4));
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
@@ -284,14 +351,16 @@
   for (auto& [exchange, owner] : this->state->exchanges) {
     if (!exchange->suspended) continue;
     exchange->suspended = false;
+    exchange->hangup_watch.reset();
     exchange->answered = true;
-    exchange->response = MakeErrorResponse(503, "server is stopping");
+    exchange->aborted = true;
     MHD_resume_connection(exchange->connection);
   }
   MHD_run(this->state->daemon);
   this->state->closing = true;
   this->state->watch.Stop();
   this->state->timer.Cancel();
+  this->state->receive_timer.Cancel();
   MHD_stop_daemon(this->state->daemon);
 }
 
@@ -307,7 +376,14 @@
   return this->state->open_connections;
 }
 
+bool HttpServer::listening() const { return this->state->listening; }
+
+void HttpServer::CloseAfterAnswers() {
+  this->state->close_after_answers = true;
+}
+
 void HttpServer::StopListening() {
+  this->state->listening = false;
   const MHD_socket listener = MHD_quiesce_daemon(this->state->daemon);
   if (listener != MHD_INVALID_SOCKET) close(listener);
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -48,7 +48,10 @@
   explicit HttpReply(std::shared_ptr<HttpExchange> exchange)
       : exchange(std::move(exchange)) {}
   void Send(HttpResponse response) const;
-  /// Whether the connection is still open; false after Send as well.
+  /// Closes the connection without an answer.
+  void Abort() const;
+  /// Whether the caller still waits: false after Send or Abort, and once the
+  /// caller has closed its side of the connection.
   bool open() const;
 
  private:
@@ -62,9 +65,13 @@
   /// 0 takes a free port.
   uint16_t port = 0;
   size_t max_body_bytes = 1 << 20;
-  /// Time a sender has for one whole request; also the idle limit.
+  /// Time a sender has for the headers, counted from the end of the request
+  /// before, and again for the body; also the idle limit.
   int64_t receive_timeout_ms = 15'000;
   unsigned max_connections = 4'096;
+  /// Makes the answers that the server gives by itself: 413.
+  std::function<HttpResponse(int status, const std::string& message)>
+      make_error = MakeErrorResponse;
 };
 
 /// The server could not listen.
@@ -78,6 +85,8 @@
   static Result<std::unique_ptr<HttpServer>> Start(EventLoop& loop,
                                                    HttpServerOptions options,
                                                    HttpHandler handler);
+  /// Closes connections with an open request without an answer, since any
+  /// answer would claim to know what became of it.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -89,6 +98,9 @@
   size_t open_connections() const;
   /// Closes the listening socket; open connections go on.
   void StopListening();
+  bool listening() const;
+  /// Closes each connection after its next answer.
+  void CloseAfterAnswers();
 
  private:
   struct State;
--- a/standins/EndpointStandin.cpp
+++ b/standins/EndpointStandin.cpp
@@ -214,13 +214,23 @@
       reply.Send(MakeErrorResponse(400, "allowed: one JSON object"));
       return;
     }
-    EndpointFaults faults = endpoint.faults;
+    // Any endpoint sets the faults of any other, so that one that refuses
+    // connections can be restored.
+    const auto named = request.query.find("endpoint");
+    const std::string id =
+        named == request.query.end() ? endpoint.vm.id : named->second;
+    if (!this->endpoints.contains(id)) {
+      reply.Send(MakeErrorResponse(404, "endpoint: not one of this process"));
+      return;
+    }
+    Endpoint& target = *this->endpoints.at(id);
+    EndpointFaults faults = target.faults;
     ReadFaults(json, faults);
     HttpResponse response;
     response.body = "{}";
     reply.Send(std::move(response));
     // After the answer, since the fault may close this server.
-    this->After(0, [this, &endpoint, faults] { this->Apply(endpoint, faults); });
+    this->After(0, [this, &target, faults] { this->Apply(target, faults); });
     return;
   }
   reply.Send(MakeErrorResponse(404, "allowed: /run, /control/fault"));
@@ -229,12 +239,16 @@
 void EndpointStandin::State::Run(Endpoint& endpoint, const HttpRequest& request,
                                  HttpReply reply) {
   const auto id = request.headers.find("x-request-id");
-  const std::string request_id =
-      id == request.headers.end() ? "" : id->second;
+  const std::string request_id = id == request.headers.end() ? "" : id->second;
   if (static_cast<int64_t>(endpoint.server->open_connections()) >
       endpoint.vm.connections) {
     this->Journal(endpoint, request_id, "over_connections");
   }
+  if (endpoint.faults.unreachable) {
+    // A connection opened before the fault; nothing runs.
+    reply.Abort();
+    return;
+  }
   const bool full = endpoint.busy_slots >= endpoint.vm.slots;
   if (full || endpoint.faults.leaving) {
     this->Journal(endpoint, request_id, full ? "over_slots" : "refused");
@@ -283,8 +297,9 @@
     reply.Send(std::move(response));
     return;
   }
-  this->After(endpoint.faults.delay_ms,
-              [reply, response = std::move(response)] { reply.Send(response); });
+  this->After(
+      endpoint.faults.delay_ms,
+      [reply, response = std::move(response)] { reply.Send(response); });
 }
 
 EndpointStandin::EndpointStandin(std::unique_ptr<State> state)
@@ -330,12 +345,12 @@
 
 size_t EndpointStandin::Count(const std::string& event,
                               const std::string& request) const {
-  return static_cast<size_t>(std::count_if(
-      this->state->entries.begin(), this->state->entries.end(),
-      [&](const EndpointEntry& entry) {
-        return entry.event == event &&
-               (request.empty() || entry.request == request);
-      }));
+  return static_cast<size_t>(
+      std::count_if(this->state->entries.begin(), this->state->entries.end(),
+                    [&](const EndpointEntry& entry) {
+                      return entry.event == event &&
+                             (request.empty() || entry.request == request);
+                    }));
 }
 
 }  // namespace dotterelcove
--- a/standins/EndpointStandin.h
+++ b/standins/EndpointStandin.h
@@ -17,7 +17,8 @@
 
 namespace dotterelcove {
 
-/// Faults of one endpoint, set by POST /control/fault with the same names.
+/// Faults of one endpoint, set by POST /control/fault with the same names, or
+/// by POST /control/fault?endpoint=ID at any endpoint of the process.
 struct EndpointFaults {
   /// Answers carry X-Endpoint-State: leaving, and new runs are refused.
   bool leaving = false;
