--- /dev/null
+++ b/src/scheduler/CellDriver.h
@@ -0,0 +1,109 @@
+/// Drives the decision core: ticks, turns its commands into calls to workers
+/// and the answers of workers into its input.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/Core.h"
+#include "scheduler/JobTable.h"
+#include "scheduler/Services.h"
+#include "scheduler/WorkerPool.h"
+
+namespace dotterelcove {
+
+/// A task that is on a worker, or may be.
+struct TaskEntry {
+  core::TaskRef ref;
+  std::string id;
+  std::string worker;
+  FenceToken token;
+  uint64_t incarnation = 0;
+  TimeMs sent_ms = 0;
+  /// The worker has said that it runs the task.
+  bool confirmed = false;
+  /// Action to take as soon as the start is confirmed.
+  std::optional<ControlAction> wanted;
+};
+
+struct CellDriverCallbacks {
+  /// The core has ended the job and none of its tasks is on a worker any more.
+  std::function<void(Job&)> decided;
+  /// A member succeeded; the worker may forget it after `acknowledge`.
+  std::function<void(Job&, uint32_t member, Acknowledge acknowledge)>
+      member_succeeded;
+  std::function<void(uint64_t epoch)> higher_epoch;
+};
+
+class CellDriver {
+ public:
+  CellDriver(Services& services, JobTable& jobs, uint64_t epoch,
+             CellDriverCallbacks callbacks);
+  CellDriver(const CellDriver&) = delete;
+  CellDriver& operator=(const CellDriver&) = delete;
+
+  /// Must be called once before anything else; the pool's callbacks lead here.
+  void SetPool(WorkerPool& pool);
+  void SetQuota(const std::string& team, const Resources& quota);
+  void SetWorker(const Vm& vm, core::WorkerState state);
+
+  /// Hands a job to the core.
+  core::SubmitDecision Open(Job& job);
+  void Cancel(Job& job);
+  /// Ends a job without the core, once its tasks have ended.
+  void Decide(Job& job, core::JobEnd end, std::string message);
+
+  /// A task that a worker held before this process knew of it, for a job that
+  /// is open. Returns false when the core does not want it there.
+  bool Adopt(Job& job, const FoundTask& found);
+  /// A member of an open job ended under an earlier owner.
+  void AdoptEnded(Job& job, uint32_t member);
+  /// Compares the tasks believed to be on a worker with its answer to a fence.
+  void Reconcile(const std::string& worker, const FenceReply& reply);
+  void OnEnded(const std::string& worker, const EndedTask& task,
+               const Acknowledge& acknowledge);
+  void OnUsage(const std::vector<TaskUsage>& usage);
+
+  /// Stops placing, for a planned stop.
+  void StopPlacing();
+  /// Ticks soon.
+  void Wake();
+  bool Knows(const std::string& task) const;
+  const core::Cell& cell() const { return *this->tables; }
+  const std::unordered_map<std::string, TaskEntry>& tasks() const {
+    return this->entries;
+  }
+
+ private:
+  void OnTick();
+  void ScheduleTick();
+  void Execute(const core::Command& command);
+  void StartOnWorker(const core::Command& command);
+  void OnStartAnswer(const std::string& id,
+                     const WorkerResult<NoReply>& result);
+  void ControlOnWorker(const core::TaskRef& ref, ControlAction action);
+  void Confirm(TaskEntry& entry);
+  void Drop(const std::string& id, core::TaskEnd end);
+  void LoseWorker(const std::string& worker);
+  void MaybeDecided(Job& job);
+  uint32_t WireAttempt(uint32_t attempt) const;
+
+  Services& services;
+  JobTable& jobs;
+  uint64_t epoch;
+  CellDriverCallbacks callbacks;
+  core::CellPtr tables;
+  WorkerPool* pool = nullptr;
+  std::unordered_map<std::string, TaskEntry> entries;
+  /// Task id under which the core's reference was started.
+  std::unordered_map<std::string, std::string> ids_by_ref;
+  std::vector<core::Command> commands;
+  Timer timer;
+  TimeMs last_event_ms = 0;
+  bool placing = true;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/scheduler/Job.cpp
@@ -0,0 +1,119 @@
+#include "scheduler/Job.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace dotterelcove {
+namespace {
+
+constexpr int64_t kMinimumMilliCores = 1;
+
+std::vector<uint8_t> ToBytes(const std::string& text) {
+  return {text.begin(), text.end()};
+}
+
+}  // namespace
+
+core::JobSpec MakeJobSpec(const wire::SubmitT& submit, TimeMs now) {
+  core::JobSpec spec;
+  spec.id = submit.job;
+  spec.team = submit.team;
+  spec.workload = submit.service + "/" + submit.kind;
+  spec.request_class = static_cast<RequestClass>(submit.request_class);
+  if (submit.size != nullptr) {
+    spec.size = {submit.size->milli_cores, submit.size->memory_mb,
+                 submit.size->accelerators};
+  }
+  spec.size.milli_cores = std::max(spec.size.milli_cores, kMinimumMilliCores);
+  spec.tasks = std::max<uint32_t>(submit.tasks, 1);
+  spec.gang = submit.gang;
+  spec.idempotent = submit.idempotent;
+  spec.duration_ms = submit.duration_ms;
+  spec.start_by_ms = submit.deadline_ms > 0 ? now + submit.deadline_ms : 0;
+  return spec;
+}
+
+std::string MakeJobBody(const Job& job) {
+  if (job.members.size() == 1) return job.members.front().result;
+  nlohmann::json results = nlohmann::json::array();
+  for (const MemberResult& member : job.members) {
+    results.push_back(member.result);
+  }
+  return nlohmann::json{{"results", std::move(results)}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+JobResult MakeJobResult(const Job& job, const core::Command& decision) {
+  JobResult result;
+  result.worker = job.last_worker;
+  result.detail = decision.message;
+  result.retry_after_ms = decision.retry_after_ms;
+  const bool complete =
+      std::all_of(job.members.begin(), job.members.end(),
+                  [](const MemberResult& member) { return member.ended; });
+  switch (decision.end) {
+    case core::JobEnd::kDone:
+      result.outcome = Outcome::kDone;
+      result.body = MakeJobBody(job);
+      break;
+    case core::JobEnd::kFailed:
+      result.outcome = Outcome::kDone;
+      result.detail = "failed: " + decision.message;
+      break;
+    case core::JobEnd::kNotRun:
+      // A task that a worker accepted rules "not run" out, whatever the core
+      // decided from its own tables.
+      result.outcome = job.ran ? Outcome::kUnknown : Outcome::kNotRun;
+      break;
+    case core::JobEnd::kUnknown:
+      result.outcome = Outcome::kUnknown;
+      break;
+    case core::JobEnd::kCancelled:
+      if (!job.ran) {
+        result.outcome = Outcome::kNotRun;
+        break;
+      }
+      result.outcome = Outcome::kDone;
+      if (complete) result.body = MakeJobBody(job);
+      if (!complete) result.detail = "cancelled after a task had started";
+      break;
+  }
+  return result;
+}
+
+wire::OutcomeT MakeOutcome(const std::string& id, const JobResult& result) {
+  wire::OutcomeT outcome;
+  outcome.job = id;
+  outcome.outcome = static_cast<uint8_t>(result.outcome);
+  if (result.object.empty()) outcome.body = ToBytes(result.body);
+  outcome.object = result.object;
+  outcome.detail = result.detail;
+  outcome.worker = result.worker;
+  outcome.retry_after_ms = result.retry_after_ms;
+  return outcome;
+}
+
+wire::StatusReplyT MakeStatusReply(uint64_t call, const Job& job) {
+  wire::StatusReplyT reply;
+  reply.call = call;
+  reply.found = true;
+  if (job.phase != JobPhase::kEnded) {
+    reply.outcome = static_cast<uint8_t>(Outcome::kAccepted);
+    reply.state = job.phase == JobPhase::kOpen && job.tasks_out > 0
+                      ? "running"
+                      : (job.phase == JobPhase::kOpen
+                             ? "queued"
+                             : std::string(NameOf(kJobPhaseNames, job.phase)));
+    reply.worker = job.last_worker;
+    return reply;
+  }
+  reply.outcome = static_cast<uint8_t>(job.result.outcome);
+  reply.state = "ended";
+  reply.detail = job.result.detail;
+  reply.worker = job.result.worker;
+  reply.object = job.result.object;
+  if (reply.object.empty()) reply.body = ToBytes(job.result.body);
+  return reply;
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/scheduler/WorkerPool.h
@@ -0,0 +1,95 @@
+/// The sessions with all workers of a partition, and the rows that tell the
+/// next owner which workers may hold tasks.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/Core.h"
+#include "scheduler/Job.h"
+#include "scheduler/Services.h"
+#include "scheduler/WorkerSession.h"
+#include "store/RecordWriter.h"
+
+namespace dotterelcove {
+
+struct WorkerPoolCallbacks {
+  std::function<void(const std::string& worker, const FenceReply&)> fenced;
+  std::function<void(const std::string& worker, const EndedTask&, Acknowledge)>
+      ended;
+  std::function<void(const std::string& worker, const std::vector<TaskUsage>&)>
+      usage;
+  /// The worker is new, or its state or description changed.
+  std::function<void(const Vm&, core::WorkerState)> changed;
+  std::function<void(uint64_t epoch)> higher_epoch;
+  /// Whether leases may still be extended: false while this process cannot
+  /// rule out that another owner exists.
+  std::function<bool()> may_renew;
+};
+
+class WorkerPool {
+ public:
+  WorkerPool(Services& services, RecordWriter& writer, uint64_t epoch,
+             WorkerPoolCallbacks callbacks);
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+
+  /// Adds a worker that an earlier owner used, from its row.
+  void AddUsed(const Vm& vm);
+  /// Takes over the platform's list: adds workers, marks those that are
+  /// leaving or no longer listed as draining.
+  void SetListed(const std::vector<Vm>& vms);
+  /// Operator's drain of one worker; false when it is unknown.
+  bool Drain(const std::string& worker);
+  /// The worker refused a start; it gets no more for a time that doubles with
+  /// each refusal.
+  void ReportRefusal(const std::string& worker);
+  void ReportStarted(const std::string& worker);
+
+  /// Nothing for an unknown worker.
+  WorkerSession* Find(const std::string& worker) const;
+  core::WorkerState StateOf(const std::string& worker) const;
+  std::vector<std::string> ids() const;
+  /// Workers that an earlier owner used and that have not answered or lapsed.
+  std::set<std::string> Unanswered() const;
+
+ private:
+  /// Progress of the row `worker/<partition>/<id>`.
+  enum class RowState : uint8_t { kAbsent, kWriting, kPresent };
+  struct Worker {
+    std::unique_ptr<WorkerSession> session;
+    RowState row = RowState::kAbsent;
+    /// Counts writes and removals, so that only the last one's end matters.
+    uint64_t row_change = 0;
+    bool used_before = false;
+    bool answered = false;
+    bool listed = false;
+    bool drained = false;
+    bool refusing = false;
+    int refusals = 0;
+    core::WorkerState reported = core::WorkerState::kUnreachable;
+    std::unique_ptr<Timer> refusal_timer;
+  };
+
+  Worker& Add(const Vm& vm, bool used_before);
+  void OnSessionState(const std::string& id, SessionState state);
+  void WriteRow(const std::string& id);
+  void RemoveRow(const std::string& id);
+  void Update(const std::string& id);
+  core::WorkerState Evaluate(const Worker& worker) const;
+
+  Services& services;
+  RecordWriter& writer;
+  uint64_t epoch;
+  TimeMs taken_over_ms;
+  WorkerPoolCallbacks callbacks;
+  std::map<std::string, Worker> workers;
+  Random random;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace dotterelcove
