Add preemption, quota return, reservations and shedding to the core

Urgent jobs waited for batch work in a full cell, gangs could be passed for ever, and one team could fill the queue.

--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -4,6 +4,8 @@
 #include <bit>
 
 #include "core/Lifecycle.h"
+#include "core/Placement.h"
+#include "core/Queue.h"
 #include "core/Systems.h"
 
 namespace dotterelcove::core {
@@ -13,22 +15,12 @@
 /// classes still find room.
 constexpr double kBatchShare = 0.8;
 constexpr double kServiceShare = 0.95;
+/// One team may hold this share of the queue once the queue is filled to
+/// kFloodedShare; both are below kBatchShare, so that others find room.
+constexpr double kTeamShare = 0.25;
+constexpr double kFloodedShare = 0.5;
 constexpr TimeMs kRetryAfterMs = 5'000;
 
-int64_t CountFits(const Resources& size, const Resources& capacity) {
-  int64_t count = INT32_MAX;
-  if (size.milli_cores > 0) {
-    count = std::min(count, capacity.milli_cores / size.milli_cores);
-  }
-  if (size.memory_mb > 0) {
-    count = std::min(count, capacity.memory_mb / size.memory_mb);
-  }
-  if (size.accelerators > 0) {
-    count = std::min(count, capacity.accelerators / size.accelerators);
-  }
-  return count;
-}
-
 /// How much of the requested size a capacity can serve, in thousandths.
 int64_t Similarity(const Resources& size, const Resources& capacity) {
   const auto part = [](int64_t need, int64_t have) {
@@ -45,6 +37,50 @@
          std::to_string(size.accelerators) + " accelerators";
 }
 
+/// Whether one team holds so much of the queue that others would be refused
+/// because of it.
+bool IsFlooding(const Cell& cell, const std::string& team) {
+  const auto found = cell.team_by_name.find(team);
+  return found != cell.team_by_name.end() && cell.teams.size() > 1 &&
+         cell.teams[found->second].queued_jobs >=
+             cell.options.max_queued * kTeamShare;
+}
+
+/// Last job of the lane that never started, or kNone.
+JobIndex NewestUnstarted(const Cell& cell, const Lane& lane) {
+  constexpr int kLooks = 4;
+  int looks = 0;
+  for (auto entry = lane.jobs.rbegin();
+       entry != lane.jobs.rend() && looks < kLooks; ++entry, ++looks) {
+    const Job& job = cell.jobs[entry->job];
+    if (!job.may_have_run && job.active == 0) return entry->job;
+  }
+  return kNone;
+}
+
+/// Sheds the last job of the longest batch lane, lanes that borrow first.
+bool ShedOne(Cell& cell) {
+  JobIndex victim = kNone;
+  std::pair<bool, size_t> longest{false, 0};
+  auto& queue = cell.queues[static_cast<size_t>(RequestClass::kBatch)];
+  for (const auto& [key, shape] : queue.shapes) {
+    for (const auto& [team, lane] : shape.lanes) {
+      const std::pair<bool, size_t> length{lane.borrowing, lane.jobs.size()};
+      if (length <= longest) continue;
+      const JobIndex job = NewestUnstarted(cell, lane);
+      if (job == kNone) continue;
+      victim = job;
+      longest = length;
+    }
+  }
+  if (victim == kNone) return false;
+  Dequeue(cell, victim);
+  cell.jobs[victim].ending = JobEnd::kNotRun;
+  cell.jobs[victim].message = "shed for overload";
+  cell.shed.push_back(victim);
+  return true;
+}
+
 SubmitDecision Refuse(std::string message) {
   SubmitDecision decision;
   decision.accepted = false;
@@ -67,7 +103,8 @@
   int64_t best = -1;
   for (const CapacityClass& row : cell.capacities) {
     if (row.workers == 0) continue;
-    room += CountFits(size, row.capacity) * row.workers;
+    room += std::min<int64_t>(CountFits(size, row.capacity), INT32_MAX) *
+            row.workers;
     const int64_t similarity = Similarity(size, row.capacity);
     if (similarity <= best) continue;
     best = similarity;
@@ -92,12 +129,18 @@
 SubmitDecision CheckLoad(Cell& cell, const JobSpec& spec) {
   const auto limit = static_cast<double>(cell.options.max_queued);
   const auto queued = static_cast<double>(cell.queued_jobs);
+  const bool is_batch = spec.request_class == RequestClass::kBatch;
   double share = 1;
-  if (spec.request_class == RequestClass::kBatch) share = kBatchShare;
+  if (is_batch) share = kBatchShare;
   if (spec.request_class == RequestClass::kService) share = kServiceShare;
-  if (queued < limit * share) return {};
+  const bool flooding = is_batch && queued >= limit * kFloodedShare &&
+                        IsFlooding(cell, spec.team);
+  if (queued < limit * share && !flooding) return {};
+  if (!is_batch && ShedOne(cell)) return {};
   SubmitDecision decision = Refuse(
-      "overload: " + std::to_string(cell.queued_jobs) + " jobs are queued");
+      flooding ? "overload: team " + spec.team + " has too many jobs queued"
+               : "overload: " + std::to_string(cell.queued_jobs) +
+                     " jobs are queued");
   decision.retry_after_ms = kRetryAfterMs;
   return decision;
 }
@@ -122,10 +165,10 @@
   return now + level * cell.options.ageing_step_ms;
 }
 
-void RunOverload(Cell& cell, TimeMs now, Commands& commands) {
+void RunOverload(Cell& cell, TimeMs /*now*/, Commands& commands) {
   for (const JobIndex job : cell.shed) {
     if (!cell.jobs[job].live) continue;
-    BeginEnding(cell, job, JobEnd::kNotRun, "shed for overload", now, commands);
+    FinishIfEnded(cell, job, commands);
     commands.back().retry_after_ms = kRetryAfterMs;
   }
   cell.shed.clear();
--- a/src/core/Batch.cpp
+++ b/src/core/Batch.cpp
@@ -8,7 +8,9 @@
 /// Backfill: a task that ends before the reservation starts may use what is
 /// reserved.
 Access AccessOf(const Cell& cell, const Job& job, TimeMs now) {
-  if (!cell.reservation || job.duration_ms == 0) return Access::kOpen;
+  if (!cell.reservation) return Access::kOpen;
+  if (&job == &cell.jobs[cell.reservation->job]) return Access::kReserved;
+  if (job.duration_ms == 0) return Access::kOpen;
   return now + job.duration_ms <= cell.reservation->start_ms ? Access::kReserved
                                                              : Access::kOpen;
 }
--- a/src/core/Gang.cpp
+++ b/src/core/Gang.cpp
@@ -8,21 +8,6 @@
 /// Gangs tried per tick, which bounds the cost of a long gang queue.
 constexpr uint32_t kGangsPerTick = 16;
 
-/// Members of `size` that one worker can take now.
-int64_t CountFits(const Resources& size, const Resources& free) {
-  int64_t count = INT64_MAX;
-  if (size.milli_cores > 0) {
-    count = std::min(count, free.milli_cores / size.milli_cores);
-  }
-  if (size.memory_mb > 0) {
-    count = std::min(count, free.memory_mb / size.memory_mb);
-  }
-  if (size.accelerators > 0) {
-    count = std::min(count, free.accelerators / size.accelerators);
-  }
-  return std::max<int64_t>(count, 0);
-}
-
 bool CanPlaceAll(const Cell& cell, const Resources& size, uint32_t members,
                  Access access) {
   int64_t fits = 0;
@@ -39,11 +24,12 @@
 bool PlaceGang(Cell& cell, JobIndex index, TimeMs now, Commands& commands) {
   const Job& job = cell.jobs[index];
   const Resources size = AllocationOf(cell, ShapeOf(job));
-  if (!CanPlaceAll(cell, size, job.waiting, Access::kOpen)) return false;
+  const bool reserved = cell.reservation && cell.reservation->job == index;
+  const Access access = reserved ? Access::kReserved : Access::kOpen;
+  if (!CanPlaceAll(cell, size, job.waiting, access)) return false;
   for (uint32_t i = 0; i < job.members.size(); ++i) {
     if (job.members[i].state != MemberState::kWaiting) continue;
-    const WorkerIndex worker =
-        FindBestFit(cell, {size, Access::kOpen, job.failed_on});
+    const WorkerIndex worker = FindBestFit(cell, {size, access, job.failed_on});
     StartMember(cell, index, i, worker, size, now, commands);
   }
   Dequeue(cell, index);
--- a/src/core/Lifecycle.cpp
+++ b/src/core/Lifecycle.cpp
@@ -92,7 +92,7 @@
 void ApplySuccess(Cell& cell, JobIndex job_index, uint32_t member_index,
                   Commands& commands) {
   Job& job = cell.jobs[job_index];
-  CountSuccess(cell, job.members[member_index].worker);
+  CountSuccess(cell, job_index, job.members[member_index].worker);
   job.members[member_index].succeeded = true;
   Vacate(cell, job_index, member_index, MemberState::kEnded);
   if (job.ended == job.members.size() && !job.ending) {
@@ -183,8 +183,11 @@
   Member& member = job.members[member_index];
   // The tasks of a lost worker have ended; their ends are applied this tick.
   if (cell.workers[member.worker].state == WorkerState::kLost) return;
-  if (member.state != MemberState::kUncertain) {
+  if (member.state != MemberState::kUncertain &&
+      member.state != MemberState::kStopping) {
     member.state = MemberState::kStopping;
+    Team& team = cell.teams[job.team];
+    team.leaving = team.leaving + member.allocated;
   }
   Command command;
   command.kind = checkpoint ? CommandKind::kCheckpoint : CommandKind::kStop;
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -121,8 +121,7 @@
 void Reindex(Cell& cell, WorkerIndex index) {
   Worker& worker = cell.workers[index];
   FreeIndex& free_index = cell.free_index;
-  const bool open =
-      !worker.quarantined || (worker.probing && worker.tasks.empty());
+  const bool open = !worker.quarantined || worker.probing;
   uint32_t bucket = kNone;
   if (worker.state == WorkerState::kUsable && open) {
     const Resources free = FreeOf(worker);
@@ -167,6 +166,11 @@
   worker.allocated = worker.allocated + size;
   assert(Fits(worker.allocated, worker.spec.capacity) || IsZero(size));
   worker.tasks.push_back({job_index, member_index});
+  if (worker.probing) {
+    worker.probing = false;
+    worker.probe_started = true;
+    worker.probe_at_ms = now + worker.probe_delay_ms;
+  }
   Workload& workload = cell.workloads[job.workload];
   workload.by_zone[worker.zone]++;
   workload.by_rack[worker.rack]++;
@@ -214,6 +218,9 @@
   Reindex(cell, member.worker);
   Team& team = cell.teams[job.team];
   team.used = team.used - member.allocated;
+  if (member.state == MemberState::kStopping) {
+    team.leaving = team.leaving - member.allocated;
+  }
   member.state = state;
   member.worker = kNone;
   member.allocated = {};
@@ -225,6 +232,20 @@
   RefreshTeam(cell, job.team);
 }
 
+int64_t CountFits(const Resources& size, const Resources& free) {
+  int64_t count = INT64_MAX;
+  if (size.milli_cores > 0) {
+    count = std::min(count, free.milli_cores / size.milli_cores);
+  }
+  if (size.memory_mb > 0) {
+    count = std::min(count, free.memory_mb / size.memory_mb);
+  }
+  if (size.accelerators > 0) {
+    count = std::min(count, free.accelerators / size.accelerators);
+  }
+  return std::max<int64_t>(count, 0);
+}
+
 uint32_t FirstWaiting(const Job& job) {
   for (uint32_t i = 0; i < job.members.size(); ++i) {
     if (job.members[i].state == MemberState::kWaiting) return i;
--- a/src/core/Placement.h
+++ b/src/core/Placement.h
@@ -45,6 +45,9 @@
 /// must not be an active one.
 void Vacate(Cell& cell, JobIndex job, uint32_t member, MemberState state);
 
+/// Members of `size` that fit into `free` together.
+int64_t CountFits(const Resources& size, const Resources& free);
+
 /// Returns the first waiting member, or kNone.
 uint32_t FirstWaiting(const Job& job);
 
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -21,39 +21,48 @@
          cell.workers.size() > 1;
 }
 
+void DelayProbe(const Cell& cell, Worker& worker, TimeMs now) {
+  worker.probe_started = false;
+  worker.probe_delay_ms =
+      std::min(worker.probe_delay_ms * 2,
+               cell.options.quarantine_probe_ms * kMaxProbeFactor);
+  worker.probe_at_ms = now + worker.probe_delay_ms;
+}
+
 }  // namespace
 
 void CountFailure(Cell& cell, JobIndex job_index, WorkerIndex worker_index,
                   TimeMs now) {
   Job& job = cell.jobs[job_index];
+  Workload& workload = cell.workloads[job.workload];
   Worker& worker = cell.workers[worker_index];
   const WorkerIndex before = job.failed_on;
   job.failed_on = worker_index;
   if (worker.quarantined) {
-    // A probe, or a task from before the quarantine, failed.
-    worker.probing = false;
-    worker.probe_delay_ms =
-        std::min(worker.probe_delay_ms * 2,
-                 cell.options.quarantine_probe_ms * kMaxProbeFactor);
-    worker.probe_at_ms = now + worker.probe_delay_ms;
-    Reindex(cell, worker_index);
+    if (worker.probe_started) DelayProbe(cell, worker, now);
     return;
   }
-  if (before != kNone && before != worker_index) {
+  if (job.at_fault || workload.at_fault || before == worker_index) return;
+  if (before != kNone && worker.healthy) {
+    job.at_fault = true;
+    workload.at_fault = true;
     Worker& earlier = cell.workers[before];
     if (earlier.failures > 0) earlier.failures--;
     return;
   }
-  if (before == worker_index) return;
   worker.failures++;
+  worker.healthy = false;
 }
 
-void CountSuccess(Cell& cell, WorkerIndex worker_index) {
+void CountSuccess(Cell& cell, JobIndex job, WorkerIndex worker_index) {
+  cell.workloads[cell.jobs[job].workload].at_fault = false;
   Worker& worker = cell.workers[worker_index];
   worker.failures = 0;
+  worker.healthy = true;
   if (!worker.quarantined) return;
   worker.quarantined = false;
   worker.probing = false;
+  worker.probe_started = false;
   cell.quarantined--;
   cell.capacity_epoch++;
   Reindex(cell, worker_index);
@@ -73,6 +82,7 @@
     if (!HasQuarantineRoom(cell)) continue;
     worker.quarantined = true;
     worker.probing = false;
+    worker.probe_started = false;
     worker.probe_delay_ms = cell.options.quarantine_probe_ms;
     worker.probe_at_ms = now + worker.probe_delay_ms;
     worker.failures = 0;
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -5,10 +5,9 @@
 
 namespace dotterelcove::core {
 
-/// Counts a failed attempt against the worker, unless the job failed on
-/// another worker too; then the job is at fault and the earlier count is taken
-/// back.
+/// Counts a failed attempt against the worker, unless the job or its workload
+/// is at fault: it also failed on a worker where others succeed.
 void CountFailure(Cell& cell, JobIndex job, WorkerIndex worker, TimeMs now);
-void CountSuccess(Cell& cell, WorkerIndex worker);
+void CountSuccess(Cell& cell, JobIndex job, WorkerIndex worker);
 
 }  // namespace dotterelcove::core
--- a/src/core/Queue.cpp
+++ b/src/core/Queue.cpp
@@ -56,6 +56,7 @@
   if (job.queued) return;
   job.queued = true;
   cell.queued_jobs++;
+  cell.teams[job.team].queued_jobs++;
   if (job.gang) {
     cell.gangs.insert(EntryOf(cell, index));
     return;
@@ -79,6 +80,7 @@
   if (!job.queued) return;
   job.queued = false;
   cell.queued_jobs--;
+  cell.teams[job.team].queued_jobs--;
   if (job.gang) {
     cell.gangs.erase(EntryOf(cell, index));
     return;
--- a/src/core/Tables.h
+++ b/src/core/Tables.h
@@ -51,6 +51,7 @@
   /// Number of the present or last attempt; the first one is 1.
   uint32_t attempt = 0;
   uint32_t failures = 0;
+  uint32_t preemptions = 0;
   WorkerIndex worker = kNone;
   Resources allocated;
   TimeMs started_ms = 0;
@@ -82,11 +83,15 @@
   uint32_t waiting = 0;
   uint32_t active = 0;
   uint32_t ended = 0;
+  /// Rows of Cell::claims held by this job.
+  uint32_t claims = 0;
   /// Set once the end is decided; announced when no member is active.
   std::optional<JobEnd> ending;
   std::string message;
-  /// Workers where an attempt failed last, avoided by the next attempt.
+  /// Worker where an attempt failed last, avoided by the next attempt.
   WorkerIndex failed_on = kNone;
+  /// Failed on a worker that other jobs succeed on.
+  bool at_fault = false;
 };
 
 /// A member of a job, as kept in worker rows.
@@ -109,9 +114,13 @@
   std::vector<MemberRef> tasks;
   /// Failures in a row that the jobs did not have elsewhere.
   uint32_t failures = 0;
+  /// A task succeeded since the last counted failure.
+  bool healthy = false;
   bool quarantined = false;
   /// One task is allowed to find out whether the worker recovered.
   bool probing = false;
+  /// That task runs.
+  bool probe_started = false;
   TimeMs probe_at_ms = 0;
   TimeMs probe_delay_ms = 0;
   /// Position in the free-capacity index, kNone when not indexed.
@@ -126,6 +135,11 @@
   bool has_quota = false;
   Resources quota;
   Resources used;
+  /// Part of `used` that was asked to stop.
+  Resources leaving;
+  /// Capacity claimed on workers for its jobs.
+  Resources claimed;
+  uint32_t queued_jobs = 0;
   /// Lanes with queued jobs of this team.
   std::vector<Lane*> lanes;
 };
@@ -137,6 +151,8 @@
   /// Decaying peaks of used / declared.
   double core_peak = 0;
   double memory_peak = 0;
+  /// Failed on workers that others succeed on, and not succeeded since.
+  bool at_fault = false;
   /// Running members by zone and by rack, for spreading of services.
   std::map<uint32_t, uint32_t> by_zone;
   std::map<uint32_t, uint32_t> by_rack;
@@ -244,7 +260,7 @@
   }
 };
 
-/// Start kept for one job that fits nowhere now.
+/// Expected start kept for one job that fits nowhere now.
 struct Reservation {
   JobIndex job = kNone;
   uint64_t job_sequence = 0;
@@ -257,6 +273,7 @@
 struct Claim {
   JobIndex job = kNone;
   uint64_t job_sequence = 0;
+  TeamIndex team = 0;
   WorkerIndex worker = kNone;
   Resources size;
   TimeMs made_ms = 0;
@@ -314,6 +331,7 @@
   std::vector<JobIndex> finished;
   std::vector<Timer> timers;
   std::optional<Reservation> reservation;
+  TimeMs next_reservation_ms = 0;
   std::vector<Claim> claims;
 
   uint64_t next_sequence = 1;
--- a/src/core/Ticks.cpp
+++ b/src/core/Ticks.cpp
@@ -92,10 +92,12 @@
   RunOverload(cell, now, commands);
   RunQuarantine(cell, now, commands);
   RunUsageLearning(cell, now, commands);
+  RunClaims(cell, now, commands);
   RunQuotas(cell, now, commands);
   RunUrgent(cell, now, commands);
   RunServices(cell, now, commands);
   RunGangs(cell, now, commands);
+  RunReservation(cell, now, commands);
   RunBatch(cell, now, commands);
   RunPreemption(cell, now, commands);
 }
