Read stored answers through a function of the entry's parts

Cause: the entry called the object store directly, which a unit test without the store's client could not link. Change: EntryParts.read_object.

--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -17,29 +17,27 @@
 
 void TryFetch(EntryState& state, const std::string& object, TimeMs deadline_ms,
               int attempt, std::function<void(bool, std::string)> done) {
-  GetObject(
-      object,
-      [&state, object, deadline_ms, attempt,
-       done = std::move(done)](ObjectResult got) {
-        if (got.status == TableStatus::kOk && got.found) {
-          done(true, std::move(got.content));
-          return;
-        }
-        const int64_t wait = BackoffMs(state.random, attempt,
-                                       kFetchBackoffBaseMs, kFetchBackoffMaxMs);
-        if (MonotonicMs() + wait >= deadline_ms) {
-          done(false, {});
-          return;
-        }
-        // The timer owns itself until it fires.
-        auto timer = std::make_shared<std::unique_ptr<Timer>>();
-        *timer = std::make_unique<Timer>(
-            state.loop, [&state, object, deadline_ms, attempt, done, timer] {
-              timer->reset();
-              TryFetch(state, object, deadline_ms, attempt + 1, done);
-            });
-        (*timer)->StartAfter(wait);
-      });
+  state.read_object(object, [&state, object, deadline_ms, attempt,
+                             done = std::move(done)](ObjectResult got) {
+    if (got.status == TableStatus::kOk && got.found) {
+      done(true, std::move(got.content));
+      return;
+    }
+    const int64_t wait = BackoffMs(state.random, attempt, kFetchBackoffBaseMs,
+                                   kFetchBackoffMaxMs);
+    if (MonotonicMs() + wait >= deadline_ms) {
+      done(false, {});
+      return;
+    }
+    // The timer owns itself until it fires.
+    auto timer = std::make_shared<std::unique_ptr<Timer>>();
+    *timer = std::make_unique<Timer>(
+        state.loop, [&state, object, deadline_ms, attempt, done, timer] {
+          timer->reset();
+          TryFetch(state, object, deadline_ms, attempt + 1, done);
+        });
+    (*timer)->StartAfter(wait);
+  });
 }
 
 }  // namespace
