--- /dev/null
+++ b/src/scheduler/Adoption.cpp
@@ -0,0 +1,179 @@
+#include "scheduler/Adoption.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Clock.h"
+#include "scheduler/JobRecords.h"
+
+namespace dotterelcove {
+
+Adoption::Adoption(JobTable& jobs, CellDriver& driver, WorkerPool& pool,
+                   std::function<bool(Job&)> open)
+    : jobs(jobs), driver(driver), pool(pool), open(std::move(open)) {}
+
+bool Adoption::in_doubt() const { return !this->certain; }
+
+void Adoption::HoldOrOpen(Job& job) {
+  if (this->certain) {
+    this->Release(job);
+    return;
+  }
+  job.phase = JobPhase::kHeld;
+  this->held.push_back(job.submit.job);
+  if (this->AllFound(job)) this->Release(job);
+}
+
+void Adoption::OnFenced(const std::string& worker, const FenceReply& reply) {
+  this->driver.Reconcile(worker, reply);
+  const TimeMs now = MonotonicMs();
+  for (const HeldTask& task : reply.held) {
+    if (this->driver.Knows(task.task.id)) continue;
+    this->Find(worker, task.task, now - task.running_ms, nullptr);
+  }
+}
+
+void Adoption::OnEnded(const std::string& worker, const EndedTask& task,
+                       const Acknowledge& acknowledge) {
+  if (this->driver.Knows(task.task.id)) {
+    this->driver.OnEnded(worker, task, acknowledge);
+    return;
+  }
+  this->held_acknowledgements[task.task.id] = acknowledge;
+  this->Find(worker, task.task, MonotonicMs(), &task);
+}
+
+Job* Adoption::FindOrRebuild(const WorkerTask& task) {
+  Job* const job = this->jobs.Find(task.job);
+  if (job != nullptr) return job;
+  wire::SubmitT submit;
+  if (!UnpackSubmit(task.descriptor, submit) || submit.job != task.job) {
+    return nullptr;
+  }
+  // The deadline of the descriptor counts from an unknown time; the task has
+  // started, so that it no longer matters.
+  submit.deadline_ms = 0;
+  Job& rebuilt = this->jobs.Add(std::move(submit), MonotonicMs());
+  rebuilt.phase = JobPhase::kHeld;
+  this->held.push_back(task.job);
+  return &rebuilt;
+}
+
+void Adoption::Find(const std::string& worker, const WorkerTask& task,
+                    TimeMs started_ms, const EndedTask* ended) {
+  const auto acknowledge = [this, &task] {
+    const auto found = this->held_acknowledgements.find(task.id);
+    if (found == this->held_acknowledgements.end()) return;
+    const Acknowledge call = std::move(found->second);
+    this->held_acknowledgements.erase(found);
+    call();
+  };
+  Job* const job = this->FindOrRebuild(task);
+  const bool useful =
+      job != nullptr && job->phase == JobPhase::kHeld &&
+      task.member < job->members.size() && !job->members[task.member].ended;
+  if (!useful) {
+    // Nobody waits for it: its job has ended, or the member runs elsewhere.
+    if (ended != nullptr) {
+      acknowledge();
+      return;
+    }
+    WorkerSession* const session = this->pool.Find(worker);
+    if (session != nullptr) session->Control(task.id, ControlAction::kStop);
+    return;
+  }
+  job->ran = true;
+  FoundTask found;
+  found.worker = worker;
+  found.task = task;
+  found.started_ms = started_ms;
+  if (ended != nullptr) found.ended = *ended;
+  job->found.push_back(std::move(found));
+  if (this->certain || this->AllFound(*job)) this->Release(*job);
+}
+
+bool Adoption::AllFound(const Job& job) const {
+  for (uint32_t member = 0; member < job.members.size(); ++member) {
+    if (job.members[member].ended) continue;
+    const bool found = std::any_of(
+        job.found.begin(), job.found.end(), [member](const FoundTask& task) {
+          const bool useless = task.ended.has_value() &&
+                               task.ended->end != WorkerTaskEnd::kSucceeded;
+          return task.task.member == member && !useless;
+        });
+    if (!found) return false;
+  }
+  return true;
+}
+
+void Adoption::OnSettled(bool lapsed) {
+  if (lapsed) this->lapsed_unanswered = true;
+  if (this->certain || !this->pool.Unanswered().empty()) return;
+  this->certain = true;
+  const std::vector<std::string> ids = std::move(this->held);
+  this->held.clear();
+  for (const std::string& id : ids) {
+    Job* const job = this->jobs.Find(id);
+    if (job != nullptr && job->phase == JobPhase::kHeld) this->Release(*job);
+  }
+}
+
+void Adoption::Release(Job& job) {
+  // A member that was not found may have run on the worker that lapsed. For
+  // work that must not run twice, that makes its end unknown.
+  const bool unknown = this->lapsed_unanswered && !job.submit.idempotent &&
+                       !this->AllFound(job);
+  if (unknown) {
+    job.ran = true;
+    job.phase = JobPhase::kOpen;
+    this->driver.Decide(job, core::JobEnd::kUnknown,
+                        "a worker that may have run it gave no answer");
+  } else if (!this->open(job)) {
+    job.found.clear();
+    return;
+  }
+  this->Replay(job);
+  if (job.cancelled) this->driver.Cancel(job);
+}
+
+void Adoption::Replay(Job& job) {
+  for (uint32_t member = 0; member < job.members.size(); ++member) {
+    if (job.members[member].ended) this->driver.AdoptEnded(job, member);
+  }
+  // Running and succeeded attempts first; what else a member had before them
+  // is of no interest.
+  std::vector<FoundTask> found = std::move(job.found);
+  job.found.clear();
+  std::stable_sort(found.begin(), found.end(),
+                   [](const FoundTask& a, const FoundTask& b) {
+                     const auto useless = [](const FoundTask& task) {
+                       return task.ended.has_value() &&
+                              task.ended->end != WorkerTaskEnd::kSucceeded;
+                     };
+                     return useless(a) < useless(b);
+                   });
+  for (const FoundTask& task : found) {
+    Acknowledge acknowledge = [] {};
+    const auto held = this->held_acknowledgements.find(task.task.id);
+    if (held != this->held_acknowledgements.end()) {
+      acknowledge = std::move(held->second);
+      this->held_acknowledgements.erase(held);
+    }
+    const bool adopted = this->driver.Adopt(job, task);
+    if (adopted && task.ended.has_value()) {
+      this->driver.OnEnded(task.worker, *task.ended, acknowledge);
+      continue;
+    }
+    if (adopted) continue;
+    if (task.ended.has_value()) {
+      acknowledge();
+      continue;
+    }
+    WorkerSession* const session = this->pool.Find(task.worker);
+    if (session != nullptr) {
+      session->Control(task.task.id, ControlAction::kStop);
+    }
+  }
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/scheduler/Adoption.h
@@ -0,0 +1,60 @@
+/// Brings the tasks that workers report after a take-over together with the
+/// jobs they belong to, see docs/design.md 3.4.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "scheduler/CellDriver.h"
+#include "scheduler/JobTable.h"
+#include "scheduler/WorkerPool.h"
+
+namespace dotterelcove {
+
+/// A job whose tasks may be on a worker that has not answered yet is held back
+/// from the core; it is released when all its members have been found, or when
+/// every worker of the earlier owners has answered or lapsed.
+class Adoption {
+ public:
+  /// `open` hands a job to the core; it returns false when the core refused
+  /// the job, which has then been ended.
+  Adoption(JobTable& jobs, CellDriver& driver, WorkerPool& pool,
+           std::function<bool(Job&)> open);
+  Adoption(const Adoption&) = delete;
+  Adoption& operator=(const Adoption&) = delete;
+
+  /// Holds a job, or opens it at once when no worker is in doubt.
+  void HoldOrOpen(Job& job);
+  /// Whether a worker of an earlier owner has neither answered nor lapsed.
+  bool in_doubt() const;
+  void OnFenced(const std::string& worker, const FenceReply& reply);
+  void OnEnded(const std::string& worker, const EndedTask& task,
+               const Acknowledge& acknowledge);
+  /// Workers of earlier owners have answered or lapsed; `lapsed` tells that one
+  /// of them lapsed without an answer.
+  void OnSettled(bool lapsed);
+  /// Ends the wait of a held job that has been cancelled.
+  void Release(Job& job);
+
+ private:
+  void Find(const std::string& worker, const WorkerTask& task,
+            TimeMs started_ms, const EndedTask* ended);
+  Job* FindOrRebuild(const WorkerTask& task);
+  bool AllFound(const Job& job) const;
+  void Replay(Job& job);
+
+  JobTable& jobs;
+  CellDriver& driver;
+  WorkerPool& pool;
+  std::function<bool(Job&)> open;
+  /// A worker that may have run anything lapsed without an answer.
+  bool lapsed_unanswered = false;
+  bool certain = false;
+  /// Acknowledgements of ended tasks that wait for their job's release.
+  std::map<std::string, Acknowledge> held_acknowledgements;
+  std::vector<std::string> held;
+};
+
+}  // namespace dotterelcove
--- a/src/scheduler/CellDriver.cpp
+++ b/src/scheduler/CellDriver.cpp
@@ -245,10 +245,8 @@
   const TimeMs now = MonotonicMs();
   entry.confirmed = true;
   core::TaskStarted(*this->tables, entry.ref, now);
-  this->services.events.Add("task_started", {.job = entry.ref.job,
-                                             .task = entry.id,
-                                             .worker = entry.worker,
-                                             .epoch = this->epoch});
+  this->services.events.Add("task_started", {entry.ref.job, entry.id,
+                                             entry.worker, this->epoch});
   Job* const job = this->jobs.Find(entry.ref.job);
   if (job != nullptr) {
     if (!job->ran) {
@@ -282,6 +280,11 @@
 }
 
 void CellDriver::Drop(const std::string& id, core::TaskEnd end) {
+  core::TaskEnded(*this->tables, this->entries.at(id).ref, end, MonotonicMs());
+  this->Forget(id, end);
+}
+
+void CellDriver::Forget(const std::string& id, core::TaskEnd end) {
   const auto found = this->entries.find(id);
   const TaskEntry entry = std::move(found->second);
   this->entries.erase(found);
@@ -290,12 +293,8 @@
     this->ids_by_ref.erase(ref);
   }
   this->services.events.Add("task_ended",
-                            {.job = entry.ref.job,
-                             .task = id,
-                             .worker = entry.worker,
-                             .epoch = this->epoch},
+                            {entry.ref.job, id, entry.worker, this->epoch},
                             std::string(NameOf(core::kTaskEndNames, end)));
-  core::TaskEnded(*this->tables, entry.ref, end, MonotonicMs());
   this->Wake();
   Job* const job = this->jobs.Find(entry.ref.job);
   if (job == nullptr) return;
@@ -384,7 +383,8 @@
   for (const std::string& id : lost) {
     Job* const job = this->jobs.Find(this->entries.at(id).ref.job);
     if (job != nullptr) job->ran = true;
-    this->Drop(id, core::TaskEnd::kLost);
+    // The core ends the tasks of a lost worker by itself.
+    this->Forget(id, core::TaskEnd::kLost);
   }
 }
 
--- a/src/scheduler/CellDriver.h
+++ b/src/scheduler/CellDriver.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -85,7 +87,9 @@
                      const WorkerResult<NoReply>& result);
   void ControlOnWorker(const core::TaskRef& ref, ControlAction action);
   void Confirm(TaskEntry& entry);
+  /// Tells the core that a task has ended, and forgets it.
   void Drop(const std::string& id, core::TaskEnd end);
+  void Forget(const std::string& id, core::TaskEnd end);
   void LoseWorker(const std::string& worker);
   void MaybeDecided(Job& job);
   uint32_t WireAttempt(uint32_t attempt) const;
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -69,6 +69,8 @@
 struct Job {
   wire::SubmitT submit;
   JobPhase phase = JobPhase::kRecording;
+  /// Read from its record after a take-over.
+  bool recovered = false;
   /// A record of it is in the table service.
   bool recorded = false;
   /// A task of it was accepted by a worker, or may have been.
--- /dev/null
+++ b/src/scheduler/ResultRecorder.h
@@ -0,0 +1,48 @@
+/// Brings the results of ended jobs into the table service and object store.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/Random.h"
+#include "scheduler/Job.h"
+#include "scheduler/Services.h"
+#include "store/RecordWriter.h"
+
+namespace dotterelcove {
+
+/// Largest body in a row; larger ones are objects.
+inline constexpr size_t kMaxRowBodyBytes = 16 << 10;
+/// Largest body in a frame to an entry daemon.
+inline constexpr size_t kMaxFrameBodyBytes = 256 << 10;
+
+class ResultRecorder {
+ public:
+  ResultRecorder(Services& services, RecordWriter& writer);
+  ResultRecorder(const ResultRecorder&) = delete;
+  ResultRecorder& operator=(const ResultRecorder&) = delete;
+
+  /// Records the result of one member of a recorded job with several members.
+  void RecordMember(const Job& job, uint32_t member, Acknowledge acknowledge);
+  /// Records the end of a job. `done` runs when the result is safe: for a
+  /// recorded job after the commit, for another one when its body, if it is
+  /// too large for a frame, is in the object store. The result's body then
+  /// fits into a frame or `object` is set. Not called after a fencing.
+  void RecordEnd(Job& job, std::function<void()> done);
+
+ private:
+  void PutBody(const std::string& id, std::string body, int attempt,
+               std::function<void()> done);
+  void WriteEnd(const Job& job, std::function<void()> done);
+
+  Services& services;
+  RecordWriter& writer;
+  Random random;
+  std::map<uint64_t, std::unique_ptr<Timer>> retries;
+  uint64_t next_retry = 1;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace dotterelcove
--- a/src/scheduler/WorkerPool.cpp
+++ b/src/scheduler/WorkerPool.cpp
@@ -43,21 +43,10 @@
                   : this->taken_over_ms;
   WorkerSessionCallbacks session;
   session.fenced = [this, id](const FenceReply& reply) {
-    this->workers.at(id).answered = true;
-    this->services.events.Add("worker_fenced",
-                              {.worker = id, .epoch = this->epoch});
-    this->callbacks.fenced(id, reply);
+    this->OnFenced(id, reply);
   };
   session.ended = [this, id](const EndedTask& task) {
-    WorkerSession* const source = this->Find(id);
-    this->callbacks.ended(
-        id, task,
-        [this, id, alive = std::weak_ptr<bool>(this->alive),
-         incarnation = source->incarnation(), sequence = task.sequence] {
-          if (alive.expired()) return;
-          WorkerSession* const session = this->Find(id);
-          if (session != nullptr) session->Acknowledge(incarnation, sequence);
-        });
+    this->OnEnded(id, task);
   };
   session.usage = [this, id](const std::vector<TaskUsage>& usage) {
     this->callbacks.usage(id, usage);
@@ -79,6 +68,28 @@
   return worker;
 }
 
+void WorkerPool::OnFenced(const std::string& id, const FenceReply& reply) {
+  this->services.events.Add("worker_fenced", {"", "", id, this->epoch});
+  this->callbacks.fenced(id, reply);
+  for (const EndedTask& task : reply.ended) this->OnEnded(id, task);
+  Worker& worker = this->workers.at(id);
+  if (worker.answered) return;
+  worker.answered = true;
+  this->callbacks.settled(false);
+}
+
+void WorkerPool::OnEnded(const std::string& id, const EndedTask& task) {
+  WorkerSession* const source = this->Find(id);
+  this->callbacks.ended(
+      id, task,
+      [this, id, alive = std::weak_ptr<bool>(this->alive),
+       incarnation = source->incarnation(), sequence = task.sequence] {
+        if (alive.expired()) return;
+        WorkerSession* const session = this->Find(id);
+        if (session != nullptr) session->Acknowledge(incarnation, sequence);
+      });
+}
+
 void WorkerPool::AddUsed(const Vm& vm) {
   if (this->workers.contains(vm.id)) return;
   // Until the platform's list has been read, it says nothing against it.
@@ -174,16 +185,16 @@
   Log(LogLevel::kInfo, "worker_session",
       {F("worker", id), F("state", NameOf(kSessionStateNames, state))});
   this->services.events.Add("worker_session",
-                            {.worker = id, .epoch = this->epoch},
+                            {"", "", id, this->epoch},
                             std::string(NameOf(kSessionStateNames, state)));
   Worker& worker = this->workers.at(id);
   if (state == SessionState::kReachable && worker.row == RowState::kAbsent) {
     this->WriteRow(id);
   }
   this->Update(id);
-  if (state == SessionState::kLapsed && worker.row != RowState::kAbsent) {
-    this->RemoveRow(id);
-  }
+  if (state != SessionState::kLapsed) return;
+  if (worker.row != RowState::kAbsent) this->RemoveRow(id);
+  this->callbacks.settled(worker.used_before && !worker.answered);
 }
 
 void WorkerPool::WriteRow(const std::string& id) {
--- a/src/scheduler/WorkerPool.h
+++ b/src/scheduler/WorkerPool.h
@@ -18,6 +18,7 @@
 namespace dotterelcove {
 
 struct WorkerPoolCallbacks {
+  /// A worker's answer to a fence; its ended tasks come one by one afterwards.
   std::function<void(const std::string& worker, const FenceReply&)> fenced;
   std::function<void(const std::string& worker, const EndedTask&, Acknowledge)>
       ended;
@@ -25,6 +26,9 @@
       usage;
   /// The worker is new, or its state or description changed.
   std::function<void(const Vm&, core::WorkerState)> changed;
+  /// A worker has answered, or its lease lapsed without an answer since the
+  /// take-over (`lapsed`).
+  std::function<void(bool lapsed)> settled;
   std::function<void(uint64_t epoch)> higher_epoch;
   /// Whether leases may still be extended: false while this process cannot
   /// rule out that another owner exists.
@@ -76,6 +80,8 @@
   };
 
   Worker& Add(const Vm& vm, bool used_before);
+  void OnFenced(const std::string& id, const FenceReply& reply);
+  void OnEnded(const std::string& id, const EndedTask& task);
   void OnSessionState(const std::string& id, SessionState state);
   void WriteRow(const std::string& id);
   void RemoveRow(const std::string& id);
