--- a/tests/OptionsTest.cpp
+++ b/tests/OptionsTest.cpp
@@ -21,6 +21,7 @@
       {"sumbit", "submit"},
       {"stauts", "status"},
       {"lst", "list"},
+      {"lits", "list"},
       {"cancle", "cancel"},
       {"event", "events"},
       {"explode", ""},
