--- /dev/null
+++ b/src/operator/DrainCommand.cpp
@@ -0,0 +1,124 @@
+#include "operator/Commands.h"
+
+namespace dotterelcove {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int64_t kMaxWaitS = 24 * 3'600;
+constexpr int64_t kMsPerSecond = 1'000;
+/// Between two looks at what is being drained.
+constexpr int64_t kPollMs = 250;
+
+/// Looks again and again until `drained`; returns false after `wait_ms`.
+bool PollUntil(CtlContext& context, const std::string& what,
+               const std::function<bool()>& drained, int64_t wait_ms) {
+  int64_t waited_ms = 0;
+  while (!drained()) {
+    if (waited_ms >= wait_ms) return false;
+    WaitWithProgress(
+        context, what, [] { return false; }, kPollMs);
+    waited_ms += kPollMs;
+  }
+  return true;
+}
+
+bool IsGone(CtlContext& context, const std::string& url) {
+  HttpCall call;
+  call.url = url + "/healthz";
+  call.timeout_ms = context.timeout_ms;
+  return CallOne(context, "waiting", call).failure == HttpFailure::kNotSent;
+}
+
+/// Tasks or slots in use on a VM as the owner sees it; -1 when it is not known.
+int64_t WorkOn(CtlContext& context, const std::string& vm) {
+  for (const char* path : {"/v1/workers", "/v1/endpoints"}) {
+    HttpCall call;
+    call.url = path;
+    HttpResult result;
+    if (!CallOwner(context, "waiting", call, result)) return -1;
+    const Json body = BodyOf(result);
+    const std::string list = std::string(path).substr(4);
+    if (!body.is_object() || !body.contains(list)) continue;
+    for (const Json& row : body[list]) {
+      if (TextOf(row, "id") != vm) continue;
+      for (const char* count : {"tasks", "busy", "slots_in_use"}) {
+        if (!row.contains(count)) continue;
+        const Json& value = row[count];
+        if (value.is_array()) return static_cast<int64_t>(value.size());
+        if (value.is_number_integer()) return value.get<int64_t>();
+      }
+    }
+  }
+  return -1;
+}
+
+int Report(CtlContext& context, const std::string& name, const char* kind,
+           bool drained) {
+  if (context.json) {
+    PrintJson(context, {{"name", name}, {"kind", kind}, {"drained", drained}});
+  } else {
+    context.out << kind << " " << name
+                << (drained ? " has drained\n" : " is draining\n");
+  }
+  return kExitOk;
+}
+
+int DrainProcess(CtlContext& context, const std::string& name,
+                 const std::string& url, int64_t wait_ms) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = url + "/v1/drain";
+  call.timeout_ms = context.timeout_ms;
+  const HttpResult result = CallOne(context, "draining " + name, call);
+  if (result.failure != HttpFailure::kNone || result.status >= 300) {
+    return ComplainAbout(context, "draining " + name, result);
+  }
+  if (wait_ms == 0) return Report(context, name, "process", false);
+  if (!PollUntil(
+          context, "waiting for " + name, [&] { return IsGone(context, url); },
+          wait_ms)) {
+    return Complain(context, kExitUnknown, name + " is still draining");
+  }
+  return Report(context, name, "process", true);
+}
+
+int DrainVm(CtlContext& context, const std::string& name, int64_t wait_ms) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "/v1/drain";
+  call.body = Json({{"vm", name}}).dump();
+  HttpResult result;
+  if (!CallOwner(context, "draining " + name, call, result)) {
+    return kExitUnavailable;
+  }
+  if (result.failure != HttpFailure::kNone || result.status >= 300) {
+    return ComplainAbout(context, "draining " + name, result);
+  }
+  if (wait_ms == 0) return Report(context, name, "vm", false);
+  if (!PollUntil(
+          context, "waiting for " + name,
+          [&] { return WorkOn(context, name) == 0; }, wait_ms)) {
+    return Complain(context, kExitUnknown, name + " is still draining");
+  }
+  return Report(context, name, "vm", true);
+}
+
+}  // namespace
+
+int RunDrain(CtlContext& context, const ParsedOptions& options) {
+  const std::string& name = options.operands.front();
+  int64_t wait_s = 0;
+  std::string error;
+  if (!ParseNumberOption(options, "wait-s", 0, kMaxWaitS, wait_s, error)) {
+    return Complain(context, kExitBadCommandLine, error);
+  }
+  const int64_t wait_ms = wait_s * kMsPerSecond;
+  for (const ProcessView& process : FetchProcesses(context)) {
+    if (TextOf(process.state, "process") != name) continue;
+    return DrainProcess(context, name, process.url, wait_ms);
+  }
+  return DrainVm(context, name, wait_ms);
+}
+
+}  // namespace dotterelcove
