--- a/src/border/caller/Base64.cpp
+++ b/src/base/Base64.cpp
@@ -1,4 +1,4 @@
-#include "border/caller/Base64.h"
+#include "base/Base64.h"
 
 #include <array>
 #include <cstdint>
--- a/src/border/caller/CallerAnswer.cpp
+++ b/src/border/caller/CallerAnswer.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "border/caller/Base64.h"
+#include "base/Base64.h"
 
 namespace dotterelcove {
 namespace {
--- a/src/border/caller/CallerRequest.cpp
+++ b/src/border/caller/CallerRequest.cpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/Hash.h"
-#include "border/caller/Base64.h"
+#include "base/Base64.h"
 
 namespace dotterelcove {
 namespace {
--- a/src/border/tables/JsonBytes.h
+++ b/src/border/tables/JsonBytes.h
@@ -4,13 +4,9 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
-#include <string_view>
 
 namespace dotterelcove {
 
-/// Whether `text` is well-formed UTF-8.
-bool IsUtf8(std::string_view text);
-
 nlohmann::json BytesToJson(const std::string& bytes);
 
 /// Returns false, with `bytes` unchanged, for any other JSON value.
--- a/src/border/worker/WorkerMessages.cpp
+++ b/src/border/worker/WorkerMessages.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "border/worker/Base64.h"
+#include "base/Base64.h"
 
 namespace dotterelcove {
 namespace {
@@ -42,7 +42,11 @@
   void Bytes(const char* name, std::string& value) const {
     std::string text;
     this->Text(name, text);
-    if (!Base64Decode(text, value)) this->ok = false;
+    if (const auto bytes = DecodeBase64(text)) {
+      value = *bytes;
+    } else {
+      this->ok = false;
+    }
   }
   template <class E, std::size_t N>
   void Name(const char* name, const NameTable<E, N>& table, E& value) const {
@@ -97,7 +101,7 @@
           {"attempt", task.attempt},
           {"size", SizeJson(task.size)},
           {"idempotent", task.idempotent},
-          {"descriptor", Base64Encode(task.descriptor)}};
+          {"descriptor", EncodeBase64(task.descriptor)}};
 }
 
 void ReadTask(const Reader& reader, WorkerTask& task) {
@@ -116,7 +120,7 @@
     Json item = TaskJson(task.task);
     item["sequence"] = task.sequence;
     item["end"] = NameOf(kWorkerTaskEndNames, task.end);
-    item["result"] = Base64Encode(task.result);
+    item["result"] = EncodeBase64(task.result);
     item["message"] = task.message;
     list.push_back(std::move(item));
   }
@@ -214,7 +218,7 @@
 
 std::string ToJson(const StartRequest& request) {
   Json json{{"task", TaskJson(request.task)},
-            {"payload", Base64Encode(request.payload)}};
+            {"payload", EncodeBase64(request.payload)}};
   AddToken(json, request.token);
   return Dump(json);
 }
--- a/src/operator/SubmitCommand.cpp
+++ b/src/operator/SubmitCommand.cpp
@@ -3,7 +3,7 @@
 #include <iterator>
 
 #include "base/Random.h"
-#include "border/caller/Base64.h"
+#include "base/Base64.h"
 #include "operator/Commands.h"
 #include "operator/EntryCalls.h"
 
--- a/src/scheduler/JobRecords.cpp
+++ b/src/scheduler/JobRecords.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
-#include "border/worker/Base64.h"
+#include "base/Base64.h"
 #include "peer/Framing.h"
 
 namespace dotterelcove {
@@ -33,7 +33,10 @@
 
 bool ReadBytes(const Json& json, const char* name, std::string& value) {
   std::string text;
-  return ReadText(json, name, text) && Base64Decode(text, value);
+  if (!ReadText(json, name, text)) return false;
+  const auto bytes = DecodeBase64(text);
+  if (bytes) value = *bytes;
+  return bytes.has_value();
 }
 
 bool ReadNumber(const Json& json, const char* name, int64_t& value) {
@@ -94,7 +97,7 @@
 }
 
 std::string ToRow(const OpenJobRow& row) {
-  return Dump({{"submit", Base64Encode(PackSubmit(row.submit))},
+  return Dump({{"submit", EncodeBase64(PackSubmit(row.submit))},
                {"accepted_wall_ms", row.accepted_wall_ms}});
 }
 
@@ -107,8 +110,7 @@
 }
 
 std::string ToRow(const MemberRow& row) {
-  return Dump(
-      {{"result", Base64Encode(row.result)}, {"worker", row.worker}});
+  return Dump({{"result", EncodeBase64(row.result)}, {"worker", row.worker}});
 }
 
 bool FromRow(const std::string& text, MemberRow& row) {
@@ -119,7 +121,7 @@
 
 std::string ToRow(const EndedJobRow& row) {
   const std::string body =
-      row.result.object.empty() ? Base64Encode(row.result.body) : "";
+      row.result.object.empty() ? EncodeBase64(row.result.body) : "";
   return Dump({{"body_digest", row.body_digest},
                {"outcome", NameOf(kOutcomeNames, row.result.outcome)},
                {"body", body},
