--- /dev/null
+++ b/src/config/ConfigPublisher.h
@@ -0,0 +1,65 @@
+/// Publishing of a configuration by compare-and-set on `config/head`.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/NameTable.h"
+#include "border/objects/ObjectClient.h"
+#include "border/tables/TableClient.h"
+#include "config/CellConfig.h"
+#include "loop/EventLoop.h"
+
+namespace dotterelcove {
+
+enum class PublishStatus : uint8_t {
+  kPublished,
+  /// The same content is in force already; no version was used.
+  kUnchanged,
+  /// Another version was published meanwhile; nothing was written.
+  kConflict,
+  /// The store could not be reached; nothing was written.
+  kUnavailable,
+  /// The answer was lost and the store did not tell before the time limit.
+  kUnknown,
+};
+inline constexpr auto kPublishStatusNames =
+    MakeNameTable<PublishStatus>({{PublishStatus::kPublished, "published"},
+                                  {PublishStatus::kUnchanged, "unchanged"},
+                                  {PublishStatus::kConflict, "conflict"},
+                                  {PublishStatus::kUnavailable, "unavailable"},
+                                  {PublishStatus::kUnknown, "unknown"}});
+
+struct PublishRequest {
+  CellConfig config;
+  /// The version that the operator has seen and means to replace. Without it,
+  /// the newest version at the start of publishing is replaced.
+  std::optional<uint64_t> base_version;
+  int64_t time_limit_ms = 10'000;
+};
+
+struct PublishResult {
+  PublishStatus status = PublishStatus::kUnknown;
+  /// Published: the new version. Unchanged and conflict: the newest version.
+  uint64_t version = 0;
+  /// Conflict: from the newest version to the refused one, see DiffConfigs.
+  std::string difference;
+};
+
+/// Runs until the outcome is known or the time limit has passed; `done` runs
+/// once. `loop` and the clients must live until then.
+void PublishConfig(EventLoop& loop, const TableClient& tables,
+                   const ObjectClient& objects, PublishRequest request,
+                   std::function<void(PublishResult)> done);
+
+enum class ShowStatus : uint8_t { kOk, kMissing, kUnavailable, kMalformed };
+
+/// Reads one published version, or the newest for version 0. A cell without
+/// configuration gives an empty one of version 0.
+void ShowConfig(const TableClient& tables, const ObjectClient& objects,
+                uint64_t version,
+                std::function<void(ShowStatus, CellConfig)> done);
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/config/ServiceFiles.h
@@ -0,0 +1,30 @@
+/// The publishing step's input: short files kept beside each service's code,
+/// and one file for the cell's teams and callers.
+///
+/// A file is a JSON object with comments. It holds a service ("service",
+/// "team", "kinds"), or "teams" and "callers", or both.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "config/CellConfig.h"
+#include "dotterelcove/Result.h"
+
+namespace dotterelcove {
+
+/// A service file already read.
+struct ServiceFile {
+  std::string name;
+  std::string text;
+};
+
+/// Joins the files into one configuration with version 0; fails with a
+/// SettingsError that holds the faults of all files.
+Result<CellConfig> MergeServiceFiles(const std::vector<ServiceFile>& files);
+
+/// Reads all files "*.json" below the folders, then merges them. A folder that
+/// cannot be read or holds no such file is a fault.
+Result<CellConfig> CollectServiceFiles(const std::vector<std::string>& folders);
+
+}  // namespace dotterelcove
