Add the benchmark of the core with traces, baselines and one table

Change: dotterelcove-bench and tools/bench; seeded traces of both deployments, an event list with a virtual clock, first come first served with first fit and best fit as baselines.

--- /dev/null
+++ b/bench/Baseline.cpp
@@ -0,0 +1,133 @@
+#include "bench/Baseline.h"
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+namespace dotterelcove::bench {
+namespace {
+
+using core::Command;
+using core::CommandKind;
+using core::TaskEnd;
+
+struct BaselineJob {
+  core::JobSpec spec;
+  uint32_t open = 0;
+  std::vector<size_t> workers;
+};
+
+struct Baseline {
+  std::vector<core::WorkerSpec> workers;
+  std::vector<Resources> free;
+  FitRule rule = FitRule::kFirstFit;
+  HeadOfLine head = HeadOfLine::kBlocks;
+  std::list<std::string> queue;
+  std::unordered_map<std::string, BaselineJob> jobs;
+  std::vector<Command> pending;
+  bool changed = false;
+};
+
+size_t Find(const Baseline& cell, const Resources& size) {
+  size_t best = cell.free.size();
+  for (size_t i = 0; i < cell.free.size(); ++i) {
+    if (!Fits(size, cell.free[i])) continue;
+    if (cell.rule == FitRule::kFirstFit) return i;
+    if (best == cell.free.size() ||
+        cell.free[i].milli_cores < cell.free[best].milli_cores) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+/// Places all tasks of a job, or none.
+bool Place(Baseline& cell, BaselineJob& job, std::vector<Command>& commands) {
+  std::vector<size_t> chosen;
+  for (uint32_t i = 0; i < job.spec.tasks; ++i) {
+    const size_t worker = Find(cell, job.spec.size);
+    if (worker == cell.free.size()) {
+      for (const size_t taken : chosen) {
+        cell.free[taken] = cell.free[taken] + job.spec.size;
+      }
+      return false;
+    }
+    cell.free[worker] = cell.free[worker] - job.spec.size;
+    chosen.push_back(worker);
+  }
+  for (uint32_t i = 0; i < job.spec.tasks; ++i) {
+    Command command;
+    command.task = {job.spec.id, i, 1};
+    command.worker = cell.workers[chosen[i]].id;
+    command.size = job.spec.size;
+    commands.push_back(std::move(command));
+  }
+  job.workers = std::move(chosen);
+  return true;
+}
+
+void Tick(Baseline& cell, std::vector<Command>& commands) {
+  for (Command& command : cell.pending) commands.push_back(std::move(command));
+  cell.pending.clear();
+  if (!cell.changed) return;
+  cell.changed = false;
+  // Single tasks of a size that did not fit are not tried again in this tick.
+  std::vector<Resources> failed;
+  for (auto next = cell.queue.begin(); next != cell.queue.end();) {
+    BaselineJob& job = cell.jobs.at(*next);
+    bool hopeless = false;
+    for (const Resources& size : failed) {
+      hopeless = hopeless || Fits(size, job.spec.size);
+    }
+    if (!hopeless && Place(cell, job, commands)) {
+      next = cell.queue.erase(next);
+      continue;
+    }
+    if (cell.head == HeadOfLine::kBlocks) return;
+    if (!hopeless && job.spec.tasks == 1) failed.push_back(job.spec.size);
+    ++next;
+  }
+}
+
+void End(Baseline& cell, const core::TaskRef& task) {
+  BaselineJob& job = cell.jobs.at(task.job);
+  Resources& free = cell.free[job.workers[task.member]];
+  free = free + job.spec.size;
+  cell.changed = true;
+  if (--job.open > 0) return;
+  Command command;
+  command.kind = CommandKind::kJobEnded;
+  command.task.job = task.job;
+  cell.pending.push_back(std::move(command));
+  cell.jobs.erase(task.job);
+}
+
+}  // namespace
+
+Scheduler MakeFcfsScheduler(const std::vector<core::WorkerSpec>& workers,
+                            FitRule rule, HeadOfLine head) {
+  const auto cell = std::make_shared<Baseline>();
+  cell->workers = workers;
+  cell->rule = rule;
+  cell->head = head;
+  for (const auto& worker : workers) cell->free.push_back(worker.capacity);
+  Scheduler scheduler;
+  scheduler.submit = [cell](const core::JobSpec& spec, TimeMs) {
+    cell->jobs[spec.id] = {spec, spec.tasks, {}};
+    cell->queue.push_back(spec.id);
+    cell->changed = true;
+    return core::SubmitDecision{};
+  };
+  scheduler.ended = [cell](const core::TaskRef& task, TaskEnd, TimeMs) {
+    End(*cell, task);
+  };
+  scheduler.usage = [](const core::TaskRef&, const Resources&, TimeMs) {};
+  scheduler.set_worker = [](const std::string&, core::WorkerState, TimeMs) {};
+  scheduler.tick = [cell](TimeMs, std::vector<Command>& commands) {
+    Tick(*cell, commands);
+  };
+  return scheduler;
+}
+
+}  // namespace dotterelcove::bench
--- /dev/null
+++ b/bench/BenchRows.h
@@ -0,0 +1,13 @@
+/// Groups of rows. A new group is declared here and listed in BenchMain.cpp.
+#pragma once
+
+#include "bench/BenchTable.h"
+
+namespace dotterelcove::bench {
+
+void AddDecisionRows(BenchTable& table);
+void AddPackingRows(BenchTable& table);
+void AddWaitingRows(BenchTable& table);
+void AddFaultRows(BenchTable& table);
+
+}  // namespace dotterelcove::bench
--- /dev/null
+++ b/bench/FaultRows.cpp
@@ -0,0 +1,7 @@
+#include "bench/BenchRows.h"
+
+namespace dotterelcove::bench {
+
+void AddFaultRows(BenchTable& /*table*/) {}
+
+}  // namespace dotterelcove::bench
--- /dev/null
+++ b/bench/Simulation.h
@@ -0,0 +1,72 @@
+/// Drives a scheduler with a trace: an event list and a virtual clock. Tasks
+/// are start and end events; no network and no cluster is modelled.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bench/Trace.h"
+
+namespace dotterelcove::bench {
+
+/// The decision functions under test: the core or a baseline.
+struct Scheduler {
+  std::function<core::SubmitDecision(const core::JobSpec&, TimeMs)> submit;
+  std::function<void(const core::TaskRef&, core::TaskEnd, TimeMs)> ended;
+  std::function<void(const core::TaskRef&, const Resources&, TimeMs)> usage;
+  std::function<void(const std::string&, core::WorkerState, TimeMs)> set_worker;
+  std::function<void(TimeMs, std::vector<core::Command>&)> tick;
+};
+
+using Quotas = std::map<std::string, Resources>;
+Scheduler MakeCoreScheduler(const core::CoreOptions& options,
+                            const std::vector<core::WorkerSpec>& workers,
+                            const Quotas& quotas = {});
+
+struct WorkerEvent {
+  TimeMs at_ms = 0;
+  std::string worker;
+  core::WorkerState state = core::WorkerState::kLost;
+};
+
+struct SimulationOptions {
+  TimeMs tick_ms = 10;
+  /// Every task on these fails within 20 ms.
+  std::set<std::string> failing_workers;
+  /// Tasks of this workload fail before this time.
+  std::string failing_workload;
+  TimeMs failing_until_ms = 0;
+  std::vector<WorkerEvent> worker_events;
+  /// Delay of usage reports; 0 for none.
+  TimeMs usage_delay_ms = 0;
+};
+
+struct SimulationResult {
+  /// Waiting time in ms from arrival to first start, by class; a job that had
+  /// not started at the horizon counts with its wait up to then.
+  std::vector<double> waits[3];
+  /// The same by team.
+  std::map<std::string, std::vector<double>> team_waits;
+  /// Jobs that ended well within the horizon, by class.
+  uint64_t completed[3] = {};
+  /// Core milliseconds of tasks up to the horizon, without lost attempts.
+  double core_ms = 0;
+  uint64_t starts = 0;
+  uint64_t failed_attempts = 0;
+  /// Worker milliseconds during which the real use exceeded the capacity.
+  double overloaded_ms = 0;
+  /// Most members of one service lost by one worker event.
+  uint64_t most_lost = 0;
+};
+
+SimulationResult Simulate(const Trace& trace, const Scheduler& scheduler,
+                          const SimulationOptions& options = {});
+
+double Mean(const std::vector<double>& values);
+/// Value below which the given share of the values lies.
+double Quantile(std::vector<double> values, double share);
+
+}  // namespace dotterelcove::bench
--- /dev/null
+++ b/bench/WaitingRows.cpp
@@ -0,0 +1,69 @@
+#include "bench/Baseline.h"
+#include "bench/BenchRows.h"
+#include "bench/Simulation.h"
+
+namespace dotterelcove::bench {
+namespace {
+
+constexpr auto kUrgent = static_cast<size_t>(RequestClass::kUrgent);
+constexpr auto kBatch = static_cast<size_t>(RequestClass::kBatch);
+
+struct Waits {
+  double urgent_ms = 0;
+  double urgent_p99_ms = 0;
+  double batch_ms = 0;
+  double longest_batch_ms = 0;
+  double audits = 0;
+};
+
+void Add(Waits& sum, const SimulationResult& result, double weight) {
+  sum.urgent_ms += Mean(result.waits[kUrgent]) * weight;
+  sum.urgent_p99_ms += Quantile(result.waits[kUrgent], 0.99) * weight;
+  sum.batch_ms += Mean(result.waits[kBatch]) * weight;
+  sum.longest_batch_ms += Quantile(result.waits[kBatch], 1) * weight;
+  sum.audits += static_cast<double>(result.completed[kBatch]) * weight;
+}
+
+}  // namespace
+
+void AddWaitingRows(BenchTable& table) {
+  constexpr int kSeeds = 3;
+  Waits ours;
+  Waits blocking;
+  Waits skipping;
+  for (int i = 0; i < kSeeds; ++i) {
+    TraceOptions options;
+    options.seed = table.seed + static_cast<uint64_t>(i);
+    const Trace trace = MakeUlaanbaatarTrace(options);
+    const double weight = 1.0 / kSeeds;
+    Add(ours, Simulate(trace, MakeCoreScheduler({}, trace.workers)), weight);
+    Add(blocking,
+        Simulate(trace, MakeFcfsScheduler(trace.workers, FitRule::kBestFit,
+                                          HeadOfLine::kBlocks)),
+        weight);
+    Add(skipping,
+        Simulate(trace, MakeFcfsScheduler(trace.workers, FitRule::kBestFit,
+                                          HeadOfLine::kIsSkipped)),
+        weight);
+  }
+  const std::string note = "Ulaanbaatar, 95 % offered, mean of 3 seeds";
+  AddRow(table,
+         {"mean wait of dispatches, FCFS", "ms", "<= 1/10", blocking.urgent_ms,
+          ours.urgent_ms, ours.urgent_ms <= blocking.urgent_ms / 10, note});
+  AddRow(table, {"mean wait of dispatches, FCFS that skips", "ms", "",
+                 skipping.urgent_ms, ours.urgent_ms, std::nullopt, note});
+  AddRow(table,
+         {"p99 wait of dispatches, FCFS", "ms", "", blocking.urgent_p99_ms,
+          ours.urgent_p99_ms, std::nullopt, note});
+  AddRow(table, {"audits completed, FCFS", "jobs", ">= 0.95", blocking.audits,
+                 ours.audits, ours.audits >= 0.95 * blocking.audits, note});
+  AddRow(table, {"audits completed, FCFS that skips", "jobs", "",
+                 skipping.audits, ours.audits, std::nullopt, note});
+  AddRow(table, {"mean wait of audits, FCFS that skips", "ms", "",
+                 skipping.batch_ms, ours.batch_ms, std::nullopt, note});
+  AddRow(table, {"longest wait of audits, FCFS that skips", "ms", "",
+                 skipping.longest_batch_ms, ours.longest_batch_ms, std::nullopt,
+                 note});
+}
+
+}  // namespace dotterelcove::bench
