Use grants of the present owner only, and end stale requests

Cause: a grant of an owner that has been succeeded is not in the slot report that its successor counts on; requests without a deadline could wait for an owner without end; a caller that left kept its place.

--- a/src/entry/CallerLimits.cpp
+++ b/src/entry/CallerLimits.cpp
@@ -14,6 +14,9 @@
 /// are forgotten.
 constexpr size_t kMaxCallers = 10'000;
 constexpr const char* kOverflowCaller = "(others)";
+/// Suggested wait when requests in progress are at a limit; how soon one ends
+/// is not known.
+constexpr int64_t kRetryMs = 1'000;
 
 const CallerConfig& LimitsOf(const CellConfig& config,
                              const std::string& caller) {
@@ -28,6 +31,21 @@
   return std::max<int64_t>(1, limit / std::max<int64_t>(1, limits.entries));
 }
 
+/// Requests in progress at which this class is stopped.
+int64_t ProcessLimit(const CallerLimits& limits, RequestClass request_class) {
+  // The last tenth is kept for urgent requests and half of it for services.
+  const int64_t tenth = limits.max_in_progress / 10;
+  switch (request_class) {
+    case RequestClass::kUrgent:
+      return limits.max_in_progress;
+    case RequestClass::kService:
+      return limits.max_in_progress - tenth / 2;
+    case RequestClass::kBatch:
+      break;
+  }
+  return limits.max_in_progress - tenth;
+}
+
 CallerLimits::Usage& UsageOf(CallerLimits& limits, const std::string& caller,
                              int64_t rate, TimeMs now) {
   const bool known = limits.usage.contains(caller);
@@ -49,8 +67,8 @@
 
 }  // namespace
 
-AdmissionResult AdmitQuery(CallerLimits& limits, const CellConfig& config,
-                           const std::string& caller, TimeMs now) {
+AdmissionResult AdmitRate(CallerLimits& limits, const CellConfig& config,
+                          const std::string& caller, TimeMs now) {
   const int64_t rate =
       ShareOf(limits, LimitsOf(config, caller).requests_per_second);
   CallerLimits::Usage& usage = UsageOf(limits, caller, rate, now);
@@ -62,26 +80,20 @@
   return {};
 }
 
-AdmissionResult Admit(CallerLimits& limits, const CellConfig& config,
-                      const std::string& caller, TimeMs now) {
-  constexpr int64_t kRetryMs = 1'000;
-  if (limits.in_progress >= limits.max_in_progress) {
+AdmissionResult Enter(CallerLimits& limits, const CellConfig& config,
+                      const std::string& caller, RequestClass request_class,
+                      TimeMs now) {
+  if (limits.in_progress >= ProcessLimit(limits, request_class)) {
     return {Admission::kProcessInProgress, kRetryMs};
   }
-  const int64_t share =
-      ShareOf(limits, LimitsOf(config, caller).max_in_progress);
-  const auto known = limits.usage.find(caller);
-  if (known != limits.usage.end() && known->second.in_progress >= share) {
+  const CallerConfig& caller_limits = LimitsOf(config, caller);
+  CallerLimits::Usage& usage = UsageOf(
+      limits, caller, ShareOf(limits, caller_limits.requests_per_second), now);
+  if (usage.in_progress >= ShareOf(limits, caller_limits.max_in_progress)) {
     return {Admission::kCallerInProgress, kRetryMs};
   }
-  const AdmissionResult result = AdmitQuery(limits, config, caller, now);
-  if (result.admission != Admission::kAdmitted) return result;
   limits.in_progress++;
-  auto counted = limits.usage.find(caller);
-  if (counted == limits.usage.end()) {
-    counted = limits.usage.find(kOverflowCaller);
-  }
-  counted->second.in_progress++;
+  usage.in_progress++;
   return {};
 }
 
@@ -90,8 +102,7 @@
   if (found == limits.usage.end() || found->second.in_progress == 0) {
     found = limits.usage.find(kOverflowCaller);
   }
-  if (found == limits.usage.end()) return;
-  assert(limits.in_progress > 0);
+  assert(found != limits.usage.end() && limits.in_progress > 0);
   limits.in_progress--;
   if (found->second.in_progress > 0) found->second.in_progress--;
 }
--- a/src/entry/CallerLimits.h
+++ b/src/entry/CallerLimits.h
@@ -43,17 +43,18 @@
   int64_t retry_after_ms = 0;
 };
 
-/// Admits one request of `caller` and counts it as in progress, or names the
-/// limit that stops it.
-AdmissionResult Admit(CallerLimits& limits, const CellConfig& config,
-                      const std::string& caller, TimeMs now);
+/// Takes one token of the caller's rate. Runs before a body is looked at, so
+/// that a flood of invalid requests is stopped too.
+AdmissionResult AdmitRate(CallerLimits& limits, const CellConfig& config,
+                          const std::string& caller, TimeMs now);
 
-/// Takes one token of the caller's rate without counting a request in progress;
-/// for queries.
-AdmissionResult AdmitQuery(CallerLimits& limits, const CellConfig& config,
-                           const std::string& caller, TimeMs now);
+/// Counts one request of `caller` as in progress, or names the limit that stops
+/// it. Near the limit of the process the lower classes are stopped first.
+AdmissionResult Enter(CallerLimits& limits, const CellConfig& config,
+                      const std::string& caller, RequestClass request_class,
+                      TimeMs now);
 
-/// Ends a request that Admit() counted.
+/// Ends a request that Enter() counted.
 void Leave(CallerLimits& limits, const std::string& caller);
 
 /// Forgets callers that have nothing in progress and were idle for a while, so
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -53,6 +53,9 @@
  private:
   void Submit(const HttpRequest& request, const std::string& caller,
               const HttpReply& reply);
+  /// Answers a request that was not admitted; returns whether it did.
+  bool Shed(const AdmissionResult& result, const std::string& key,
+            const HttpReply& reply);
   void StartRequest(CallerRequest spec, const HttpReply& reply);
   void JoinRequest(Request& request, const CallerRequest& spec,
                    const HttpReply& reply);
@@ -60,6 +63,7 @@
            const HttpReply& reply);
   void OnOwnerChange();
   void Sweep();
+  void EndStaleRequests(TimeMs now);
 
   std::unique_ptr<EntryState> state;
   bool refuse_new = false;
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/Clock.h"
+#include "entry/Routing.h"
 
 namespace dotterelcove {
 namespace {
@@ -67,7 +68,8 @@
 }
 
 void EndRequest(EntryState& state, Request& request, RequestEnd end) {
-  const CallerAnswer answer = MakeAnswer(request, end);
+  if (end.cause == EndCause::kGivenUp) CloseAtOwner(state, request, end);
+  const CallerAnswer answer = MakeAnswer(request, std::move(end));
   const HttpResponse response = RenderAnswer(answer);
   const std::string outcome(NameOf(kOutcomeNames, answer.outcome));
   const std::string request_class(
@@ -82,6 +84,9 @@
   for (const std::string& caller : request.admitted) {
     Leave(state.limits, caller);
   }
+  if (request.phase == Phase::kWaitingSlot) {
+    state.ended_waiting[request.call] = {answer.outcome, MonotonicMs()};
+  }
   const std::vector<HttpReply> waiters = std::move(request.waiters);
   state.by_job.erase(request.job);
   state.requests.erase(request.call);
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -41,6 +41,8 @@
   bool cancel = false;
   /// Waits for the final outcome.
   bool wait = false;
+  /// A cancellation, whose answer is read after it has been taken.
+  bool cancelled = false;
   /// The raw answer was asked for.
   bool raw = false;
   HttpReply reply;
@@ -56,6 +58,13 @@
   bool sent = false;
 };
 
+/// A request that ended while its SlotRequest was with the owner; a grant for
+/// it may still arrive.
+struct EndedCall {
+  Outcome outcome = Outcome::kUnknown;
+  TimeMs ended_ms = 0;
+};
+
 struct EntryState {
   EventLoop& loop;
   Metrics& metrics;
@@ -74,6 +83,8 @@
   /// Request in progress for each job id.
   std::map<std::string, uint64_t> by_job = {};
   std::map<uint64_t, std::unique_ptr<Query>> queries = {};
+  /// By call.
+  std::map<uint64_t, EndedCall> ended_waiting = {};
   std::deque<SentRelease> releases = {};
   CallerLimits limits = {};
   RetryBudget budget = {};
--- a/src/entry/Placing.cpp
+++ b/src/entry/Placing.cpp
@@ -93,6 +93,7 @@
   }
   if (reply.status == wire::SubmitStatus::Unavailable ||
       reply.retry_after_ms > 0) {
+    state.metrics.Count("sheds_total", {{"by", "owner"}});
     end.retry_after_ms = retry_ms;
   } else {
     end.status = kCannotRunStatus;
--- a/src/entry/Queries.cpp
+++ b/src/entry/Queries.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "base/Clock.h"
+#include "base/Hash.h"
 
 namespace dotterelcove {
 namespace {
@@ -41,12 +41,39 @@
 /// Status of an answer to GET: the query itself succeeded, except that the raw
 /// form has nothing to give without an answer.
 int QueryStatus(const Query& query, Outcome outcome) {
-  if (!query.raw || outcome == Outcome::kDone) return 200;
+  const bool plain = !query.raw && !query.cancelled;
+  if (plain || outcome == Outcome::kDone) return 200;
+  if (query.cancelled) return outcome == Outcome::kAccepted ? 202 : 200;
   return outcome == Outcome::kAccepted ? kAcceptedStatus : kNoAnswerStatus;
 }
 
 }  // namespace
 
+bool CancelRouted(EntryState& state, const std::string& caller,
+                  const std::string& key, const HttpReply& reply) {
+  Request* request = FindJob(state, MakeJobId(caller, key));
+  if (request == nullptr || request->spec.delivery != Delivery::kRoute) {
+    return false;
+  }
+  CallerAnswer answer;
+  answer.key = key;
+  if (request->phase == Phase::kRunning || request->may_have_run) {
+    answer.outcome = Outcome::kAccepted;
+    answer.status = kNoAnswerStatus;
+    answer.state = NameOf(kPhaseNames, request->phase);
+    answer.reason = "a routed request that was sent cannot be cancelled";
+    reply.Send(RenderAnswer(answer));
+    return true;
+  }
+  RequestEnd end;
+  end.reason = "cancelled by the caller";
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = end.reason;
+  EndRequest(state, *request, std::move(end));
+  reply.Send(RenderAnswer(answer));
+  return true;
+}
+
 void EndQuery(EntryState& state, uint64_t call, const std::string& reason) {
   const Query* query = FindQuery(state, call);
   if (query == nullptr) return;
@@ -100,6 +127,15 @@
   if (query == nullptr || query->cancel) return;
   CallerAnswer answer;
   answer.key = query->key;
+  const Request* local = FindJob(state, MakeJobId(query->caller, query->key));
+  if (!reply.found && local != nullptr) {
+    // An owner that took over a moment ago may not know the request yet.
+    answer.outcome = Outcome::kAccepted;
+    answer.state = NameOf(kPhaseNames, local->phase);
+    answer.status = QueryStatus(*query, answer.outcome);
+    AnswerQuery(state, reply.call, answer);
+    return;
+  }
   if (!reply.found) {
     answer.status = kNotFoundStatus;
     answer.reason = "no request with this key is known";
@@ -141,6 +177,7 @@
     // The cancellation has been taken; the caller is told what became of the
     // request.
     query->cancel = false;
+    query->cancelled = true;
     SendQuery(state, *query);
     return;
   }
--- a/src/entry/Queries.h
+++ b/src/entry/Queries.h
@@ -21,6 +21,11 @@
 /// Sends a query to the owner, again after a change of owner.
 void SendQuery(EntryState& state, const Query& query);
 
+/// Cancels a routed request of this process, which no owner can do for it.
+/// Returns false when there is none with this key.
+bool CancelRouted(EntryState& state, const std::string& caller,
+                  const std::string& key, const HttpReply& reply);
+
 /// Answers a query with 503, since the owner has not answered it.
 void EndQuery(EntryState& state, uint64_t call, const std::string& reason);
 
--- a/src/entry/Request.cpp
+++ b/src/entry/Request.cpp
@@ -1,5 +1,7 @@
 #include "entry/Request.h"
 
+#include <utility>
+
 namespace dotterelcove {
 
 Outcome DecideOutcome(const Request& request, const RequestEnd& end) {
@@ -35,15 +37,15 @@
   return 504;
 }
 
-CallerAnswer MakeAnswer(const Request& request, const RequestEnd& end) {
+CallerAnswer MakeAnswer(const Request& request, RequestEnd end) {
   CallerAnswer answer;
   answer.outcome = DecideOutcome(request, end);
   answer.key = request.spec.key;
-  answer.body = end.body;
-  answer.worker = end.worker;
-  answer.endpoint = end.endpoint;
-  answer.reason = end.reason;
-  answer.field = end.field;
+  answer.body = std::move(end.body);
+  answer.worker = std::move(end.worker);
+  answer.endpoint = std::move(end.endpoint);
+  answer.reason = std::move(end.reason);
+  answer.field = std::move(end.field);
   answer.retry_after_ms = end.retry_after_ms;
   answer.status = DefaultStatus(answer.outcome);
   // A status given for "not_run" does not fit once the work may have run.
--- a/src/entry/Request.h
+++ b/src/entry/Request.h
@@ -73,6 +73,8 @@
   std::set<LinkId> exposed;
   HeldGrant grant;
   int attempts = 0;
+  /// A release told the owner that this process will ask again.
+  bool promised_retry = false;
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> retry_timer;
 };
@@ -105,7 +107,7 @@
 Outcome DecideOutcome(const Request& request, const RequestEnd& end);
 
 /// The answer for the caller that goes with DecideOutcome().
-CallerAnswer MakeAnswer(const Request& request, const RequestEnd& end);
+CallerAnswer MakeAnswer(const Request& request, RequestEnd end);
 
 /// The final outcome with this number in a message; any other number, which
 /// only a faulty sender gives, is read as `kUnknown`.
--- a/src/entry/Routing.cpp
+++ b/src/entry/Routing.cpp
@@ -81,14 +81,18 @@
   SendRelease(state, std::move(release));
 }
 
-/// Returns a slot that no request uses.
-void ReturnUnused(EntryState& state, const wire::SlotGrantT& grant,
-                  bool final) {
+/// Returns a slot that no request uses. The outcome of a request that has ended
+/// meanwhile goes with it; one that goes on decides it later.
+void ReturnUnused(EntryState& state, const wire::SlotGrantT& grant) {
   const HeldGrant held{grant.grant, grant.epoch, grant.endpoint, grant.address};
   wire::SlotReleaseT release = MakeRelease(held, grant.job);
   release.result = wire::SlotResult::NotSent;
-  release.final = final;
-  release.outcome = static_cast<uint8_t>(Outcome::kNotRun);
+  const auto ended = state.ended_waiting.find(grant.call);
+  const bool goes_on = FindJob(state, grant.job) != nullptr;
+  release.final = !goes_on;
+  release.outcome = static_cast<uint8_t>(ended == state.ended_waiting.end()
+                                             ? Outcome::kUnknown
+                                             : ended->second.outcome);
   SendRelease(state, std::move(release));
 }
 
@@ -131,6 +135,7 @@
   if (request == nullptr) return;
   // A run that certainly did not happen leaves earlier attempts as they were.
   request->may_have_run = request->may_have_run || MayHaveRun(result.status);
+  request->promised_retry = false;
   const bool done = result.status == RunStatus::kDone;
   const int64_t delay_ms = done ? -1 : RetryDelayMs(state, *request, result);
   RequestEnd end;
@@ -143,6 +148,7 @@
       {{"result", std::string(NameOf(kRunStatusNames, result.status))}});
   if (delay_ms >= 0) {
     state.metrics.Count("retries_total");
+    request->promised_retry = true;
     RetryLater(state, *request, delay_ms);
     return;
   }
@@ -182,12 +188,15 @@
   SendToOwner(state, std::move(message));
 }
 
-void OnSlotGrant(EntryState& state, const wire::SlotGrantT& grant) {
+void OnSlotGrant(EntryState& state, LinkId link,
+                 const wire::SlotGrantT& grant) {
   Request* request = FindCall(state, grant.call);
-  if (request == nullptr || request->job != grant.job ||
+  // A grant of an owner that has been succeeded is not in the report that its
+  // successor counts on, so it must not be used.
+  const bool current = state.owner == OwnerRef{link, grant.epoch};
+  if (!current || request == nullptr || request->job != grant.job ||
       request->phase != Phase::kWaitingSlot) {
-    // The request may go on under another grant, which decides its outcome.
-    ReturnUnused(state, grant, FindJob(state, grant.job) == nullptr);
+    ReturnUnused(state, grant);
     return;
   }
   request->grant = {grant.grant, grant.epoch, grant.endpoint, grant.address};
@@ -197,6 +206,8 @@
     EndpointResult unsent;
     unsent.status = RunStatus::kNotSent;
     ReturnSlot(state, *request, unsent, true, DecideOutcome(*request, end));
+    request->promised_retry = false;
+    request->phase = Phase::kRunning;
     EndRequest(state, *request, std::move(end));
     return;
   }
@@ -267,6 +278,16 @@
   EndRequest(state, request, std::move(end));
 }
 
+void CloseAtOwner(EntryState& state, const Request& request,
+                  const RequestEnd& end) {
+  if (!request.promised_retry) return;
+  wire::SlotReleaseT release = MakeRelease({}, request.job);
+  release.result = wire::SlotResult::NotSent;
+  release.final = true;
+  release.outcome = static_cast<uint8_t>(DecideOutcome(request, end));
+  SendRelease(state, std::move(release));
+}
+
 void ReportSlots(EntryState& state) {
   const TimeMs now = MonotonicMs();
   wire::SlotReportT report;
