--- a/src/scheduler/Adoption.cpp
+++ b/src/scheduler/Adoption.cpp
@@ -7,21 +7,29 @@
 #include "scheduler/JobRecords.h"
 
 namespace dotterelcove {
+namespace {
+
+// Ended without a result.
+bool IsUseless(const FoundTask& task) {
+  return task.ended.has_value() && task.ended->end != WorkerTaskEnd::kSucceeded;
+}
+
+}  // namespace
 
 Adoption::Adoption(JobTable& jobs, CellDriver& driver, WorkerPool& pool,
-                   std::function<bool(Job&)> open)
+                   std::function<void(Job&)> open)
     : jobs(jobs), driver(driver), pool(pool), open(std::move(open)) {}
 
 bool Adoption::in_doubt() const { return !this->certain; }
 
-void Adoption::HoldOrOpen(Job& job) {
-  if (this->certain) {
+bool Adoption::HoldOrOpen(Job& job) {
+  if (this->certain || this->AllFound(job)) {
     this->Release(job);
-    return;
+    return false;
   }
   job.phase = JobPhase::kHeld;
   this->held.push_back(job.submit.job);
-  if (this->AllFound(job)) this->Release(job);
+  return true;
 }
 
 void Adoption::OnFenced(const std::string& worker, const FenceReply& reply) {
@@ -69,9 +77,9 @@
     call();
   };
   Job* const job = this->FindOrRebuild(task);
-  const bool useful =
-      job != nullptr && job->phase == JobPhase::kHeld &&
-      task.member < job->members.size() && !job->members[task.member].ended;
+  const bool useful = job != nullptr && job->phase == JobPhase::kHeld &&
+                      task.member < job->members.size() &&
+                      !job->members[task.member].ended;
   if (!useful) {
     // Nobody waits for it: its job has ended, or the member runs elsewhere.
     if (ended != nullptr) {
@@ -97,9 +105,7 @@
     if (job.members[member].ended) continue;
     const bool found = std::any_of(
         job.found.begin(), job.found.end(), [member](const FoundTask& task) {
-          const bool useless = task.ended.has_value() &&
-                               task.ended->end != WorkerTaskEnd::kSucceeded;
-          return task.task.member == member && !useless;
+          return task.task.member == member && !IsUseless(task);
         });
     if (!found) return false;
   }
@@ -119,38 +125,36 @@
 }
 
 void Adoption::Release(Job& job) {
+  const std::string id = job.submit.job;
   // A member that was not found may have run on the worker that lapsed. For
   // work that must not run twice, that makes its end unknown.
-  const bool unknown = this->lapsed_unanswered && !job.submit.idempotent &&
-                       !this->AllFound(job);
+  const bool unknown =
+      this->lapsed_unanswered && !job.submit.idempotent && !this->AllFound(job);
+  const std::vector<FoundTask> found = std::move(job.found);
+  job.found.clear();
   if (unknown) {
     job.ran = true;
     job.phase = JobPhase::kOpen;
     this->driver.Decide(job, core::JobEnd::kUnknown,
                         "a worker that may have run it gave no answer");
-  } else if (!this->open(job)) {
-    job.found.clear();
-    return;
+  } else {
+    this->open(job);
   }
-  this->Replay(job);
-  if (job.cancelled) this->driver.Cancel(job);
+  // The job may have been refused and removed.
+  this->Replay(this->jobs.Find(id), found);
 }
 
-void Adoption::Replay(Job& job) {
-  for (uint32_t member = 0; member < job.members.size(); ++member) {
-    if (job.members[member].ended) this->driver.AdoptEnded(job, member);
+void Adoption::Replay(Job* job, std::vector<FoundTask> found) {
+  if (job != nullptr) {
+    for (uint32_t member = 0; member < job->members.size(); ++member) {
+      if (job->members[member].ended) this->driver.AdoptEnded(*job, member);
+    }
   }
   // Running and succeeded attempts first; what else a member had before them
   // is of no interest.
-  std::vector<FoundTask> found = std::move(job.found);
-  job.found.clear();
   std::stable_sort(found.begin(), found.end(),
                    [](const FoundTask& a, const FoundTask& b) {
-                     const auto useless = [](const FoundTask& task) {
-                       return task.ended.has_value() &&
-                              task.ended->end != WorkerTaskEnd::kSucceeded;
-                     };
-                     return useless(a) < useless(b);
+                     return IsUseless(a) < IsUseless(b);
                    });
   for (const FoundTask& task : found) {
     Acknowledge acknowledge = [] {};
@@ -159,16 +163,13 @@
       acknowledge = std::move(held->second);
       this->held_acknowledgements.erase(held);
     }
-    const bool adopted = this->driver.Adopt(job, task);
-    if (adopted && task.ended.has_value()) {
+    const bool adopted = job != nullptr && this->driver.Adopt(*job, task);
+    if (task.ended.has_value()) {
+      // For a task that was not adopted, this only acknowledges.
       this->driver.OnEnded(task.worker, *task.ended, acknowledge);
       continue;
     }
     if (adopted) continue;
-    if (task.ended.has_value()) {
-      acknowledge();
-      continue;
-    }
     WorkerSession* const session = this->pool.Find(task.worker);
     if (session != nullptr) {
       session->Control(task.task.id, ControlAction::kStop);
--- a/src/scheduler/Adoption.h
+++ b/src/scheduler/Adoption.h
@@ -18,15 +18,17 @@
 /// every worker of the earlier owners has answered or lapsed.
 class Adoption {
  public:
-  /// `open` hands a job to the core; it returns false when the core refused
-  /// the job, which has then been ended.
+  /// `open` hands a job to the core; a job that the core refuses may be
+  /// removed by it.
   Adoption(JobTable& jobs, CellDriver& driver, WorkerPool& pool,
-           std::function<bool(Job&)> open);
+           std::function<void(Job&)> open);
   Adoption(const Adoption&) = delete;
   Adoption& operator=(const Adoption&) = delete;
 
-  /// Holds a job, or opens it at once when no worker is in doubt.
-  void HoldOrOpen(Job& job);
+  /// Holds a job, or opens it at once when no worker is in doubt. Returns
+  /// whether it is held; a job that was opened may have been refused and
+  /// removed.
+  bool HoldOrOpen(Job& job);
   /// Whether a worker of an earlier owner has neither answered nor lapsed.
   bool in_doubt() const;
   void OnFenced(const std::string& worker, const FenceReply& reply);
@@ -35,20 +37,19 @@
   /// Workers of earlier owners have answered or lapsed; `lapsed` tells that one
   /// of them lapsed without an answer.
   void OnSettled(bool lapsed);
-  /// Ends the wait of a held job that has been cancelled.
-  void Release(Job& job);
 
  private:
+  void Release(Job& job);
   void Find(const std::string& worker, const WorkerTask& task,
             TimeMs started_ms, const EndedTask* ended);
   Job* FindOrRebuild(const WorkerTask& task);
   bool AllFound(const Job& job) const;
-  void Replay(Job& job);
+  void Replay(Job* job, std::vector<FoundTask> found);
 
   JobTable& jobs;
   CellDriver& driver;
   WorkerPool& pool;
-  std::function<bool(Job&)> open;
+  std::function<void(Job&)> open;
   /// A worker that may have run anything lapsed without an answer.
   bool lapsed_unanswered = false;
   bool certain = false;
--- a/src/scheduler/CellDriver.cpp
+++ b/src/scheduler/CellDriver.cpp
@@ -245,8 +245,8 @@
   const TimeMs now = MonotonicMs();
   entry.confirmed = true;
   core::TaskStarted(*this->tables, entry.ref, now);
-  this->services.events.Add("task_started", {entry.ref.job, entry.id,
-                                             entry.worker, this->epoch});
+  this->services.events.Add(
+      "task_started", {entry.ref.job, entry.id, entry.worker, this->epoch});
   Job* const job = this->jobs.Find(entry.ref.job);
   if (job != nullptr) {
     if (!job->ran) {
@@ -304,7 +304,7 @@
 
 void CellDriver::MaybeDecided(Job& job) {
   if (!job.decision.has_value() || job.tasks_out > 0) return;
-  if (job.phase == JobPhase::kEnding || job.phase == JobPhase::kEnded) return;
+  if (job.phase == JobPhase::kEnding) return;
   this->callbacks.decided(job);
 }
 
@@ -370,8 +370,8 @@
       Job* const job = this->jobs.Find(entry.ref.job);
       if (job != nullptr) job->ran = true;
     }
-    this->Drop(id, may_have_run ? core::TaskEnd::kLost
-                                : core::TaskEnd::kNotStarted);
+    this->Drop(
+        id, may_have_run ? core::TaskEnd::kLost : core::TaskEnd::kNotStarted);
   }
 }
 
--- /dev/null
+++ b/src/scheduler/EndedJobs.cpp
@@ -0,0 +1,49 @@
+#include "scheduler/EndedJobs.h"
+
+namespace dotterelcove {
+namespace {
+
+// Rows of the two containers and the strings' own headers.
+constexpr size_t kFixedBytes = 400;
+
+size_t BytesOf(const EndedJob& job) {
+  return kFixedBytes + job.result.body.size() + job.result.detail.size();
+}
+
+}  // namespace
+
+void EndedJobs::Add(const std::string& id, EndedJob job) {
+  const auto [found, added] = this->jobs.try_emplace(id);
+  if (added) {
+    this->order.emplace_back(job.ended_ms, id);
+  } else {
+    this->bytes -= BytesOf(found->second);
+  }
+  this->bytes += BytesOf(job);
+  found->second = std::move(job);
+  while (this->bytes > this->max_bytes && this->order.size() > 1 &&
+         this->order.front().second != id) {
+    this->DropOldest();
+  }
+}
+
+const EndedJob* EndedJobs::Find(const std::string& id) const {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+void EndedJobs::Forget(TimeMs now) {
+  while (!this->order.empty() &&
+         now - this->order.front().first >= kEndedJobKeptMs) {
+    this->DropOldest();
+  }
+}
+
+void EndedJobs::DropOldest() {
+  const auto found = this->jobs.find(this->order.front().second);
+  this->bytes -= BytesOf(found->second);
+  this->jobs.erase(found);
+  this->order.pop_front();
+}
+
+}  // namespace dotterelcove
--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -85,34 +85,35 @@
   wire::OutcomeT outcome;
   outcome.job = id;
   outcome.outcome = static_cast<uint8_t>(result.outcome);
-  if (result.object.empty()) outcome.body = ToBytes(result.body);
-  outcome.object = result.object;
+  // A body that fits into a frame is sent whole even when it is stored too.
+  outcome.body = ToBytes(result.body);
+  if (result.body.empty()) outcome.object = result.object;
   outcome.detail = result.detail;
   outcome.worker = result.worker;
   outcome.retry_after_ms = result.retry_after_ms;
   return outcome;
 }
 
-wire::StatusReplyT MakeStatusReply(uint64_t call, const Job& job) {
+wire::StatusReplyT MakeOpenStatus(uint64_t call, const Job& job) {
   wire::StatusReplyT reply;
   reply.call = call;
   reply.found = true;
-  if (job.phase != JobPhase::kEnded) {
-    reply.outcome = static_cast<uint8_t>(Outcome::kAccepted);
-    reply.state = job.phase == JobPhase::kOpen && job.tasks_out > 0
-                      ? "running"
-                      : (job.phase == JobPhase::kOpen
-                             ? "queued"
-                             : std::string(NameOf(kJobPhaseNames, job.phase)));
-    reply.worker = job.last_worker;
-    return reply;
-  }
-  reply.outcome = static_cast<uint8_t>(job.result.outcome);
+  reply.outcome = static_cast<uint8_t>(Outcome::kAccepted);
+  reply.state = NameOf(kJobPhaseNames, job.phase);
+  reply.worker = job.last_worker;
+  return reply;
+}
+
+wire::StatusReplyT MakeEndedStatus(uint64_t call, const JobResult& result) {
+  wire::StatusReplyT reply;
+  reply.call = call;
+  reply.found = true;
+  reply.outcome = static_cast<uint8_t>(result.outcome);
   reply.state = "ended";
-  reply.detail = job.result.detail;
-  reply.worker = job.result.worker;
-  reply.object = job.result.object;
-  if (reply.object.empty()) reply.body = ToBytes(job.result.body);
+  reply.detail = result.detail;
+  reply.worker = result.worker;
+  reply.body = ToBytes(result.body);
+  if (result.body.empty()) reply.object = result.object;
   return reply;
 }
 
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -1,4 +1,4 @@
-/// One placed job as the owner knows it, and its results.
+/// One job that has not ended, as the owner knows it, and its results.
 #pragma once
 
 #include <cstdint>
@@ -24,14 +24,12 @@
   kOpen,
   /// Ended; the result is being recorded.
   kEnding,
-  kEnded,
 };
 inline constexpr auto kJobPhaseNames =
     MakeNameTable<JobPhase>({{JobPhase::kRecording, "recording"},
                              {JobPhase::kHeld, "held"},
                              {JobPhase::kOpen, "open"},
-                             {JobPhase::kEnding, "ending"},
-                             {JobPhase::kEnded, "ended"}});
+                             {JobPhase::kEnding, "ending"}});
 
 /// What callers are told when a job has ended.
 struct JobResult {
@@ -76,10 +74,12 @@
   /// A task of it was accepted by a worker, or may have been.
   bool ran = false;
   bool cancelled = false;
+  /// A routed request, which has no tasks; it is here only while its outcome is
+  /// being recorded.
+  bool routed = false;
   /// Number of its tasks that are on workers, or may be.
   uint32_t tasks_out = 0;
   TimeMs submitted_ms = 0;
-  TimeMs ended_ms = 0;
   std::string last_worker;
   std::vector<MemberResult> members;
   /// Set when the core has ended the job.
@@ -100,6 +100,13 @@
   return submit.durable || !submit.idempotent;
 }
 
+/// Whether the outcome is kept for the same key. A caller that was told "not
+/// run" while it waited may send the key again to have the work done; one with
+/// a handle asks for the outcome later.
+inline bool KeepsOutcome(const Job& job) {
+  return job.result.outcome != Outcome::kNotRun || job.submit.durable;
+}
+
 /// The job as the core sees it; a deadline counts from `now`.
 core::JobSpec MakeJobSpec(const wire::SubmitT& submit, TimeMs now);
 
@@ -111,6 +118,9 @@
 JobResult MakeJobResult(const Job& job, const core::Command& decision);
 
 wire::OutcomeT MakeOutcome(const std::string& id, const JobResult& result);
-wire::StatusReplyT MakeStatusReply(uint64_t call, const Job& job);
+/// Status of a job that has not ended.
+wire::StatusReplyT MakeOpenStatus(uint64_t call, const Job& job);
+/// Status of one that has.
+wire::StatusReplyT MakeEndedStatus(uint64_t call, const JobResult& result);
 
 }  // namespace dotterelcove
--- a/src/scheduler/JobRecords.cpp
+++ b/src/scheduler/JobRecords.cpp
@@ -107,8 +107,7 @@
 }
 
 std::string ToRow(const MemberRow& row) {
-  return Dump(
-      {{"result", Base64Encode(row.result)}, {"worker", row.worker}});
+  return Dump({{"result", Base64Encode(row.result)}, {"worker", row.worker}});
 }
 
 bool FromRow(const std::string& text, MemberRow& row) {
@@ -152,8 +151,7 @@
   return Dump({{"entry", row.entry},
                {"caller", row.caller},
                {"key", row.key},
-               {"body_digest", row.body_digest},
-               {"endpoint", row.endpoint}});
+               {"body_digest", row.body_digest}});
 }
 
 bool FromRow(const std::string& text, IntentRow& row) {
@@ -161,8 +159,7 @@
   return ParseObject(text, json) && ReadText(json, "entry", row.entry) &&
          ReadText(json, "caller", row.caller) &&
          ReadText(json, "key", row.key) &&
-         ReadText(json, "body_digest", row.body_digest) &&
-         ReadText(json, "endpoint", row.endpoint);
+         ReadText(json, "body_digest", row.body_digest);
 }
 
 }  // namespace dotterelcove
--- a/src/scheduler/JobRecords.h
+++ b/src/scheduler/JobRecords.h
@@ -57,13 +57,12 @@
 std::string ToRow(const EndedJobRow& row);
 bool FromRow(const std::string& text, EndedJobRow& row);
 
-/// A non-idempotent routed request that was granted a slot.
+/// A non-idempotent routed request that may be granted a slot.
 struct IntentRow {
   std::string entry;
   std::string caller;
   std::string key;
   std::string body_digest;
-  std::string endpoint;
 };
 std::string ToRow(const IntentRow& row);
 bool FromRow(const std::string& text, IntentRow& row);
--- a/src/scheduler/JobService.cpp
+++ b/src/scheduler/JobService.cpp
@@ -22,7 +22,8 @@
       lookup(lookup),
       fenced(std::move(fenced)),
       recorder(services, writer),
-      forget_timer(services.loop, [this] { this->ForgetOld(); }) {
+      forget_timer(services.loop,
+                   [this] { this->jobs.ended.Forget(MonotonicMs()); }) {
   this->forget_timer.StartEvery(kForgetPeriodMs);
 }
 
@@ -36,17 +37,24 @@
 void JobService::OnSubmit(LinkId link, const wire::SubmitT& submit) {
   const PendingCall call{link, submit.call};
   Job* const known = this->jobs.Find(submit.job);
-  if (known != nullptr) {
-    if (known->submit.body_digest == submit.body_digest) {
-      this->Join(*known, call);
-      return;
-    }
+  const EndedJob* const past = this->jobs.ended.Find(submit.job);
+  const bool conflict =
+      (known != nullptr && known->submit.body_digest != submit.body_digest) ||
+      (past != nullptr && past->body_digest != submit.body_digest);
+  if (conflict || past != nullptr) {
     wire::SubmitReplyT reply;
     reply.call = submit.call;
     reply.job = submit.job;
-    reply.status = wire::SubmitStatus::Conflict;
-    reply.message = "the key is in use with another body";
+    if (conflict) {
+      reply.status = wire::SubmitStatus::Conflict;
+      reply.message = "the key is in use with another body";
+    }
     this->services.send(link, MakeFrame(std::move(reply)));
+    if (!conflict) this->SendOutcome(link, submit.job, past->result);
+    return;
+  }
+  if (known != nullptr) {
+    this->Join(*known, call);
     return;
   }
   Job& job = this->jobs.Add(submit, MonotonicMs());
@@ -58,9 +66,9 @@
     return;
   }
   if (!NeedsRecord(submit)) {
-    this->adoption->HoldOrOpen(job);
-    if (job.phase != JobPhase::kHeld) return;
-    this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
+    if (this->adoption->HoldOrOpen(job)) {
+      this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
+    }
     return;
   }
   if (!this->writer.store_up()) {
@@ -71,11 +79,10 @@
   // The job may have ended under an earlier owner, or long ago.
   const uint32_t partition = this->services.settings.partition;
   const std::string id = submit.job;
-  this->lookup.Read(
-      {EndedJobKey(partition, id), OpenJobKey(partition, id)},
-      [this, id](bool ok, const std::vector<TableRow>& rows) {
-        this->OnLookedUp(id, ok, rows);
-      });
+  this->lookup.Read({EndedJobKey(partition, id), OpenJobKey(partition, id)},
+                    [this, id](bool ok, const std::vector<TableRow>& rows) {
+                      this->OnLookedUp(id, ok, rows);
+                    });
 }
 
 void JobService::OnLookedUp(const std::string& id, bool ok,
@@ -116,11 +123,11 @@
   TablePut put;
   put.key = OpenJobKey(this->services.settings.partition, id);
   put.value = ToRow(row);
-  this->writer.Put(std::move(put), false,
-                   [this, id, alive = std::weak_ptr<bool>(this->alive)](
-                       WriteStatus status) {
-                     if (!alive.expired()) this->OnRecorded(id, status);
-                   });
+  this->writer.Put(
+      std::move(put), false,
+      [this, id, alive = std::weak_ptr<bool>(this->alive)](WriteStatus status) {
+        if (!alive.expired()) this->OnRecorded(id, status);
+      });
 }
 
 void JobService::OnRecorded(const std::string& id, WriteStatus status) {
@@ -140,30 +147,28 @@
   this->Open(*job);
 }
 
-bool JobService::Open(Job& job) {
+void JobService::Open(Job& job) {
   const core::SubmitDecision decision = this->driver->Open(job);
   if (decision.accepted) {
     this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
     if (job.cancelled) this->driver->Cancel(job);
-    return true;
+    return;
   }
   this->services.metrics.Count("refused_jobs_total");
   if (job.recovered || job.ran) {
     // It was accepted before, so its caller gets an outcome.
     this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
     this->driver->Decide(job, core::JobEnd::kNotRun, decision.message);
-    return false;
+    return;
   }
   if (job.recorded) {
     TablePut remove;
-    remove.key =
-        OpenJobKey(this->services.settings.partition, job.submit.job);
+    remove.key = OpenJobKey(this->services.settings.partition, job.submit.job);
     remove.remove = true;
     this->writer.Put(std::move(remove), true, [](WriteStatus) {});
   }
   this->Reject(job, wire::SubmitStatus::Refused, decision.message,
                decision.retry_after_ms);
-  return false;
 }
 
 void JobService::Recover(wire::SubmitT submit,
@@ -181,7 +186,6 @@
   job.outcome_links.insert(call.link);
   if (job.phase == JobPhase::kRecording) return;
   this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
-  if (job.phase == JobPhase::kEnded) this->SendOutcome(job);
 }
 
 void JobService::AnswerSubmitters(Job& job, wire::SubmitStatus status,
@@ -222,40 +226,54 @@
   job.phase = JobPhase::kEnding;
   this->jobs_ending++;
   job.result = MakeJobResult(job, *job.decision);
-  this->recorder.RecordEnd(job, [this, &job,
-                                 alive = std::weak_ptr<bool>(this->alive)] {
-    if (!alive.expired()) this->Finish(job);
-  });
+  this->recorder.RecordEnd(
+      job, [this, &job, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired()) this->Finish(job);
+      });
 }
 
 void JobService::Finish(Job& job) {
   this->jobs_ending--;
-  job.phase = JobPhase::kEnded;
-  job.ended_ms = MonotonicMs();
-  this->ended.emplace_back(job.ended_ms, job.submit.job);
+  const std::string id = job.submit.job;
   for (const Acknowledge& acknowledge : job.acknowledgements) acknowledge();
-  job.acknowledgements.clear();
-  // Only the answer is needed from here on.
-  job.submit.payload.clear();
-  job.submit.payload.shrink_to_fit();
-  job.members.clear();
   const std::string outcome(NameOf(kOutcomeNames, job.result.outcome));
   this->services.metrics.Count("jobs_ended_total", {{"outcome", outcome}});
-  this->services.events.Add("job_ended", {job.submit.job, "", "", 0}, outcome);
+  this->services.events.Add("job_ended", {id, "", "", 0}, outcome);
   this->AnswerSubmitters(job, wire::SubmitStatus::Accepted, "", 0);
-  this->SendOutcome(job);
+  for (const LinkId link : job.outcome_links) {
+    this->SendOutcome(link, id, job.result);
+  }
   for (const PendingCall& call : job.status_waiters) {
-    this->services.send(call.link, MakeFrame(MakeStatusReply(call.call, job)));
+    this->services.send(call.link,
+                        MakeFrame(MakeEndedStatus(call.call, job.result)));
+  }
+  if (KeepsOutcome(job)) {
+    this->jobs.ended.Add(
+        id, {job.submit.body_digest, std::move(job.result), MonotonicMs()});
   }
-  job.status_waiters.clear();
+  this->jobs.Remove(id);
 }
 
-void JobService::SendOutcome(Job& job) {
-  for (const LinkId link : job.outcome_links) {
-    this->services.send(link,
-                        MakeFrame(MakeOutcome(job.submit.job, job.result)));
-  }
-  job.outcome_links.clear();
+void JobService::SendOutcome(LinkId link, const std::string& id,
+                             const JobResult& result) {
+  this->services.send(link, MakeFrame(MakeOutcome(id, result)));
+}
+
+void JobService::EndRouted(wire::SubmitT request, JobResult result,
+                           bool recorded, std::set<LinkId> outcome_links,
+                           std::vector<PendingCall> status_waiters) {
+  Job& job = this->jobs.Add(std::move(request), MonotonicMs());
+  job.phase = JobPhase::kEnding;
+  job.routed = true;
+  job.recorded = recorded;
+  job.result = std::move(result);
+  job.outcome_links = std::move(outcome_links);
+  job.status_waiters = std::move(status_waiters);
+  this->jobs_ending++;
+  this->recorder.RecordEnd(
+      job, [this, &job, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired()) this->Finish(job);
+      });
 }
 
 void JobService::OnCancel(LinkId link, const wire::CancelT& cancel) {
@@ -263,10 +281,10 @@
   Job* const job = this->jobs.Find(id);
   wire::CancelReplyT reply;
   reply.call = cancel.call;
-  reply.found = job != nullptr;
-  if (job == nullptr) {
+  reply.found = job != nullptr || this->jobs.ended.Find(id) != nullptr;
+  if (!reply.found) {
     reply.message = "no such request";
-  } else if (job->phase == JobPhase::kEnded) {
+  } else if (job == nullptr || job->phase == JobPhase::kEnding) {
     reply.message = "the request has ended";
   } else {
     reply.message = "the request is being cancelled";
@@ -277,27 +295,35 @@
 }
 
 wire::StatusReplyT JobService::Describe(uint64_t call, const Job& job) const {
-  wire::StatusReplyT reply = MakeStatusReply(call, job);
+  wire::StatusReplyT reply = MakeOpenStatus(call, job);
   if (job.phase != JobPhase::kOpen) return reply;
-  const core::JobExplanation explanation = core::Explain(
-      this->driver->cell(), job.submit.job, MonotonicMs());
+  const core::JobExplanation explanation =
+      core::Explain(this->driver->cell(), job.submit.job, MonotonicMs());
   if (!explanation.found) return reply;
   reply.state = explanation.state;
   reply.detail = explanation.reason;
   return reply;
 }
 
-void JobService::OnStatusQuery(LinkId link, const wire::StatusQueryT& query) {
+void JobService::OnStatusQuery(LinkId link, const wire::StatusQueryT& query,
+                               const RoutedStatus& routed) {
   const std::string id = MakeJobId(query.caller, query.key);
   Job* const job = this->jobs.Find(id);
   if (job != nullptr) {
-    if (query.wait && job->phase != JobPhase::kEnded) {
+    if (query.wait) {
       job->status_waiters.push_back({link, query.call});
       return;
     }
     this->services.send(link, MakeFrame(this->Describe(query.call, *job)));
     return;
   }
+  const EndedJob* const ended = this->jobs.ended.Find(id);
+  if (ended != nullptr) {
+    this->services.send(link,
+                        MakeFrame(MakeEndedStatus(query.call, ended->result)));
+    return;
+  }
+  if (routed(id, link, query)) return;
   this->lookup.Read(
       {EndedJobKey(this->services.settings.partition, id)},
       [this, link, call = query.call](bool ok,
@@ -308,22 +334,10 @@
         if (!ok) {
           reply.detail = "the store is down";
         } else if (rows[0].version != 0 && FromRow(rows[0].value, row)) {
-          Job ended;
-          ended.phase = JobPhase::kEnded;
-          ended.result = row.result;
-          reply = MakeStatusReply(call, ended);
+          reply = MakeEndedStatus(call, row.result);
         }
         this->services.send(link, MakeFrame(std::move(reply)));
       });
 }
 
-void JobService::ForgetOld() {
-  const TimeMs now = MonotonicMs();
-  while (!this->ended.empty() &&
-         now - this->ended.front().first >= kEndedJobKeptMs) {
-    this->jobs.Remove(this->ended.front().second);
-    this->ended.pop_front();
-  }
-}
-
 }  // namespace dotterelcove
--- a/src/scheduler/JobService.h
+++ b/src/scheduler/JobService.h
@@ -2,10 +2,10 @@
 /// from their submission over the record to the core and back to the caller.
 #pragma once
 
-#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
-#include <utility>
+#include <vector>
 
 #include "scheduler/Adoption.h"
 #include "scheduler/CellDriver.h"
@@ -16,10 +16,6 @@
 
 namespace dotterelcove {
 
-/// An ended job stays in memory for this time, so that the same key gets the
-/// same answer.
-inline constexpr TimeMs kEndedJobKeptMs = 600'000;
-
 class JobService {
  public:
   JobService(Services& services, JobTable& jobs, RecordWriter& writer,
@@ -31,13 +27,22 @@
 
   void OnSubmit(LinkId link, const wire::SubmitT& submit);
   void OnCancel(LinkId link, const wire::CancelT& cancel);
-  void OnStatusQuery(LinkId link, const wire::StatusQueryT& query);
+  /// `routed` is asked about requests that have no job here: it answers the
+  /// query, now or later, and returns whether it knows the request.
+  using RoutedStatus = std::function<bool(const std::string& id, LinkId link,
+                                          const wire::StatusQueryT& query)>;
+  void OnStatusQuery(LinkId link, const wire::StatusQueryT& query,
+                     const RoutedStatus& routed);
 
   /// Takes over an open job from its row.
   void Recover(wire::SubmitT submit, std::vector<MemberResult> members);
-  /// Hands a job to the core, answers its submitters, and returns whether the
-  /// core accepted it.
-  bool Open(Job& job);
+  /// Records the outcome of a routed request, if `recorded`, and keeps it.
+  void EndRouted(wire::SubmitT request, JobResult result, bool recorded,
+                 std::set<LinkId> outcome_links,
+                 std::vector<PendingCall> status_waiters);
+  /// Hands a job to the core and answers its submitters. A job that the core
+  /// refuses is removed, unless it has been accepted before.
+  void Open(Job& job);
   void OnMemberSucceeded(Job& job, uint32_t member,
                          const Acknowledge& acknowledge);
   void OnDecided(Job& job);
@@ -57,9 +62,8 @@
   void Reject(Job& job, wire::SubmitStatus status, const std::string& message,
               TimeMs retry_after_ms);
   void Finish(Job& job);
-  void SendOutcome(Job& job);
+  void SendOutcome(LinkId link, const std::string& id, const JobResult& result);
   wire::StatusReplyT Describe(uint64_t call, const Job& job) const;
-  void ForgetOld();
 
   Services& services;
   JobTable& jobs;
@@ -71,7 +75,6 @@
   Adoption* adoption = nullptr;
   bool accepting = true;
   size_t jobs_ending = 0;
-  std::deque<std::pair<TimeMs, std::string>> ended;
   Timer forget_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/scheduler/JobTable.h
+++ b/src/scheduler/JobTable.h
@@ -4,16 +4,18 @@
 #include <string>
 #include <unordered_map>
 
+#include "scheduler/EndedJobs.h"
 #include "scheduler/Job.h"
 
 namespace dotterelcove {
 
-/// The key table of an owner: all open jobs and those that ended recently, by
-/// job id, which is a hash of caller and key.
+/// The key table of an owner: open jobs and those that ended recently, by job
+/// id, which is a hash of caller and key.
 struct JobTable {
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
+  EndedJobs ended;
 
-  /// Returns nothing for an unknown id.
+  /// An open job; nothing for an unknown id.
   Job* Find(const std::string& id) const {
     const auto found = this->jobs.find(id);
     return found == this->jobs.end() ? nullptr : found->second.get();
--- a/src/scheduler/ResultRecorder.cpp
+++ b/src/scheduler/ResultRecorder.cpp
@@ -25,11 +25,10 @@
   put.key =
       MemberKey(this->services.settings.partition, job.submit.job, member);
   put.value = ToRow(row);
-  this->writer.Put(
-      std::move(put), true,
-      [acknowledge = std::move(acknowledge)](WriteStatus status) {
-        if (status == WriteStatus::kCommitted) acknowledge();
-      });
+  this->writer.Put(std::move(put), true,
+                   [acknowledge = std::move(acknowledge)](WriteStatus status) {
+                     if (status == WriteStatus::kCommitted) acknowledge();
+                   });
 }
 
 void ResultRecorder::RecordEnd(Job& job, std::function<void()> done) {
@@ -86,13 +85,14 @@
   TablePut ended;
   ended.key = EndedJobKey(partition, job.submit.job);
   ended.value = ToRow(row);
+  const auto committed = [done = std::move(done)](WriteStatus status) {
+    if (status == WriteStatus::kCommitted) done();
+  };
   // The rows of the open job go after it in the same order, so that a crash
   // between them leaves a job that is known to have ended.
-  this->writer.Put(std::move(ended), true,
-                   [done = std::move(done)](WriteStatus status) {
-                     if (status == WriteStatus::kCommitted) done();
-                   });
-  if (job.members.size() > 1) {
+  const bool kept = KeepsOutcome(job);
+  if (kept) this->writer.Put(std::move(ended), true, committed);
+  if (!job.routed && job.members.size() > 1) {
     for (uint32_t member = 0; member < job.members.size(); ++member) {
       if (!job.members[member].ended) continue;
       TablePut remove;
@@ -102,9 +102,12 @@
     }
   }
   TablePut remove;
-  remove.key = OpenJobKey(partition, job.submit.job);
+  remove.key = job.routed ? IntentKey(partition, job.submit.job)
+                          : OpenJobKey(partition, job.submit.job);
   remove.remove = true;
-  this->writer.Put(std::move(remove), true, [](WriteStatus) {});
+  this->writer.Put(
+      std::move(remove), true,
+      kept ? [](WriteStatus) {} : std::function<void(WriteStatus)>(committed));
 }
 
 }  // namespace dotterelcove
--- a/src/scheduler/RowLookup.cpp
+++ b/src/scheduler/RowLookup.cpp
@@ -57,11 +57,10 @@
   this->in_flight.assign(std::make_move_iterator(this->queued.begin()),
                          std::make_move_iterator(end));
   this->queued.erase(this->queued.begin(), end);
-  ReadRows(this->tables, keys,
-           [weak = this->self](const ReadResult& result) {
-             const std::shared_ptr<State> state = weak.lock();
-             if (state != nullptr) state->Finish(result);
-           });
+  ReadRows(this->tables, keys, [weak = this->self](const ReadResult& result) {
+    const std::shared_ptr<State> state = weak.lock();
+    if (state != nullptr) state->Finish(result);
+  });
 }
 
 void RowLookup::State::Finish(const ReadResult& result) {
--- /dev/null
+++ b/src/scheduler/Scheduler.cpp
@@ -0,0 +1,258 @@
+#include "scheduler/Scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Clock.h"
+#include "base/Hash.h"
+#include "base/Random.h"
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kStopPollMs = 5;
+// Records that cannot be written for so long, as the store is down, do not keep
+// a planned stop waiting: their tasks' ends are still on the workers.
+constexpr TimeMs kFlushLimitMs = 2'000;
+
+std::string AddressOf(const ListenSettings& listen, uint16_t port) {
+  return listen.address + ":" + std::to_string(port);
+}
+
+}  // namespace
+
+Scheduler::Scheduler(EventLoop& loop, const DaemonSettings& settings,
+                     SchedulerHooks hooks)
+    : loop(loop),
+      settings(settings),
+      hooks(std::move(hooks)),
+      end_term(loop, [this] { this->present.reset(); }),
+      stop_timer(loop, [this] { this->ContinueStop(); }) {
+  Random random = MakeSystemRandom();
+  this->incarnation = static_cast<uint64_t>(UniformInt(random, 1, INT64_MAX));
+}
+
+Scheduler::~Scheduler() {
+  // The term sends through the node, and the node's callbacks use the term.
+  this->present.reset();
+  this->ownership.reset();
+  this->node.reset();
+}
+
+Result<std::unique_ptr<Scheduler>> Scheduler::Start(
+    EventLoop& loop, HttpClient& http, const DaemonSettings& settings,
+    Metrics& metrics, EventRing& events, HybridClock& clock,
+    SchedulerHooks hooks) {
+  std::unique_ptr<Scheduler> scheduler(
+      new Scheduler(loop, settings, std::move(hooks)));
+  Scheduler* const self = scheduler.get();
+  const TableClient tables{http, settings.platform.tables,
+                           settings.timing.store_timeout_ms};
+  const ObjectClient objects{http, settings.platform.objects};
+  self->services.reset(
+      new Services{loop, http, settings, tables, objects, metrics, events,
+                   [self](LinkId link, wire::FrameT frame) {
+                     if (self->node != nullptr)
+                       self->node->Send(link, std::move(frame));
+                   }});
+  OwnershipCallbacks ownership;
+  ownership.acquired = [self](uint64_t epoch, uint64_t row_version) {
+    self->OnAcquired(epoch, row_version);
+  };
+  ownership.lost = [self](const std::string& reason) { self->OnLost(reason); };
+  ownership.changed = [self](const OwnerView&) {
+    self->node->SendHeartbeats();
+  };
+  PeerCallbacks peers;
+  peers.connected = [self](const PeerInfo& peer) { self->OnConnected(peer); };
+  peers.disconnected = [self](const PeerInfo& peer, LinkEnd) {
+    self->OnDisconnected(peer);
+  };
+  peers.received = [self](const PeerInfo& peer, wire::FrameT& frame) {
+    self->OnMessage(peer, frame);
+  };
+  peers.make_heartbeat = [self] { return self->MakeHeartbeat(); };
+  BOOST_LEAF_ASSIGN(self->node, PeerNode::Start(loop, self->MakePeerOptions(),
+                                                std::move(peers), clock));
+  self->ownership = std::make_unique<Ownership>(
+      loop, tables, self->MakeOwnershipOptions(), std::move(ownership));
+  self->ownership->Start();
+  return scheduler;
+}
+
+PeerOptions Scheduler::MakePeerOptions() const {
+  PeerOptions options;
+  options.process = this->settings.process;
+  options.incarnation = this->incarnation;
+  options.role = wire::Role::Scheduler;
+  options.zone = this->settings.zone;
+  options.listen_address = this->settings.peer.address;
+  options.listen_port = this->settings.peer.port;
+  const std::string own =
+      AddressOf(this->settings.peer, this->settings.peer.port);
+  for (const std::string& address : this->settings.schedulers) {
+    if (address != own) options.dial.push_back(address);
+  }
+  options.heartbeat_ms = this->settings.timing.heartbeat_ms;
+  options.silence_limit_ms = this->settings.timing.peer_silence_ms;
+  return options;
+}
+
+OwnershipOptions Scheduler::MakeOwnershipOptions() const {
+  OwnershipOptions options;
+  options.partition = this->settings.partition;
+  options.process = this->settings.process;
+  options.incarnation = this->incarnation;
+  options.address = AddressOf(this->settings.peer, this->node->port());
+  options.lease_ms = this->settings.timing.owner_lease_ms;
+  options.beat_ms = this->settings.timing.owner_beat_ms;
+  options.poll_ms = this->settings.timing.standby_poll_ms;
+  const uint64_t own = Hash64(options.address);
+  for (const std::string& address : this->settings.schedulers) {
+    if (Hash64(address) < own) options.rank++;
+  }
+  return options;
+}
+
+wire::HeartbeatT Scheduler::MakeHeartbeat() const {
+  wire::HeartbeatT heartbeat;
+  if (this->ownership != nullptr) {
+    const OwnerView& view = this->ownership->view();
+    heartbeat.owner_epoch = view.epoch;
+    heartbeat.owner_process = view.process;
+  }
+  heartbeat.serving = this->serving();
+  heartbeat.draining = this->is_stopping;
+  if (this->hooks.config_version) {
+    heartbeat.config_version = this->hooks.config_version();
+  }
+  return heartbeat;
+}
+
+bool Scheduler::serving() const {
+  return this->present != nullptr && !this->end_term.active() &&
+         !this->is_stopping && this->present->serving();
+}
+
+void Scheduler::OnAcquired(uint64_t epoch, uint64_t row_version) {
+  Log(LogLevel::kInfo, "ownership_acquired", {F("epoch", epoch)});
+  this->services->events.Add("ownership_acquired", {"", "", "", epoch});
+  this->services->metrics.Count("ownership_acquired_total");
+  this->end_term.Cancel();
+  this->present.reset();
+  TermCallbacks callbacks;
+  callbacks.serving = [this] {
+    Log(LogLevel::kInfo, "serving", {F("epoch", this->present->epoch())});
+    this->node->SendHeartbeats();
+  };
+  callbacks.superseded = [this](uint64_t higher) {
+    // A refused record proves a later owner without naming its epoch.
+    const uint64_t known = this->ownership->view().epoch;
+    this->ownership->HigherEpochSeen(std::max(higher, known + 1));
+  };
+  callbacks.may_renew = [this] { return this->MayRenew(); };
+  this->present = std::make_unique<Term>(*this->services, epoch, row_version,
+                                         std::move(callbacks));
+  this->present->ApplyConfig(this->config);
+  for (const auto& [link, peer] : this->node->peers()) {
+    if (peer.role == wire::Role::Entry) this->present->OnEntryConnected(peer);
+  }
+  this->node->SendHeartbeats();
+}
+
+void Scheduler::OnLost(const std::string& reason) {
+  Log(LogLevel::kWarning, "ownership_lost", {F("reason", reason)});
+  const uint64_t epoch = this->present == nullptr ? 0 : this->present->epoch();
+  this->services->events.Add("ownership_lost", {"", "", "", epoch}, reason);
+  this->services->metrics.Count("ownership_lost_total");
+  // The loss may have been found inside a callback of the term itself.
+  if (this->present != nullptr) {
+    this->present->Stop();
+    this->end_term.StartAfter(0);
+  }
+  this->node->SendHeartbeats();
+}
+
+void Scheduler::OnConnected(const PeerInfo& peer) {
+  if (this->present == nullptr || peer.role != wire::Role::Entry) return;
+  this->present->OnEntryConnected(peer);
+}
+
+void Scheduler::OnDisconnected(const PeerInfo& peer) {
+  if (peer.role == wire::Role::Entry) {
+    if (this->present != nullptr) this->present->OnEntryDisconnected(peer);
+    return;
+  }
+  if (peer.process == this->ownership->view().process) {
+    this->ownership->OwnerLinkLost();
+  }
+}
+
+void Scheduler::OnMessage(const PeerInfo& peer, wire::FrameT& frame) {
+  const auto* const heartbeat = frame.body.AsHeartbeat();
+  if (heartbeat != nullptr) this->OnHeartbeat(peer, *heartbeat);
+  const bool config = heartbeat != nullptr ||
+                      frame.body.AsConfigRequest() != nullptr ||
+                      frame.body.AsConfigReply() != nullptr;
+  if (config) {
+    if (this->hooks.config_message) this->hooks.config_message(peer, frame);
+    return;
+  }
+  if (peer.role != wire::Role::Entry || this->present == nullptr) return;
+  // A term that is being ended must not answer any more.
+  if (this->end_term.active()) return;
+  this->present->OnMessage(peer, frame);
+}
+
+void Scheduler::OnHeartbeat(const PeerInfo& peer,
+                            const wire::HeartbeatT& heartbeat) {
+  if (heartbeat.owner_epoch > this->ownership->view().epoch) {
+    this->ownership->HigherEpochSeen(heartbeat.owner_epoch);
+    return;
+  }
+  if (peer.role == wire::Role::Scheduler) {
+    this->scheduler_heard_ms = MonotonicMs();
+  }
+}
+
+bool Scheduler::MayRenew() const {
+  // With the store out of reach, a later owner can only exist if another
+  // scheduler reaches it, and would be known from that one's heartbeats. An
+  // owner that hears nobody, or was paused, could keep tasks alive that the
+  // later owner must be able to take as ended.
+  if (this->ownership->store_age_ms() <= this->settings.timing.owner_lease_ms) {
+    return true;
+  }
+  if (this->settings.schedulers.size() <= 1) return true;
+  return MonotonicMs() - this->scheduler_heard_ms <=
+         this->settings.timing.peer_silence_ms;
+}
+
+void Scheduler::ApplyConfig(const CellConfig& config) {
+  this->config = config;
+  if (this->present != nullptr) this->present->ApplyConfig(config);
+}
+
+void Scheduler::Stop() {
+  if (this->is_stopping) return;
+  this->is_stopping = true;
+  this->stop_started_ms = MonotonicMs();
+  Log(LogLevel::kInfo, "stopping", {F("owner", this->present != nullptr)});
+  if (this->present != nullptr) this->present->Stop();
+  this->ContinueStop();
+}
+
+void Scheduler::ContinueStop() {
+  const bool in_time = MonotonicMs() - this->stop_started_ms < kFlushLimitMs;
+  if (this->present != nullptr && !this->present->Flushed() && in_time) {
+    this->stop_timer.StartAfter(kStopPollMs);
+    return;
+  }
+  this->ownership->Release([this] {
+    this->node->SendHeartbeats();
+    if (this->hooks.stopped) this->hooks.stopped();
+  });
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/scheduler/Scheduler.h
@@ -0,0 +1,86 @@
+/// The scheduler daemon without its process: a candidate for ownership of one
+/// partition, and its work while it is the owner.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/HybridClock.h"
+#include "config/CellConfig.h"
+#include "dotterelcove/Result.h"
+#include "peer/PeerNode.h"
+#include "scheduler/Services.h"
+#include "scheduler/Term.h"
+#include "store/Ownership.h"
+
+namespace dotterelcove {
+
+struct SchedulerHooks {
+  /// Version of the configuration in force, for heartbeats; may be empty.
+  std::function<uint64_t()> config_version;
+  /// Heartbeats and configuration messages, for the configuration follower;
+  /// may be empty.
+  std::function<void(const PeerInfo&, wire::FrameT&)> config_message;
+  /// A planned stop is complete.
+  std::function<void()> stopped;
+};
+
+class Scheduler {
+ public:
+  /// Fails with a PeerListenError. `settings`, `metrics`, `events` and `clock`
+  /// must outlive the scheduler.
+  static Result<std::unique_ptr<Scheduler>> Start(
+      EventLoop& loop, HttpClient& http, const DaemonSettings& settings,
+      Metrics& metrics, EventRing& events, HybridClock& clock,
+      SchedulerHooks hooks);
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  void ApplyConfig(const CellConfig& config);
+  /// Planned stop: hands the partition over, then calls `stopped`.
+  void Stop();
+
+  /// The present term, or nothing when this process is not the owner.
+  Term* term() const { return this->present.get(); }
+  bool serving() const;
+  bool stopping() const { return this->is_stopping; }
+  const OwnerView& owner() const { return this->ownership->view(); }
+  int64_t store_age_ms() const { return this->ownership->store_age_ms(); }
+  PeerNode& peers() { return *this->node; }
+  Services& shared() { return *this->services; }
+
+ private:
+  Scheduler(EventLoop& loop, const DaemonSettings& settings,
+            SchedulerHooks hooks);
+  OwnershipOptions MakeOwnershipOptions() const;
+  PeerOptions MakePeerOptions() const;
+  wire::HeartbeatT MakeHeartbeat() const;
+  void OnAcquired(uint64_t epoch, uint64_t row_version);
+  void OnLost(const std::string& reason);
+  void OnConnected(const PeerInfo& peer);
+  void OnDisconnected(const PeerInfo& peer);
+  void OnMessage(const PeerInfo& peer, wire::FrameT& frame);
+  void OnHeartbeat(const PeerInfo& peer, const wire::HeartbeatT& heartbeat);
+  bool MayRenew() const;
+  void ContinueStop();
+
+  EventLoop& loop;
+  const DaemonSettings& settings;
+  SchedulerHooks hooks;
+  uint64_t incarnation;
+  std::unique_ptr<Services> services;
+  std::unique_ptr<PeerNode> node;
+  std::unique_ptr<Ownership> ownership;
+  std::unique_ptr<Term> present;
+  CellConfig config;
+  bool is_stopping = false;
+  TimeMs stop_started_ms = 0;
+  TimeMs scheduler_heard_ms = 0;
+  /// Destroys a lost term outside its own callbacks.
+  Timer end_term;
+  Timer stop_timer;
+};
+
+}  // namespace dotterelcove
--- a/src/scheduler/WorkerPool.cpp
+++ b/src/scheduler/WorkerPool.cpp
@@ -184,8 +184,7 @@
 void WorkerPool::OnSessionState(const std::string& id, SessionState state) {
   Log(LogLevel::kInfo, "worker_session",
       {F("worker", id), F("state", NameOf(kSessionStateNames, state))});
-  this->services.events.Add("worker_session",
-                            {"", "", id, this->epoch},
+  this->services.events.Add("worker_session", {"", "", id, this->epoch},
                             std::string(NameOf(kSessionStateNames, state)));
   Worker& worker = this->workers.at(id);
   if (state == SessionState::kReachable && worker.row == RowState::kAbsent) {
@@ -203,17 +202,17 @@
   TablePut put;
   put.key = UsedWorkerKey(this->services.settings.partition, id);
   put.value = VmsToJson({worker.session->vm()});
-  this->writer.Put(
-      std::move(put), true,
-      [this, id, alive = std::weak_ptr<bool>(this->alive),
-       change = ++worker.row_change](WriteStatus status) {
-        if (alive.expired() || status != WriteStatus::kCommitted) return;
-        const auto found = this->workers.find(id);
-        if (found == this->workers.end()) return;
-        if (found->second.row_change != change) return;
-        found->second.row = RowState::kPresent;
-        this->Update(id);
-      });
+  this->writer.Put(std::move(put), true,
+                   [this, id, alive = std::weak_ptr<bool>(this->alive),
+                    change = ++worker.row_change](WriteStatus status) {
+                     if (alive.expired() || status != WriteStatus::kCommitted)
+                       return;
+                     const auto found = this->workers.find(id);
+                     if (found == this->workers.end()) return;
+                     if (found->second.row_change != change) return;
+                     found->second.row = RowState::kPresent;
+                     this->Update(id);
+                   });
 }
 
 void WorkerPool::RemoveRow(const std::string& id) {
--- a/src/scheduler/WorkerSession.cpp
+++ b/src/scheduler/WorkerSession.cpp
@@ -162,14 +162,15 @@
         std::max(this->lease_end_ms,
                  MonotonicMs() + lease + lease / kClockRateErrorDivisor + 1);
   }
-  this->sync_call = SyncWorker(
-      this->client, request,
-      [weak = this->self, generation = ++this->sync_generation](
-          const WorkerResult<SyncReply>& result) {
-        const std::shared_ptr<State> state = weak.lock();
-        if (state == nullptr || state->sync_generation != generation) return;
-        state->OnSynced(result);
-      });
+  this->sync_call =
+      SyncWorker(this->client, request,
+                 [weak = this->self, generation = ++this->sync_generation](
+                     const WorkerResult<SyncReply>& result) {
+                   const std::shared_ptr<State> state = weak.lock();
+                   if (state == nullptr || state->sync_generation != generation)
+                     return;
+                   state->OnSynced(result);
+                 });
 }
 
 void WorkerSession::State::CancelSync() {
@@ -224,8 +225,8 @@
     this->SetState(SessionState::kUnreachable);
   }
   this->CheckLease();
-  this->retry_timer.StartAfter(BackoffMs(this->random, this->attempt++,
-                                         kRetryBaseMs, kRetryMaxMs));
+  this->retry_timer.StartAfter(
+      BackoffMs(this->random, this->attempt++, kRetryBaseMs, kRetryMaxMs));
 }
 
 void WorkerSession::State::CheckLease() {
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -125,10 +125,10 @@
   running.started_ms = MonotonicMs();
   running.fails = plan.fails;
   running.result = plan.result;
-  running.left_ms = plan.run_ms < 0
-                        ? -1
-                        : static_cast<int64_t>(static_cast<double>(plan.run_ms) /
-                                               this->options.speed);
+  running.left_ms =
+      plan.run_ms < 0 ? -1
+                      : static_cast<int64_t>(static_cast<double>(plan.run_ms) /
+                                             this->options.speed);
   running.timer = std::make_unique<Timer>(this->loop, [this, id = task.id] {
     // A copy, since ending the task destroys this callback.
     const std::string ended_id = id;
@@ -217,8 +217,8 @@
   if (this->waiting != nullptr) this->AnswerSync();
   this->waiting =
       std::make_unique<WaitingSync>(WaitingSync{request, std::move(answer)});
-  const bool news = !this->ended.empty() &&
-                    this->ended.back().sequence > request.received;
+  const bool news =
+      !this->ended.empty() && this->ended.back().sequence > request.received;
   if (news || request.wait_ms <= 0) {
     this->AnswerSync();
     return;
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -26,15 +26,15 @@
   for (const AnswerRow& row : kAnswerRows) {
     if (row.status == answer.status) response.status = row.http_status;
   }
-  response.body = answer.status == WorkerStatus::kOk ? answer.body
-                                                     : ToJson(answer.refusal);
+  response.body =
+      answer.status == WorkerStatus::kOk ? answer.body : ToJson(answer.refusal);
   if (response.body.empty()) response.body = "{}";
   return response;
 }
 
 struct FaultField {
   const char* name;
-  bool WorkerFaults::* field;
+  bool WorkerFaults::*field;
 };
 
 constexpr FaultField kFaultFields[] = {
@@ -161,8 +161,7 @@
   });
 }
 
-void WorkerStandin::Handle(const HttpRequest& request,
-                           const HttpReply& reply) {
+void WorkerStandin::Handle(const HttpRequest& request, const HttpReply& reply) {
   if (request.path == "/control/fault") {
     this->HandleFault(request, reply);
     return;
@@ -173,8 +172,8 @@
     reply.Send(MakeErrorResponse(404, "no such path"));
     return;
   }
-  const auto found =
-      this->workers.find(request.path.substr(prefix.size(), end - prefix.size()));
+  const auto found = this->workers.find(
+      request.path.substr(prefix.size(), end - prefix.size()));
   if (found == this->workers.end()) {
     reply.Send(MakeErrorResponse(410, "no such worker"));
     return;
