--- a/src/operator/CommandTable.cpp
+++ b/src/operator/CommandTable.cpp
@@ -3,9 +3,8 @@
 namespace dotterelcove {
 namespace {
 
-const OptionSpec kFolder = {
-    "folder", "FOLDER",
-    "collect the service files and cell.json of this folder"};
+/// Folders that one publishing step may collect.
+constexpr size_t kMaxFolders = 1'000;
 
 }  // namespace
 
@@ -60,30 +59,29 @@
        true,
        RunExplain},
       {"config check",
-       "",
+       "FOLDER…",
        "check service files without publishing them",
-       {kFolder, {"content", "FILE", "check one file of whole content"}},
-       0,
+       {{"content", "FILE", "check one file of whole content"}},
        0,
+       kMaxFolders,
        false,
        RunConfigCheck},
       {"config diff",
-       "",
+       "FOLDER…",
        "compare service files with the published version",
-       {kFolder, {"content", "FILE", "compare one file of whole content"}},
-       0,
+       {{"content", "FILE", "compare one file of whole content"}},
        0,
+       kMaxFolders,
        true,
        RunConfigDiff},
       {"config publish",
-       "",
+       "FOLDER…",
        "publish service files as the next version",
-       {kFolder,
-        {"content", "FILE", "publish one file of whole content"},
+       {{"content", "FILE", "publish one file of whole content"},
         {"expect", "VERSION", "only if this is the published version"},
         {"wait-s", "N", "wait until it is in force in every process"}},
        0,
-       0,
+       kMaxFolders,
        true,
        RunConfigPublish},
       {"config show",
