--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -73,7 +73,7 @@
 }  // namespace
 
 nlohmann::json MakeTestConfig() {
-  const nlohmann::json small = {{"cores", 1}, {"memory_mb", 1000}};
+  const nlohmann::json small = {{"milli_cores", 1000}, {"memory_mb", 1000}};
   nlohmann::json kinds;
   kinds["check"] = {{"delivery", "route"},
                     {"class", "urgent"},
@@ -94,7 +94,7 @@
   kinds["audit"] = {{"delivery", "place"},
                     {"class", "batch"},
                     {"idempotent", true},
-                    {"size", {{"cores", 2}, {"memory_mb", 2000}}}};
+                    {"size", {{"milli_cores", 2000}, {"memory_mb", 2000}}}};
   kinds["watch"] = {{"delivery", "place"},
                     {"class", "service"},
                     {"idempotent", true},
@@ -103,11 +103,12 @@
                    {"idempotent", true},  {"gang", true},
                    {"tasks", 4},          {"size", small}};
   nlohmann::json config;
-  config["services"]["stepline"] = {{"team", "care"}, {"kinds", kinds}};
-  config["teams"]["care"] = {
-      {"quota", {{"cores", 1000}, {"memory_mb", 4'000'000}}}};
-  config["callers"]["default"] = {{"max_in_progress", 100'000},
-                                  {"requests_per_second", 100'000}};
+  config["stepline"] = {
+      {"service", "stepline"}, {"team", "care"}, {"kinds", kinds}};
+  config["cell"]["teams"]["care"] = {
+      {"quota", {{"milli_cores", 1'000'000}, {"memory_mb", 4'000'000}}}};
+  config["cell"]["callers"]["default"] = {{"max_in_progress", 100'000},
+                                          {"requests_per_second", 100'000}};
   return config;
 }
 
@@ -267,7 +268,7 @@
     }
   }
   WriteJson(this->root + "/links.json", this->links);
-  WriteJson(this->root + "/config.json", this->deployment_options.config);
+  this->WriteCellFile();
   for (const std::string& name : daemons) {
     this->WriteDaemonSettings(name, name.rfind("sched", 0) == 0);
   }
@@ -309,20 +310,32 @@
 }
 
 bool Deployment::Publish(const nlohmann::json& config) {
-  const std::string file = this->root + "/config.json";
-  WriteJson(file, config);
-  const std::string tables = this->url("platform");
-  WriteJson(this->root + "/cell.json", {{"entries", nlohmann::json::array()},
-                                        {"schedulers", nlohmann::json::array()},
-                                        {"tables", tables},
-                                        {"objects", tables}});
+  const std::string config_folder = this->root + "/config";
+  std::filesystem::create_directory(config_folder);
+  for (const auto& [name, content] : config.items()) {
+    WriteJson(config_folder + "/" + name + ".json", content);
+  }
   const std::string command = BinaryFolder() + "/dotterelcovectl --cell " +
-                              this->root +
-                              "/cell.json config publish --content " + file +
-                              " >>" + this->root + "/ctl.log 2>&1";
+                              this->root + "/cell.json config publish " +
+                              config_folder + " >>" + this->root +
+                              "/ctl.log 2>&1";
   return std::system(command.c_str()) == 0;
 }
 
+void Deployment::WriteCellFile() {
+  nlohmann::json entries = nlohmann::json::array();
+  nlohmann::json schedulers = nlohmann::json::array();
+  for (const auto& [name, process] : this->processes) {
+    if (name.starts_with("entry-")) entries.push_back(this->url(name));
+    if (name.starts_with("sched-")) schedulers.push_back(this->url(name));
+  }
+  const std::string platform = this->url("platform");
+  WriteJson(this->root + "/cell.json", {{"entries", entries},
+                                        {"schedulers", schedulers},
+                                        {"tables", platform},
+                                        {"objects", platform}});
+}
+
 void Deployment::Kill(const std::string& name) {
   Process& process = this->processes.at(name);
   if (process.pid == 0) return;
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -26,11 +26,11 @@
   int64_t worker_memory_mb = 32'000;
   /// Overrides of the daemons' "timing" settings.
   nlohmann::json timing = nlohmann::json::object();
-  /// Content of the configuration; see MakeTestConfig().
+  /// Configuration files by name; see MakeTestConfig().
   nlohmann::json config;
 };
 
-/// Services "stepline" (routed and placed kinds) with short run times.
+/// Service and cell files: one service with routed and placed kinds.
 nlohmann::json MakeTestConfig();
 
 class Deployment {
@@ -62,7 +62,7 @@
   std::string Owner();
   /// Waits until some scheduler daemon is the owner.
   bool WaitForOwner(TimeMs timeout_ms);
-  /// Publishes configuration content through the operator's command.
+  /// Publishes configuration files through the operator's command.
   bool Publish(const nlohmann::json& config);
 
   std::string entry_url(int index) const;
@@ -86,6 +86,7 @@
   void AddLink(const std::string& name, uint16_t target);
   uint16_t LinkPort(const std::string& name) const;
   void WriteFiles();
+  void WriteCellFile();
   void WriteVms();
   void WriteDaemonSettings(const std::string& process, bool scheduler);
   void Spawn(const std::string& process);
--- a/tests/system/FaultTest.cpp
+++ b/tests/system/FaultTest.cpp
@@ -61,7 +61,8 @@
              const char* vm, const nlohmann::json& fault) {
   nlohmann::json body = fault;
   body[key] = vm;
-  deployment.Control(standin, "/control/fault", body);
+  deployment.Control(standin, std::string("/control/fault?") + key + "=" + vm,
+                     body);
 }
 
 std::string StandbyOf(const std::string& owner) {
