Control all endpoint stand-ins through one port; leave out the outcome of a failed question

Cause: the deployment test sends faults of every endpoint to one port, with a count of answers to lose; a GET that no scheduler answered carried the outcome unknown, which a caller may take for the request's own. IsUtf8 comes from border/tables/JsonBytes.h, which had a second definition.

--- a/src/border/caller/Base64.cpp
+++ b/src/border/caller/Base64.cpp
@@ -15,15 +15,6 @@
   return position == std::string_view::npos ? -1 : static_cast<int>(position);
 }
 
-/// Length of a UTF-8 sequence with this first byte, 0 for an invalid one.
-size_t SequenceLength(uint8_t first) {
-  if (first < 0x80) return 1;
-  if (first >= 0xc2 && first < 0xe0) return 2;
-  if (first >= 0xe0 && first < 0xf0) return 3;
-  if (first >= 0xf0 && first < 0xf5) return 4;
-  return 0;
-}
-
 }  // namespace
 
 std::string EncodeBase64(std::string_view data) {
@@ -66,25 +57,4 @@
   return data;
 }
 
-bool IsUtf8(std::string_view text) {
-  for (size_t i = 0; i < text.size();) {
-    const auto first = static_cast<uint8_t>(text[i]);
-    const size_t length = SequenceLength(first);
-    if (length == 0 || i + length > text.size()) return false;
-    for (size_t j = 1; j < length; ++j) {
-      if ((static_cast<uint8_t>(text[i + j]) & 0xc0) != 0x80) return false;
-    }
-    if (length > 1) {
-      const auto second = static_cast<uint8_t>(text[i + 1]);
-      // Overlong forms, surrogates and code points above U+10FFFF.
-      if (first == 0xe0 && second < 0xa0) return false;
-      if (first == 0xed && second > 0x9f) return false;
-      if (first == 0xf0 && second < 0x90) return false;
-      if (first == 0xf4 && second > 0x8f) return false;
-    }
-    i += length;
-  }
-  return true;
-}
-
 }  // namespace dotterelcove
--- a/src/border/caller/Base64.h
+++ b/src/border/caller/Base64.h
@@ -12,7 +12,4 @@
 /// Returns nothing for text that is not canonical base64 with padding.
 std::optional<std::string> DecodeBase64(std::string_view text);
 
-/// Whether `text` is well-formed UTF-8, so that it can stand in JSON as is.
-bool IsUtf8(std::string_view text);
-
 }  // namespace dotterelcove
--- a/src/border/caller/CallerAnswer.cpp
+++ b/src/border/caller/CallerAnswer.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "border/caller/Base64.h"
+#include "border/tables/JsonBytes.h"
 
 namespace dotterelcove {
 namespace {
@@ -13,8 +14,8 @@
 }  // namespace
 
 HttpResponse RenderAnswer(const CallerAnswer& answer) {
-  nlohmann::json json = {{"outcome", NameOf(kOutcomeNames, answer.outcome)},
-                         {"key", answer.key}};
+  nlohmann::json json = {{"key", answer.key}};
+  if (answer.outcome) json["outcome"] = NameOf(kOutcomeNames, *answer.outcome);
   const std::pair<const char*, const std::string*> texts[] = {
       {"worker", &answer.worker}, {"endpoint", &answer.endpoint},
       {"state", &answer.state},   {"reason", &answer.reason},
--- a/src/border/caller/CallerAnswer.h
+++ b/src/border/caller/CallerAnswer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "border/caller/CallerRequest.h"
@@ -12,7 +13,9 @@
 
 /// What a caller is told. Empty fields are left out of the JSON.
 struct CallerAnswer {
-  Outcome outcome = Outcome::kUnknown;
+  /// Absent in an answer about a question that could not be answered: it says
+  /// nothing about the request.
+  std::optional<Outcome> outcome = Outcome::kUnknown;
   int status = 200;
   std::string key;
   /// The whole answer; written for `kDone` only.
--- a/src/entry/EntryApi.cpp
+++ b/src/entry/EntryApi.cpp
@@ -231,7 +231,7 @@
   if (!fault.message.empty()) {
     answer = MakeFaultAnswer(fault, IsValidKey(key) ? key : "");
     // The fault is the question's; it says nothing about the request.
-    answer.outcome = Outcome::kUnknown;
+    answer.outcome.reset();
     reply.Send(RenderAnswer(answer));
     return;
   }
@@ -239,6 +239,7 @@
   const AdmissionResult admitted = AdmitRate(
       entry.limits, entry.config ? *entry.config : none, caller, MonotonicMs());
   if (admitted.admission != Admission::kAdmitted) {
+    answer.outcome.reset();
     answer.status = AdmissionStatus(admitted.admission);
     answer.key = key;
     answer.reason = DescribeAdmission(admitted.admission);
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -71,7 +71,7 @@
   if (end.cause == EndCause::kGivenUp) CloseAtOwner(state, request, end);
   const CallerAnswer answer = MakeAnswer(request, std::move(end));
   const HttpResponse response = RenderAnswer(answer);
-  const std::string outcome(NameOf(kOutcomeNames, answer.outcome));
+  const std::string outcome(NameOf(kOutcomeNames, *answer.outcome));
   const std::string request_class(
       NameOf(kRequestClassNames, request.spec.request_class));
   state.metrics.Count("requests_total",
@@ -85,7 +85,7 @@
     Leave(state.limits, caller);
   }
   if (request.phase == Phase::kWaitingSlot) {
-    state.ended_waiting[request.call] = {answer.outcome, MonotonicMs()};
+    state.ended_waiting[request.call] = {*answer.outcome, MonotonicMs()};
   }
   const std::vector<HttpReply> waiters = std::move(request.waiters);
   state.by_job.erase(request.job);
--- a/src/entry/Queries.cpp
+++ b/src/entry/Queries.cpp
@@ -78,6 +78,7 @@
   const Query* query = FindQuery(state, call);
   if (query == nullptr) return;
   CallerAnswer answer;
+  answer.outcome.reset();
   answer.key = query->key;
   answer.status = kUnavailableStatus;
   answer.retry_after_ms = kRetryAfterMs;
@@ -132,7 +133,7 @@
     // An owner that took over a moment ago may not know the request yet.
     answer.outcome = Outcome::kAccepted;
     answer.state = NameOf(kPhaseNames, local->phase);
-    answer.status = QueryStatus(*query, answer.outcome);
+    answer.status = QueryStatus(*query, *answer.outcome);
     AnswerQuery(state, reply.call, answer);
     return;
   }
@@ -146,7 +147,7 @@
   answer.outcome = reported == Outcome::kAccepted
                        ? Outcome::kAccepted
                        : ReportedOutcome(reply.outcome);
-  answer.status = QueryStatus(*query, answer.outcome);
+  answer.status = QueryStatus(*query, *answer.outcome);
   answer.state = reply.state;
   answer.reason = reply.detail;
   answer.worker = reply.worker;
@@ -161,7 +162,7 @@
                                                   std::string content) mutable {
                 answer.body = std::move(content);
                 if (!read) {
-                  answer.outcome = Outcome::kUnknown;
+                  answer.outcome.reset();
                   answer.status = kUnavailableStatus;
                   answer.retry_after_ms = kRetryAfterMs;
                   answer.reason = "done, but its answer could not be read";
--- a/src/entry/Request.cpp
+++ b/src/entry/Request.cpp
@@ -47,7 +47,7 @@
   answer.reason = std::move(end.reason);
   answer.field = std::move(end.field);
   answer.retry_after_ms = end.retry_after_ms;
-  answer.status = DefaultStatus(answer.outcome);
+  answer.status = DefaultStatus(*answer.outcome);
   // A status given for "not_run" does not fit once the work may have run.
   const bool fits = end.cause != EndCause::kGivenUp ||
                     answer.outcome == Outcome::kNotRun || end.status >= 500;
--- a/src/operator/SubmitCommand.cpp
+++ b/src/operator/SubmitCommand.cpp
@@ -4,6 +4,7 @@
 
 #include "base/Random.h"
 #include "border/caller/Base64.h"
+#include "border/tables/JsonBytes.h"
 #include "operator/Commands.h"
 #include "operator/EntryCalls.h"
 
--- a/standins/EndpointStandin.cpp
+++ b/standins/EndpointStandin.cpp
@@ -61,13 +61,45 @@
   return std::strtoll(found->second.c_str(), nullptr, 10);
 }
 
-void ReadFaults(const nlohmann::json& json, EndpointFaults& faults) {
-  faults.leaving = json.value("leaving", faults.leaving);
-  faults.unreachable = json.value("unreachable", faults.unreachable);
-  faults.lose_answers = json.value("lose_answers", faults.lose_answers);
-  faults.fail = json.value("fail", faults.fail);
-  faults.delay_ms = json.value("delay_ms", faults.delay_ms);
-  faults.slow = json.value("slow", faults.slow);
+/// Reads a fault that is on or off; a number counts as on unless it is 0.
+bool ReadFlag(const nlohmann::json& value, bool& flag) {
+  if (!value.is_boolean() && !value.is_number_integer()) return false;
+  flag = value.is_boolean() ? value.get<bool>() : value.get<int64_t>() != 0;
+  return true;
+}
+
+/// Changes the faults that `json` names; false for a wrong type or name.
+bool ReadFaults(const nlohmann::json& json, EndpointFaults& faults) {
+  const std::pair<const char*, bool*> flags[] = {
+      {"leaving", &faults.leaving},
+      {"unreachable", &faults.unreachable},
+      {"fail", &faults.fail}};
+  size_t read = json.contains("endpoint") ? 1 : 0;
+  for (const auto& [name, flag] : flags) {
+    if (!json.contains(name)) continue;
+    if (!ReadFlag(json[name], *flag)) return false;
+    read++;
+  }
+  if (json.contains("lose_answers")) {
+    const auto& value = json["lose_answers"];
+    if (!value.is_boolean() && !value.is_number_integer()) return false;
+    // "true" is all answers from now on.
+    faults.lose_answers = value.is_boolean()
+                              ? (value.get<bool>() ? INT64_MAX : 0)
+                              : value.get<int64_t>();
+    read++;
+  }
+  if (json.contains("delay_ms")) {
+    if (!json["delay_ms"].is_number_integer()) return false;
+    faults.delay_ms = json["delay_ms"].get<int64_t>();
+    read++;
+  }
+  if (json.contains("slow")) {
+    if (!json["slow"].is_number()) return false;
+    faults.slow = json["slow"].get<double>();
+    read++;
+  }
+  return read == json.size();
 }
 
 /// One endpoint and its server.
@@ -91,12 +123,15 @@
       : loop(loop), reaper(loop, [this] { this->finished.clear(); }) {}
   ~State() {
     // Servers go before the endpoints that their handlers refer to.
+    this->control.reset();
     for (auto& [id, endpoint] : this->endpoints) endpoint->server.reset();
     if (this->file != nullptr) std::fclose(this->file);
   }
 
   bool Listen(Endpoint& endpoint);
   void Handle(Endpoint& endpoint, const HttpRequest& request, HttpReply reply);
+  void HandleControl(const HttpRequest& request, const HttpReply& reply,
+                     const std::string& default_id);
   void Run(Endpoint& endpoint, const HttpRequest& request, HttpReply reply);
   void EndRun(Endpoint& endpoint, const std::string& request, RunPlan plan,
               bool cut_off, HttpReply reply);
@@ -110,6 +145,7 @@
   std::map<uint64_t, Pending> pending;
   std::vector<Pending> finished;
   std::vector<std::unique_ptr<HttpServer>> closed;
+  std::unique_ptr<HttpServer> control;
   uint64_t next_timer = 1;
   std::deque<EndpointEntry> entries;
   FILE* file = nullptr;
@@ -208,32 +244,41 @@
     this->Run(endpoint, request, std::move(reply));
     return;
   }
+  this->HandleControl(request, reply, endpoint.vm.id);
+}
+
+void EndpointStandin::State::HandleControl(const HttpRequest& request,
+                                           const HttpReply& reply,
+                                           const std::string& default_id) {
   if (request.method == "POST" && request.path == "/control/fault") {
     const auto json = nlohmann::json::parse(request.body, nullptr, false);
     if (!json.is_object()) {
       reply.Send(MakeErrorResponse(400, "allowed: one JSON object"));
       return;
     }
-    // Any endpoint sets the faults of any other, so that one that refuses
-    // connections can be restored.
-    const auto named = request.query.find("endpoint");
-    const std::string id =
-        named == request.query.end() ? endpoint.vm.id : named->second;
+    const std::string id = json.value("endpoint", default_id);
     if (!this->endpoints.contains(id)) {
       reply.Send(MakeErrorResponse(404, "endpoint: not one of this process"));
       return;
     }
     Endpoint& target = *this->endpoints.at(id);
     EndpointFaults faults = target.faults;
-    ReadFaults(json, faults);
+    if (!ReadFaults(json, faults)) {
+      reply.Send(MakeErrorResponse(400, "wrong type, or unknown fault"));
+      return;
+    }
     HttpResponse response;
     response.body = "{}";
     reply.Send(std::move(response));
-    // After the answer, since the fault may close this server.
+    // After the answer, since the fault may close the server that gives it.
     this->After(0, [this, &target, faults] { this->Apply(target, faults); });
     return;
   }
-  reply.Send(MakeErrorResponse(404, "allowed: /run, /control/fault"));
+  if (request.path == "/healthz") {
+    reply.Send(HttpResponse{.body = "{}", .headers = {}});
+    return;
+  }
+  reply.Send(MakeErrorResponse(404, "allowed: /run, /control/fault, /healthz"));
 }
 
 void EndpointStandin::State::Run(Endpoint& endpoint, const HttpRequest& request,
@@ -281,7 +326,8 @@
                                     bool cut_off, HttpReply reply) {
   endpoint.busy_slots--;
   this->Journal(endpoint, request, "ended");
-  if (endpoint.faults.lose_answers) {
+  if (endpoint.faults.lose_answers > 0) {
+    endpoint.faults.lose_answers--;
     reply.Abort();
     return;
   }
@@ -308,7 +354,8 @@
 EndpointStandin::~EndpointStandin() = default;
 
 Result<std::unique_ptr<EndpointStandin>> EndpointStandin::Start(
-    EventLoop& loop, const std::vector<Vm>& vms, const std::string& journal) {
+    EventLoop& loop, const std::vector<Vm>& vms, const std::string& journal,
+    uint16_t control_port) {
   auto state = std::make_unique<State>(loop);
   if (!journal.empty()) {
     state->file = std::fopen(journal.c_str(), "ae");
@@ -324,6 +371,17 @@
     }
     state->endpoints[vm.id] = std::move(endpoint);
   }
+  if (control_port != 0) {
+    HttpServerOptions options;
+    options.port = control_port;
+    State* self = state.get();
+    BOOST_LEAF_ASSIGN(
+        state->control,
+        HttpServer::Start(loop, options,
+                          [self](const HttpRequest& request, HttpReply reply) {
+                            self->HandleControl(request, reply, "");
+                          }));
+  }
   return std::unique_ptr<EndpointStandin>(
       new EndpointStandin(std::move(state)));
 }
--- a/standins/EndpointStandin.h
+++ b/standins/EndpointStandin.h
@@ -17,15 +17,16 @@
 
 namespace dotterelcove {
 
-/// Faults of one endpoint, set by POST /control/fault with the same names, or
-/// by POST /control/fault?endpoint=ID at any endpoint of the process.
+/// Faults of one endpoint, set by POST /control/fault with a JSON object of the
+/// same names. Any endpoint of the process and the control port take it; the
+/// key "endpoint" names the endpoint to change.
 struct EndpointFaults {
   /// Answers carry X-Endpoint-State: leaving, and new runs are refused.
   bool leaving = false;
   /// Connections are refused.
   bool unreachable = false;
-  /// Runs, then closes the connection without an answer.
-  bool lose_answers = false;
+  /// That many of the next runs end without an answer: the connection closes.
+  int64_t lose_answers = 0;
   /// Runs, then answers 500.
   bool fail = false;
   /// Delay before each answer, after the run.
@@ -49,9 +50,11 @@
 class EndpointStandin {
  public:
   /// Serves the endpoints of `vms`; each listens at the port of its address, or
-  /// at a free one when that is 0. `journal` may be empty for none.
+  /// at a free one when that is 0. `journal` may be empty for none. A control
+  /// port of 0 opens none.
   static Result<std::unique_ptr<EndpointStandin>> Start(
-      EventLoop& loop, const std::vector<Vm>& vms, const std::string& journal);
+      EventLoop& loop, const std::vector<Vm>& vms, const std::string& journal,
+      uint16_t control_port = 0);
   ~EndpointStandin();
   EndpointStandin(const EndpointStandin&) = delete;
   EndpointStandin& operator=(const EndpointStandin&) = delete;
--- a/standins/main/standin-endpoint.cpp
+++ b/standins/main/standin-endpoint.cpp
@@ -2,7 +2,9 @@
 #include <getopt.h>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -13,16 +15,19 @@
 namespace {
 
 constexpr const char* kUsage =
-    "usage: standin-endpoint --vms FILE [--journal FILE]\n"
-    "Serves every endpoint of the VM list at the port of its address.\n";
+    "usage: standin-endpoint --vms FILE [--journal FILE] [--port PORT]\n"
+    "Serves every endpoint of the VM list at the port of its address, and\n"
+    "POST /control/fault for all of them at PORT.\n";
 
 struct Options {
   std::string vms;
   std::string journal;
+  uint16_t port = 0;
 };
 
 bool ParseOptions(int argc, char** argv, Options& options) {
   const option known[] = {{"vms", required_argument, nullptr, 'v'},
+                          {"port", required_argument, nullptr, 'p'},
                           {"journal", required_argument, nullptr, 'j'},
                           {nullptr, 0, nullptr, 0}};
   int choice = 0;
@@ -31,6 +36,10 @@
       options.vms = optarg;
     } else if (choice == 'j') {
       options.journal = optarg;
+    } else if (choice == 'p') {
+      const long port = std::strtol(optarg, nullptr, 10);
+      if (port < 1 || port > UINT16_MAX) return false;
+      options.port = static_cast<uint16_t>(port);
     } else {
       return false;
     }
@@ -58,8 +67,8 @@
   dotterelcove::EventLoop loop;
   return dotterelcove::leaf::try_handle_all(
       [&]() -> dotterelcove::Result<int> {
-        BOOST_LEAF_AUTO(standin,
-                        EndpointStandin::Start(loop, vms, options.journal));
+        BOOST_LEAF_AUTO(standin, EndpointStandin::Start(
+                                     loop, vms, options.journal, options.port));
         dotterelcove::SignalWatch terminate(loop, SIGTERM,
                                             [&] { loop.Stop(); });
         dotterelcove::SignalWatch interrupt(loop, SIGINT, [&] { loop.Stop(); });
