--- a/src/border/caller/CallerAnswer.cpp
+++ b/src/border/caller/CallerAnswer.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "border/caller/Base64.h"
-#include "border/tables/JsonBytes.h"
+#include "base/Base64.h"
 
 namespace dotterelcove {
 namespace {
