--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -6,6 +6,7 @@
 
 #include "base/Clock.h"
 #include "border/operator/OperatorApi.h"
+#include "config/ConfigFollower.h"
 #include "telemetry/Log.h"
 
 namespace dotterelcove {
@@ -41,10 +42,17 @@
                       ConnectionShare(this->options.settings.entries.size())),
         platform_http(loop),
         entry(this->MakeParts(), this->MakeEntryOptions()),
+        follower(loop, this->MakeTables(), this->MakeObjects(),
+                 {.poll_ms = this->options.settings.timing.config_poll_ms},
+                 this->MakeFollowerCallbacks()),
         notice_timer(loop, [this] { this->BeginDraining(); }),
         limit_timer(loop, [this] { this->Finish(); }),
         poll_timer(loop, [this] { this->FinishWhenIdle(); }) {}
 
+  TableClient MakeTables();
+  ObjectClient MakeObjects();
+  ConfigFollowerCallbacks MakeFollowerCallbacks();
+  void OnPeerMessage(const PeerInfo& peer, wire::FrameT& frame);
   EntryParts MakeParts();
   EntryOptions MakeEntryOptions() const;
   PeerOptions MakePeerOptions() const;
@@ -68,6 +76,7 @@
   HttpClient endpoint_http;
   HttpClient platform_http;
   Entry entry;
+  ConfigFollower follower;
   std::unique_ptr<PeerNode> peers;
   OperatorContext operator_context;
   std::unique_ptr<HttpServer> server;
@@ -77,6 +86,31 @@
   Timer poll_timer;
 };
 
+TableClient EntryDaemon::State::MakeTables() {
+  return {this->platform_http, this->options.settings.platform.tables,
+          this->options.settings.timing.store_timeout_ms};
+}
+
+ObjectClient EntryDaemon::State::MakeObjects() {
+  return {this->platform_http, this->options.settings.platform.objects,
+          this->options.settings.timing.store_timeout_ms};
+}
+
+ConfigFollowerCallbacks EntryDaemon::State::MakeFollowerCallbacks() {
+  ConfigFollowerCallbacks callbacks;
+  callbacks.changed = [this](const CellConfig& config) {
+    this->entry.SetConfig(std::make_shared<const CellConfig>(config));
+    this->metrics.Set("config_version", static_cast<double>(config.version));
+    this->events.Add("config_in_force", {}, std::to_string(config.version));
+    // Peers learn of the version at once rather than with the next second.
+    this->peers->SendHeartbeats();
+  };
+  callbacks.request = [this](LinkId link, wire::ConfigRequestT request) {
+    this->peers->Send(link, std::move(request));
+  };
+  return callbacks;
+}
+
 EntryParts EntryDaemon::State::MakeParts() {
   return {.loop = this->loop,
           .metrics = this->metrics,
@@ -84,10 +118,7 @@
           .endpoint_http = this->endpoint_http,
           .read_object = [this](const std::string& name,
                                 std::function<void(ObjectResult)> done) {
-            const ObjectClient client{
-                this->platform_http, this->options.settings.platform.objects,
-                this->options.settings.timing.store_timeout_ms};
-            GetObject(client, name, std::move(done));
+            GetObject(this->MakeObjects(), name, std::move(done));
           }};
 }
 
@@ -123,7 +154,7 @@
     this->entry.OnDisconnected(peer);
   };
   callbacks.received = [this](const PeerInfo& peer, wire::FrameT& frame) {
-    this->entry.OnMessage(peer, frame);
+    this->OnPeerMessage(peer, frame);
   };
   callbacks.make_heartbeat = [this] {
     const EntryState& view = this->entry.view();
@@ -136,6 +167,18 @@
   return callbacks;
 }
 
+void EntryDaemon::State::OnPeerMessage(const PeerInfo& peer,
+                                       wire::FrameT& frame) {
+  if (this->entry.OnMessage(peer, frame)) return;
+  if (const auto* heartbeat = frame.body.AsHeartbeat()) {
+    this->follower.OnPeerVersion(peer.link, heartbeat->config_version);
+  } else if (const auto* reply = frame.body.AsConfigReply()) {
+    this->follower.OnPeerReply(*reply);
+  } else if (const auto* request = frame.body.AsConfigRequest()) {
+    this->peers->Send(peer.link, this->follower.MakeReply(*request));
+  }
+}
+
 HttpServerOptions EntryDaemon::State::MakeServerOptions() const {
   const DaemonSettings& settings = this->options.settings;
   HttpServerOptions http;
@@ -262,6 +305,7 @@
                     PeerNode::Start(loop, state->MakePeerOptions(),
                                     state->MakePeerCallbacks(), state->clock));
   state->entry.SetPeers(state->peers.get());
+  state->follower.Start();
   state->operator_context = state->MakeOperatorContext();
   BOOST_LEAF_ASSIGN(
       state->server,
@@ -272,10 +316,6 @@
   return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(created)));
 }
 
-void EntryDaemon::SetConfig(std::shared_ptr<const CellConfig> config) {
-  this->state->entry.SetConfig(std::move(config));
-}
-
 void EntryDaemon::Stop() {
   if (this->state->stage == StopStage::kRunning) {
     this->state->BeginStop();
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -33,7 +33,6 @@
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
 
-  void SetConfig(std::shared_ptr<const CellConfig> config);
   /// Begins a planned stop; a second call ends it at once.
   void Stop();
   uint16_t port() const;
