--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -124,19 +124,33 @@
   }
   heartbeat.serving = this->serving();
   heartbeat.draining = this->is_stopping;
-  if (this->hooks.config_version) {
-    heartbeat.config_version = this->hooks.config_version();
-  }
+  heartbeat.config_version = this->config_version();
   return heartbeat;
 }
 
+uint64_t Scheduler::config_version() const {
+  return this->hooks.config_version ? this->hooks.config_version()
+                                    : this->config.version;
+}
+
+void Scheduler::RefreshMetrics() {
+  Metrics& metrics = this->services->metrics;
+  const PeerStats stats = this->node->stats();
+  metrics.Set("peers_connected",
+              static_cast<double>(this->node->peers().size()));
+  metrics.Set("peer_bytes_sent", static_cast<double>(stats.bytes_sent));
+  metrics.Set("peer_bytes_received", static_cast<double>(stats.bytes_received));
+  metrics.Set("peer_bad_frames", static_cast<double>(stats.bad_frames));
+  metrics.Set("serving", this->serving() ? 1.0 : 0.0);
+  if (this->present != nullptr) this->present->RefreshMetrics();
+}
+
 bool Scheduler::serving() const {
   return this->present != nullptr && !this->end_term.active() &&
          !this->is_stopping && this->present->serving();
 }
 
 void Scheduler::OnAcquired(uint64_t epoch, uint64_t row_version) {
-  Log(LogLevel::kInfo, "ownership_acquired", {F("epoch", epoch)});
   this->services->events.Add("ownership_acquired", {"", "", "", epoch});
   this->services->metrics.Count("ownership_acquired_total");
   this->end_term.Cancel();
@@ -162,7 +176,6 @@
 }
 
 void Scheduler::OnLost(const std::string& reason) {
-  Log(LogLevel::kWarning, "ownership_lost", {F("reason", reason)});
   const uint64_t epoch = this->present == nullptr ? 0 : this->present->epoch();
   this->services->events.Add("ownership_lost", {"", "", "", epoch}, reason);
   this->services->metrics.Count("ownership_lost_total");
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -48,6 +48,8 @@
   bool stopping() const { return this->is_stopping; }
   const OwnerView& owner() const { return this->ownership->view(); }
   int64_t store_age_ms() const { return this->ownership->store_age_ms(); }
+  uint64_t config_version() const;
+  void RefreshMetrics();
   PeerNode& peers() { return *this->node; }
   Services& shared() { return *this->services; }
 
--- a/src/scheduler/Term.h
+++ b/src/scheduler/Term.h
@@ -51,6 +51,8 @@
 
   bool serving() const { return this->is_serving; }
   uint64_t epoch() const { return this->term_epoch; }
+  /// Whether a worker of an earlier owner has neither answered nor lapsed.
+  bool in_doubt() const { return this->adoption->in_doubt(); }
   const RecordWriter& records() const { return this->writer; }
   const JobTable& jobs() const { return this->table; }
   const CellDriver& cell() const { return this->driver; }
--- a/src/scheduler/WorkerPool.cpp
+++ b/src/scheduler/WorkerPool.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/WorkerPool.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/Clock.h"
@@ -9,6 +10,10 @@
 namespace dotterelcove {
 namespace {
 
+// A start that got no answer for so long is asked about by a fence. An urgent
+// task can then still start elsewhere in time if it was never received.
+constexpr int64_t kMaxCallTimeoutMs = 1'000;
+constexpr int64_t kCallsPerLease = 4;
 constexpr int64_t kRefusalBaseMs = 200;
 constexpr int64_t kRefusalMaxMs = 30'000;
 // Assumed bound on the difference of two clock rates, see docs/design.md 3.4.
@@ -34,6 +39,8 @@
   options.vm = vm;
   options.epoch = this->epoch;
   options.lease_ms = this->services.settings.timing.worker_lease_ms;
+  options.call_timeout_ms =
+      std::min(kMaxCallTimeoutMs, options.lease_ms / kCallsPerLease);
   // An earlier owner stops renewing once it has been silent for the peers'
   // limit, or has learned of this one; see WorkerPoolCallbacks::may_renew.
   options.initial_lease_end_ms =
