--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -168,10 +168,9 @@
          {"zone", zones[i % 3]},
          {"rack", "rack-" + std::to_string(i / 2)},
          {"address", "http://" + Address(worker_port) + "/w/" + id},
-         {"capacity",
-          {{"milli_cores", this->deployment_options.worker_cores * 1000},
-           {"memory_mb", this->deployment_options.worker_memory_mb},
-           {"accelerators", 0}}}});
+         {"milli_cores", this->deployment_options.worker_cores * 1000},
+         {"memory_mb", this->deployment_options.worker_memory_mb},
+         {"accelerators", 0}});
   }
   for (int i = 0; i < this->deployment_options.endpoints; ++i) {
     this->vm_list.push_back({{"id", Name("e-", i)},
@@ -184,7 +183,7 @@
                              {"slots", this->deployment_options.slots},
                              {"connections", 64}});
   }
-  WriteJson(this->root + "/vms.json", this->vm_list);
+  WriteJson(this->root + "/vms.json", {{"vms", this->vm_list}});
 }
 
 void Deployment::WriteDaemonSettings(const std::string& process,
--- a/standins/Verdict.cpp
+++ b/standins/Verdict.cpp
@@ -54,7 +54,7 @@
   std::map<std::string, Resources> capacity;
   for (const auto& vm : input.vms) {
     if (Text(vm, "role") == "worker") {
-      capacity[Text(vm, "id")] = SizeOf(vm["capacity"]);
+      capacity[Text(vm, "id")] = SizeOf(vm);
     }
   }
   RunTable runs;
--- a/tests/system/FaultTest.cpp
+++ b/tests/system/FaultTest.cpp
@@ -119,7 +119,8 @@
       StoreFault(deployment, {{"lose_answers", 20}});
       break;
     case Fault::kVmListEmpty:
-      deployment.Control("platform", "/control/vms", nlohmann::json::array());
+      deployment.Control("platform", "/control/vms",
+                         {{"vms", nlohmann::json::array()}});
       break;
     case Fault::kVmListFrozen:
       StoreFault(deployment, {{"vm_list_frozen", true}});
@@ -174,7 +175,8 @@
       StoreFault(deployment, {{"lose_answers", 0}});
       break;
     case Fault::kVmListEmpty:
-      deployment.Control("platform", "/control/vms", deployment.vms());
+      deployment.Control("platform", "/control/vms",
+                         {{"vms", deployment.vms()}});
       break;
     case Fault::kVmListFrozen:
       StoreFault(deployment, {{"vm_list_frozen", false}});
