--- a/src/border/endpoint/EndpointClient.cpp
+++ b/src/border/endpoint/EndpointClient.cpp
@@ -14,7 +14,8 @@
 /// stopped by the time the slot is returned.
 constexpr TimeMs kDeadlineMarginMs = 20;
 
-EndpointResult Convert(HttpResult answer, int64_t started_us) {
+EndpointResult Convert(HttpResult answer, int64_t started_us,
+                       TimeMs deadline_ms) {
   EndpointResult result;
   result.latency_us = MonotonicUs() - started_us;
   result.detail = answer.detail;
@@ -22,7 +23,8 @@
   result.leaving = state != answer.headers.end() && state->second == "leaving";
   if (answer.failure == HttpFailure::kNotSent) {
     result.status = RunStatus::kNotSent;
-    result.unreachable = true;
+    // Past the deadline the fault may be this process's own, as after a pause.
+    result.unreachable = MonotonicMs() < deadline_ms;
     return result;
   }
   if (answer.failure != HttpFailure::kNone) {
@@ -71,8 +73,9 @@
   call.fresh_connection = !run.idempotent;
   const int64_t started_us = MonotonicUs();
   return client.http.Send(
-      std::move(call), [started_us, done = std::move(done)](HttpResult answer) {
-        done(Convert(std::move(answer), started_us));
+      std::move(call), [started_us, deadline_ms = run.deadline_ms,
+                        done = std::move(done)](HttpResult answer) {
+        done(Convert(std::move(answer), started_us, deadline_ms));
       });
 }
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,6 +7,8 @@
 #include <cctype>
 #include <map>
 
+#include "base/Clock.h"
+
 namespace dotterelcove {
 namespace {
 
@@ -19,6 +21,8 @@
   HttpCallback callback;
   HttpResult result;
   bool too_large = false;
+  /// Monotonic; nothing is sent from then on.
+  TimeMs expires_ms = 0;
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
@@ -49,6 +53,15 @@
   return size * count;
 }
 
+/// Runs when a connection is ready, right before the request is written. The
+/// process may have been paused since Send(): libcurl writes a request whose
+/// time limit has passed when its connection came up meanwhile.
+int OnBeforeRequest(void* context, char*, char*, int, int) {
+  const auto* transfer = static_cast<const Transfer*>(context);
+  return MonotonicMs() < transfer->expires_ms ? CURL_PREREQFUNC_OK
+                                              : CURL_PREREQFUNC_ABORT;
+}
+
 HttpFailure ClassifyFailure(const Transfer& transfer, CURLcode code) {
   if (code == CURLE_OK) return HttpFailure::kNone;
   if (transfer.too_large) return HttpFailure::kTooLarge;
@@ -178,6 +191,7 @@
   transfer->id = this->state->next_id++;
   transfer->call = std::move(call);
   transfer->callback = std::move(callback);
+  transfer->expires_ms = MonotonicMs() + transfer->call.timeout_ms;
   transfer->easy = curl_easy_init();
   CURL* easy = transfer->easy;
   const HttpCall& sent = transfer->call;
@@ -202,6 +216,8 @@
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -38,6 +38,7 @@
   std::string url;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
+  /// For the whole call; nothing is sent after it.
   int64_t timeout_ms = 5'000;
   int64_t connect_timeout_ms = 1'000;
   size_t max_response_bytes = 16 << 20;
--- /dev/null
+++ b/tests/HttpClientTest.cpp
@@ -0,0 +1,234 @@
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/Clock.h"
+#include "border/endpoint/EndpointClient.h"
+#include "http/HttpClient.h"
+#include "tests/RawSocket.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kWaitMs = 8'000;
+
+/// A TCP server that answers the first bytes of each connection with fixed
+/// bytes, then closes it or keeps it open.
+struct ScriptedServer {
+  explicit ScriptedServer(EventLoop& loop)
+      : loop(loop),
+        listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)),
+        accept_watch(loop, [this](int) { this->Accept(); }) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(this->listener, reinterpret_cast<sockaddr*>(&address),
+         sizeof(address));
+    socklen_t size = sizeof(address);
+    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
+    this->port = ntohs(address.sin_port);
+    listen(this->listener, 16);
+    this->accept_watch.Start(this->listener, EV_READ);
+  }
+  ~ScriptedServer() {
+    this->accept_watch.Stop();
+    this->watch.reset();
+    close(this->listener);
+    if (this->fd >= 0) close(this->fd);
+  }
+
+  void Accept() {
+    if (this->fd >= 0) close(this->fd);
+    this->fd = accept(this->listener, nullptr, nullptr);
+    this->connections++;
+    this->watch =
+        std::make_unique<IoWatch>(this->loop, [this](int) { this->OnBytes(); });
+    this->watch->Start(this->fd, EV_READ);
+  }
+
+  void OnBytes() {
+    char chunk[4'096];
+    const ssize_t count = recv(this->fd, chunk, sizeof(chunk), 0);
+    if (count <= 0) {
+      this->watch->Stop();
+      return;
+    }
+    this->requests++;
+    const bool silent =
+        this->close_after > 0 && this->requests > this->close_after;
+    if (!silent) {
+      send(this->fd, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+    }
+    if (!silent && !this->close_each) return;
+    this->watch->Stop();
+    close(this->fd);
+    this->fd = -1;
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(this->port);
+  }
+
+  EventLoop& loop;
+  int listener;
+  int fd = -1;
+  uint16_t port = 0;
+  int connections = 0;
+  int requests = 0;
+  std::string answer;
+  bool close_each = false;
+  /// Requests after which a request closes the connection unanswered.
+  int close_after = 0;
+  IoWatch accept_watch;
+  std::unique_ptr<IoWatch> watch;
+};
+
+HttpResult CallOnce(EventLoop& loop, HttpClient& client, HttpCall call) {
+  std::optional<HttpResult> result;
+  client.Send(std::move(call),
+              [&](HttpResult answer) { result = std::move(answer); });
+  cr_assert(loop.RunUntil([&] { return result.has_value(); }, kWaitMs));
+  return *result;
+}
+
+}  // namespace
+
+// Guards against a failure taken for proof that nothing ran, or the reverse.
+Test(HttpClient, failures) {
+  struct Case {
+    const char* name;
+    std::string answer;
+    bool close_each;
+    bool listening;
+    HttpFailure failure;
+    RunStatus status;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const Case cases[] = {
+      {"answered", ok, false, true, HttpFailure::kNone, RunStatus::kDone},
+      {"refused connection", "", false, false, HttpFailure::kNotSent,
+       RunStatus::kNotSent},
+      {"closed without an answer", "", true, true, HttpFailure::kBroken,
+       RunStatus::kUnknown},
+      {"no answer in time", "", false, true, HttpFailure::kTimedOut,
+       RunStatus::kUnknown},
+      {"answer cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+       true, true, HttpFailure::kBroken, RunStatus::kUnknown},
+      {"answer that is not HTTP", "garbage\r\n\r\n", true, true,
+       HttpFailure::kBroken, RunStatus::kUnknown},
+      {"answer too large",
+       "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+           std::string(2'000, 'x'),
+       true, true, HttpFailure::kTooLarge, RunStatus::kUnknown},
+      {"refused run", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false,
+       true, HttpFailure::kNone, RunStatus::kRefused},
+      {"failed run", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", false,
+       true, HttpFailure::kNone, RunStatus::kFailed},
+  };
+  for (const Case& test_case : cases) {
+    EventLoop loop;
+    HttpClient client(loop);
+    auto server = std::make_unique<ScriptedServer>(loop);
+    server->answer = test_case.answer;
+    server->close_each = test_case.close_each;
+    const std::string url = server->url();
+    if (!test_case.listening) server.reset();
+    const HttpResult result = CallOnce(loop, client,
+                                       {.method = "POST",
+                                        .url = url,
+                                        .headers = {},
+                                        .body = "x",
+                                        .timeout_ms = 300,
+                                        .max_response_bytes = 1'000});
+    cr_expect_eq(NameOf(kHttpFailureNames, result.failure),
+                 NameOf(kHttpFailureNames, test_case.failure), "%s",
+                 test_case.name);
+    std::optional<EndpointResult> run;
+    RunOnEndpoint({.http = client, .max_answer_bytes = 1'000},
+                  {.address = url,
+                   .request_id = "r",
+                   .payload = "x",
+                   .deadline_ms = MonotonicMs() + 300,
+                   .idempotent = false},
+                  [&](EndpointResult ended) { run = std::move(ended); });
+    cr_assert(loop.RunUntil([&] { return run.has_value(); }, kWaitMs));
+    cr_expect_eq(NameOf(kRunStatusNames, run->status),
+                 NameOf(kRunStatusNames, test_case.status), "%s",
+                 test_case.name);
+  }
+}
+
+// Guards against a non-idempotent request that libcurl repeats by itself when a
+// kept connection breaks.
+Test(HttpClient, fresh_connection_is_never_repeated) {
+  for (const bool fresh : {true, false}) {
+    EventLoop loop;
+    HttpClient client(loop);
+    ScriptedServer server(loop);
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    server.close_after = 1;
+    const HttpCall call = {.method = "POST",
+                           .url = server.url(),
+                           .headers = {},
+                           .body = "x",
+                           .fresh_connection = fresh};
+    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kNone);
+    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kBroken);
+    // The kept connection shows what the fresh one avoids.
+    cr_expect_eq(server.requests, fresh ? 2 : 3);
+  }
+}
+
+// Guards against a send after the deadline by a process that was paused.
+Test(EndpointClient, nothing_is_sent_after_the_deadline) {
+  EventLoop loop;
+  HttpClient client(loop);
+  ScriptedServer server(loop);
+  std::optional<EndpointResult> run;
+  RunOnEndpoint({.http = client},
+                {.address = server.url(),
+                 .request_id = "r",
+                 .payload = "x",
+                 .deadline_ms = MonotonicMs()},
+                [&](EndpointResult ended) { run = std::move(ended); });
+  cr_assert(run.has_value());
+  cr_expect(run->status == RunStatus::kNotSent);
+  run.reset();
+  // The pause falls between the call and the first pass of the loop.
+  RunOnEndpoint({.http = client},
+                {.address = server.url(),
+                 .request_id = "r",
+                 .payload = "x",
+                 .deadline_ms = MonotonicMs() + 30},
+                [&](EndpointResult ended) { run = std::move(ended); });
+  usleep(60'000);
+  cr_assert(loop.RunUntil([&] { return run.has_value(); }, kWaitMs));
+  cr_expect(run->status == RunStatus::kNotSent);
+  cr_expect(!run->unreachable);
+  cr_expect_eq(server.requests, 0);
+}
+
+// Guards against a callback that is lost or repeated at a cancellation.
+Test(HttpClient, cancelled_call_ends_once) {
+  EventLoop loop;
+  HttpClient client(loop);
+  ScriptedServer server(loop);
+  int ended = 0;
+  HttpFailure failure = HttpFailure::kNone;
+  const uint64_t id =
+      client.Send({.url = server.url(), .headers = {}, .body = ""},
+                  [&](const HttpResult& result) {
+                    ended++;
+                    failure = result.failure;
+                  });
+  cr_assert(loop.RunUntil([&] { return server.requests == 1; }, kWaitMs));
+  client.Cancel(id);
+  client.Cancel(id);
+  cr_expect_eq(ended, 1);
+  cr_expect(failure == HttpFailure::kCancelled);
+  cr_expect_eq(client.in_progress(), 0u);
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/tests/HttpServerTest.cpp
@@ -0,0 +1,211 @@
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "tests/RawSocket.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kWaitMs = 8'000;
+
+struct Harness {
+  explicit Harness(HttpServerOptions options = {}) {
+    this->server = leaf::try_handle_all(
+        [&] {
+          return HttpServer::Start(
+              this->loop, options,
+              [this](const HttpRequest& request, HttpReply reply) {
+                this->seen.push_back(request);
+                if (request.path == "/hold") {
+                  this->held.push_back(std::move(reply));
+                  return;
+                }
+                HttpResponse response;
+                response.body = request.body;
+                reply.Send(std::move(response));
+              });
+        },
+        [] { return std::unique_ptr<HttpServer>(); });
+  }
+  bool WaitUntil(const std::function<bool()>& done) {
+    return this->loop.RunUntil(done, kWaitMs);
+  }
+
+  EventLoop loop;
+  std::vector<HttpRequest> seen;
+  std::vector<HttpReply> held;
+  std::unique_ptr<HttpServer> server;
+};
+
+}  // namespace
+
+// Guards against a broken sender that gets a wrong answer, is served as if it
+// were whole, or keeps its connection for ever.
+Test(HttpServer, broken_senders) {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    /// Start of the answer; empty when the connection just closes.
+    const char* answer;
+    /// Closes its side after the bytes.
+    bool hang_up;
+  };
+  const std::string post = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const Case cases[] = {
+      {"not HTTP", "\x16\x03\x01garbage\r\n\r\n", "", true},
+      {"oversize by its length", post + "Content-Length: 5000\r\n\r\n",
+       "HTTP/1.1 413", false},
+      {"oversize in chunks",
+       post + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+           std::string(2'000, 'x') + "\r\n0\r\n\r\n",
+       "HTTP/1.1 413", true},
+      {"length that is no number", post + "Content-Length: ten\r\n\r\n",
+       "HTTP/1.1 400", true},
+      {"negative length", post + "Content-Length: -1\r\n\r\n", "HTTP/1.1 400",
+       true},
+      {"truncated body", post + "Content-Length: 100\r\n\r\nhalf", "", true},
+      {"truncated headers", post, "", true},
+      {"stalled body", post + "Content-Length: 100\r\n\r\nhalf", "", false},
+      {"stalled headers", post, "", false},
+      {"silent", "", "", false},
+  };
+  for (const Case& test_case : cases) {
+    HttpServerOptions options;
+    options.max_body_bytes = 1'000;
+    options.receive_timeout_ms = 300;
+    Harness harness(options);
+    RawSocket raw(harness.server->port());
+    raw.Send(test_case.bytes);
+    if (test_case.hang_up) shutdown(raw.fd, SHUT_WR);
+    cr_expect(harness.WaitUntil([&] {
+      raw.Read();
+      return raw.closed;
+    }),
+              "%s: connection stays open", test_case.name);
+    cr_expect(raw.received.starts_with(test_case.answer), "%s: %s",
+              test_case.name, raw.received.c_str());
+    cr_expect(harness.seen.empty(), "%s: handled", test_case.name);
+    cr_expect(harness.WaitUntil(
+                  [&] { return harness.server->open_connections() == 0; }),
+              "%s", test_case.name);
+  }
+}
+
+// Guards against a sender that keeps a connection by one byte now and then.
+Test(HttpServer, trickling_sender_is_closed) {
+  HttpServerOptions options;
+  options.receive_timeout_ms = 300;
+  for (const char* part : {"POST / HTTP/1.1\r\nX-Long: ",
+                           "POST / HTTP/1.1\r\nHost: a\r\n"
+                           "Content-Length: 9999\r\n\r\n"}) {
+    Harness harness(options);
+    RawSocket raw(harness.server->port());
+    raw.Send(part);
+    Timer trickle(harness.loop, [&] { raw.Send("x"); });
+    trickle.StartEvery(20);
+    cr_expect(harness.WaitUntil([&] {
+      raw.Read();
+      return raw.closed;
+    }));
+  }
+}
+
+// Guards against a slow request that is closed although its answer is only
+// late.
+Test(HttpServer, held_request_outlives_the_receive_limit) {
+  HttpServerOptions options;
+  options.receive_timeout_ms = 100;
+  Harness harness(options);
+  HttpClient client(harness.loop);
+  std::optional<HttpResult> result;
+  client.Send({.url = "http://127.0.0.1:" +
+                      std::to_string(harness.server->port()) + "/hold",
+               .headers = {},
+               .body = ""},
+              [&](HttpResult answer) { result = std::move(answer); });
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  Timer answer(harness.loop, [&] {
+    harness.held[0].Send({.body = "late", .headers = {}});
+    harness.held[0].Send({.body = "second", .headers = {}});
+  });
+  answer.StartAfter(500);
+  cr_assert(harness.WaitUntil([&] { return result.has_value(); }));
+  cr_expect_eq(result->body, "late");
+  cr_expect(!harness.held[0].open());
+}
+
+// Guards against work for a caller that has gone, and against an answer that
+// crashes the process then.
+Test(HttpServer, hang_up_of_a_held_request_is_noticed) {
+  Harness harness;
+  {
+    RawSocket raw(harness.server->port());
+    raw.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+    cr_expect(harness.held[0].open());
+  }
+  cr_assert(harness.WaitUntil([&] { return !harness.held[0].open(); }));
+  harness.held[0].Send({});
+  cr_expect(harness.WaitUntil(
+      [&] { return harness.server->open_connections() == 0; }));
+  cr_expect_eq(harness.server->open_requests(), 0u);
+}
+
+// Guards against a stopped server that answers for requests whose end it does
+// not know, or that leaves them open.
+Test(HttpServer, destroyed_server_closes_open_requests) {
+  Harness harness;
+  RawSocket raw(harness.server->port());
+  raw.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  harness.server.reset();
+  cr_assert(harness.WaitUntil([&] {
+    raw.Read();
+    return raw.closed;
+  }));
+  cr_expect_eq(raw.received, "");
+  harness.held[0].Send({});
+}
+
+// Guards against a request of a pipeline that is lost or answered out of turn.
+Test(HttpServer, pipelined_requests) {
+  Harness harness;
+  RawSocket raw(harness.server->port());
+  const std::string second =
+      "POST /second HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\ntwo";
+  raw.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n" + second);
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  harness.held[0].Send({.body = "one", .headers = {}});
+  cr_assert(harness.WaitUntil([&] {
+    const std::string& text = raw.Read();
+    return text.find("two") != std::string::npos;
+  }));
+  cr_expect_lt(raw.received.find("one"), raw.received.find("two"));
+}
+
+// Guards against a planned stop that loses what was accepted before it.
+Test(HttpServer, stop_listening_keeps_open_connections) {
+  Harness harness;
+  RawSocket raw(harness.server->port());
+  raw.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  const uint16_t port = harness.server->port();
+  harness.server->StopListening();
+  harness.server->CloseAfterAnswers();
+  harness.held[0].Send({.body = "kept", .headers = {}});
+  cr_assert(harness.WaitUntil([&] {
+    raw.Read();
+    return raw.closed;
+  }));
+  cr_expect_neq(raw.received.find("kept"), std::string::npos);
+  RawSocket late(port);
+  late.Send("GET / HTTP/1.1\r\n\r\n");
+  cr_expect(late.Read().empty());
+}
+
+}  // namespace dotterelcove
