--- a/src/scheduler/JobRecords.cpp
+++ b/src/scheduler/JobRecords.cpp
@@ -154,8 +154,7 @@
   return Dump({{"entry", row.entry},
                {"caller", row.caller},
                {"key", row.key},
-               {"body_digest", row.body_digest},
-               {"endpoint", row.endpoint}});
+               {"body_digest", row.body_digest}});
 }
 
 bool FromRow(const std::string& text, IntentRow& row) {
@@ -163,8 +162,7 @@
   return ParseObject(text, json) && ReadText(json, "entry", row.entry) &&
          ReadText(json, "caller", row.caller) &&
          ReadText(json, "key", row.key) &&
-         ReadText(json, "body_digest", row.body_digest) &&
-         ReadText(json, "endpoint", row.endpoint);
+         ReadText(json, "body_digest", row.body_digest);
 }
 
 }  // namespace dotterelcove
--- a/src/scheduler/WorkerPool.cpp
+++ b/src/scheduler/WorkerPool.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/WorkerPool.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/Clock.h"
@@ -9,6 +10,10 @@
 namespace dotterelcove {
 namespace {
 
+// A start that got no answer for so long is asked about by a fence. An urgent
+// task can then still start elsewhere in time if it was never received.
+constexpr int64_t kMaxCallTimeoutMs = 1'000;
+constexpr int64_t kCallsPerLease = 4;
 constexpr int64_t kRefusalBaseMs = 200;
 constexpr int64_t kRefusalMaxMs = 30'000;
 // Assumed bound on the difference of two clock rates, see docs/design.md 3.4.
@@ -34,6 +39,8 @@
   options.vm = vm;
   options.epoch = this->epoch;
   options.lease_ms = this->services.settings.timing.worker_lease_ms;
+  options.call_timeout_ms =
+      std::min(kMaxCallTimeoutMs, options.lease_ms / kCallsPerLease);
   // An earlier owner stops renewing once it has been silent for the peers'
   // limit, or has learned of this one; see WorkerPoolCallbacks::may_renew.
   options.initial_lease_end_ms =
@@ -184,8 +191,7 @@
 void WorkerPool::OnSessionState(const std::string& id, SessionState state) {
   Log(LogLevel::kInfo, "worker_session",
       {F("worker", id), F("state", NameOf(kSessionStateNames, state))});
-  this->services.events.Add("worker_session",
-                            {"", "", id, this->epoch},
+  this->services.events.Add("worker_session", {"", "", id, this->epoch},
                             std::string(NameOf(kSessionStateNames, state)));
   Worker& worker = this->workers.at(id);
   if (state == SessionState::kReachable && worker.row == RowState::kAbsent) {
@@ -203,17 +209,17 @@
   TablePut put;
   put.key = UsedWorkerKey(this->services.settings.partition, id);
   put.value = VmsToJson({worker.session->vm()});
-  this->writer.Put(
-      std::move(put), true,
-      [this, id, alive = std::weak_ptr<bool>(this->alive),
-       change = ++worker.row_change](WriteStatus status) {
-        if (alive.expired() || status != WriteStatus::kCommitted) return;
-        const auto found = this->workers.find(id);
-        if (found == this->workers.end()) return;
-        if (found->second.row_change != change) return;
-        found->second.row = RowState::kPresent;
-        this->Update(id);
-      });
+  this->writer.Put(std::move(put), true,
+                   [this, id, alive = std::weak_ptr<bool>(this->alive),
+                    change = ++worker.row_change](WriteStatus status) {
+                     if (alive.expired() || status != WriteStatus::kCommitted)
+                       return;
+                     const auto found = this->workers.find(id);
+                     if (found == this->workers.end()) return;
+                     if (found->second.row_change != change) return;
+                     found->second.row = RowState::kPresent;
+                     this->Update(id);
+                   });
 }
 
 void WorkerPool::RemoveRow(const std::string& id) {
