Tell a noticed hang-up from a deadline in its test

Cause: with the hang-up watch switched off the test still passed, since the request's deadline ended it within the wait. Change: a deadline longer than the test waits.

--- a/tests/EntryFaultTest.cpp
+++ b/tests/EntryFaultTest.cpp
@@ -328,7 +328,8 @@
     HttpCall call;
     call.method = "POST";
     call.url = harness.url("/v1/requests");
-    call.body = R"({"service":"stepline","kind":"dispatch","key":"k1"})";
+    call.body = R"({"service":"stepline","kind":"dispatch","key":"k1",)"
+                R"("deadline_ms":10000})";
     leaving.Send(std::move(call), [](const HttpResult&) {});
     cr_assert(harness.WaitUntil([&] { return asked.call != 0; }));
   }
