Test the owner against faults, and fix what the tests found

- A frame that arrived on a link ended for silence threw in PeerNode, which ended the process after a pause.
OnFrame now ignores such links.
- A held job's task that ended before the job's release was adopted twice, so the job never ended.
The later report now replaces the earlier one.
- A worker that restarted while no owner watched it answered the fence of the next owner with no tasks, and a non-idempotent task ran again.
The worker's row now holds its incarnation, and a changed one makes such work unknown.

--- a/src/peer/PeerNode.cpp
+++ b/src/peer/PeerNode.cpp
@@ -185,7 +185,11 @@
 }
 
 void PeerNode::OnFrame(LinkId id, wire::FrameT& frame) {
-  Connection& connection = *this->connections.at(id);
+  // A link that was ended for silence stays open until the reaper runs, and
+  // frames may arrive meanwhile, as after a pause of this process.
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end()) return;
+  Connection& connection = *found->second;
   connection.last_heard_ms = MonotonicMs();
   Merge(this->clock, frame.hlc, WallMs());
   if (!connection.greeted) {
--- a/src/scheduler/Adoption.cpp
+++ b/src/scheduler/Adoption.cpp
@@ -96,6 +96,10 @@
   found.task = task;
   found.started_ms = started_ms;
   if (ended != nullptr) found.ended = *ended;
+  // A task found in progress may end before its job is released.
+  std::erase_if(job->found, [&task](const FoundTask& earlier) {
+    return earlier.task.id == task.id;
+  });
   job->found.push_back(std::move(found));
   if (this->certain || this->AllFound(*job)) this->Release(*job);
 }
@@ -112,8 +116,8 @@
   return true;
 }
 
-void Adoption::OnSettled(bool lapsed) {
-  if (lapsed) this->lapsed_unanswered = true;
+void Adoption::OnSettled(bool unknown) {
+  if (unknown) this->any_unknown = true;
   if (this->certain || !this->pool.Unanswered().empty()) return;
   this->certain = true;
   const std::vector<std::string> ids = std::move(this->held);
@@ -126,17 +130,17 @@
 
 void Adoption::Release(Job& job) {
   const std::string id = job.submit.job;
-  // A member that was not found may have run on the worker that lapsed. For
-  // work that must not run twice, that makes its end unknown.
+  // A member that was not found may have run on the worker that cannot tell.
+  // For work that must not run twice, that makes its end unknown.
   const bool unknown =
-      this->lapsed_unanswered && !job.submit.idempotent && !this->AllFound(job);
+      this->any_unknown && !job.submit.idempotent && !this->AllFound(job);
   const std::vector<FoundTask> found = std::move(job.found);
   job.found.clear();
   if (unknown) {
     job.ran = true;
     job.phase = JobPhase::kOpen;
     this->driver.Decide(job, core::JobEnd::kUnknown,
-                        "a worker that may have run it gave no answer");
+                        "a worker that may have run it cannot tell any more");
   } else {
     this->open(job);
   }
--- a/src/scheduler/Adoption.h
+++ b/src/scheduler/Adoption.h
@@ -34,9 +34,9 @@
   void OnFenced(const std::string& worker, const FenceReply& reply);
   void OnEnded(const std::string& worker, const EndedTask& task,
                const Acknowledge& acknowledge);
-  /// Workers of earlier owners have answered or lapsed; `lapsed` tells that one
-  /// of them lapsed without an answer.
-  void OnSettled(bool lapsed);
+  /// A worker has answered or lapsed; `unknown` tells that it can no longer say
+  /// what it ran for earlier owners.
+  void OnSettled(bool unknown);
 
  private:
   void Release(Job& job);
@@ -50,8 +50,8 @@
   CellDriver& driver;
   WorkerPool& pool;
   std::function<void(Job&)> open;
-  /// A worker that may have run anything lapsed without an answer.
-  bool lapsed_unanswered = false;
+  /// Some worker may have run anything and cannot tell any more.
+  bool any_unknown = false;
   bool certain = false;
   /// Acknowledgements of ended tasks that wait for their job's release.
   std::map<std::string, Acknowledge> held_acknowledgements;
--- a/src/scheduler/CellDriver.cpp
+++ b/src/scheduler/CellDriver.cpp
@@ -313,6 +313,7 @@
 }
 
 bool CellDriver::Adopt(Job& job, const FoundTask& found) {
+  if (this->entries.contains(found.task.id)) return true;
   TaskEntry entry;
   entry.ref = {found.task.job, found.task.member,
                found.task.attempt & kAttemptMask};
--- a/src/scheduler/JobRecords.cpp
+++ b/src/scheduler/JobRecords.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/JobRecords.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
@@ -165,4 +166,24 @@
          ReadText(json, "body_digest", row.body_digest);
 }
 
+std::string ToRow(const UsedWorkerRow& row) {
+  return Dump({{"vms", VmsToJson({row.vm})},
+               {"incarnation", std::to_string(row.incarnation)}});
+}
+
+bool FromRow(const std::string& text, UsedWorkerRow& row) {
+  Json json;
+  std::string vms_text;
+  std::string incarnation;
+  std::vector<Vm> vms;
+  if (!ParseObject(text, json) || !ReadText(json, "vms", vms_text) ||
+      !ReadText(json, "incarnation", incarnation) ||
+      !VmsFromJson(vms_text, vms) || vms.size() != 1) {
+    return false;
+  }
+  row.vm = vms.front();
+  row.incarnation = std::strtoull(incarnation.c_str(), nullptr, 10);
+  return true;
+}
+
 }  // namespace dotterelcove
--- a/src/scheduler/JobRecords.h
+++ b/src/scheduler/JobRecords.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 
+#include "border/vmlist/VmList.h"
 #include "scheduler/Job.h"
 
 namespace dotterelcove {
@@ -67,4 +68,13 @@
 std::string ToRow(const IntentRow& row);
 bool FromRow(const std::string& text, IntentRow& row);
 
+/// A worker that may hold tasks of its present incarnation. A later owner that
+/// finds another incarnation there knows that such tasks may have run.
+struct UsedWorkerRow {
+  Vm vm;
+  uint64_t incarnation = 0;
+};
+std::string ToRow(const UsedWorkerRow& row);
+bool FromRow(const std::string& text, UsedWorkerRow& row);
+
 }  // namespace dotterelcove
--- a/src/scheduler/Recovery.cpp
+++ b/src/scheduler/Recovery.cpp
@@ -185,12 +185,12 @@
     records.entries_down.insert(row.key.substr(EntryDownPrefix().size()));
   }
   for (const TableRow& row : this->rows[kUsedWorkers]) {
-    std::vector<Vm> vms;
-    if (!VmsFromJson(row.value, vms) || vms.size() != 1) {
+    UsedWorkerRow worker;
+    if (!FromRow(row.value, worker)) {
       Log(LogLevel::kError, "unreadable_record", {F("key", row.key)});
       continue;
     }
-    records.used_workers.push_back(vms.front());
+    records.used_workers.push_back(std::move(worker));
   }
   this->done(std::move(records));
 }
--- a/src/scheduler/Recovery.h
+++ b/src/scheduler/Recovery.h
@@ -8,7 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include "border/vmlist/VmList.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Services.h"
 
@@ -24,7 +23,7 @@
   std::vector<RecoveredJob> jobs;
   std::vector<std::pair<std::string, IntentRow>> intents;
   std::set<std::string> entries_down;
-  std::vector<Vm> used_workers;
+  std::vector<UsedWorkerRow> used_workers;
 };
 
 /// Reads all records of the partition, and again after failures until it
--- a/src/scheduler/Term.cpp
+++ b/src/scheduler/Term.cpp
@@ -87,7 +87,9 @@
       {F("epoch", this->term_epoch), F("jobs", records.jobs.size()),
        F("intents", records.intents.size()),
        F("workers", records.used_workers.size())});
-  for (const Vm& vm : records.used_workers) this->pool->AddUsed(vm);
+  for (const UsedWorkerRow& worker : records.used_workers) {
+    this->pool->AddUsed(worker);
+  }
   // The order in which the jobs were accepted is not known; the core orders
   // them by class and age from here on.
   for (RecoveredJob& job : records.jobs) {
--- a/src/scheduler/WorkerPool.cpp
+++ b/src/scheduler/WorkerPool.cpp
@@ -82,7 +82,8 @@
   Worker& worker = this->workers.at(id);
   if (worker.answered) return;
   worker.answered = true;
-  this->callbacks.settled(false);
+  this->callbacks.settled(worker.used_before &&
+                          worker.row_incarnation != reply.incarnation);
 }
 
 void WorkerPool::OnEnded(const std::string& id, const EndedTask& task) {
@@ -97,10 +98,12 @@
       });
 }
 
-void WorkerPool::AddUsed(const Vm& vm) {
-  if (this->workers.contains(vm.id)) return;
+void WorkerPool::AddUsed(const UsedWorkerRow& row) {
+  if (this->workers.contains(row.vm.id)) return;
+  Worker& worker = this->Add(row.vm, true);
   // Until the platform's list has been read, it says nothing against it.
-  this->Add(vm, true).listed = true;
+  worker.listed = true;
+  worker.row_incarnation = row.incarnation;
 }
 
 void WorkerPool::SetListed(const std::vector<Vm>& vms) {
@@ -194,9 +197,10 @@
   this->services.events.Add("worker_session", {"", "", id, this->epoch},
                             std::string(NameOf(kSessionStateNames, state)));
   Worker& worker = this->workers.at(id);
-  if (state == SessionState::kReachable && worker.row == RowState::kAbsent) {
-    this->WriteRow(id);
-  }
+  const bool row_valid =
+      worker.row != RowState::kAbsent &&
+      worker.row_incarnation == worker.session->incarnation();
+  if (state == SessionState::kReachable && !row_valid) this->WriteRow(id);
   this->Update(id);
   if (state != SessionState::kLapsed) return;
   if (worker.row != RowState::kAbsent) this->RemoveRow(id);
@@ -206,9 +210,11 @@
 void WorkerPool::WriteRow(const std::string& id) {
   Worker& worker = this->workers.at(id);
   worker.row = RowState::kWriting;
+  worker.row_incarnation = worker.session->incarnation();
   TablePut put;
   put.key = UsedWorkerKey(this->services.settings.partition, id);
-  put.value = VmsToJson({worker.session->vm()});
+  put.value =
+      ToRow(UsedWorkerRow{worker.session->vm(), worker.session->incarnation()});
   this->writer.Put(std::move(put), true,
                    [this, id, alive = std::weak_ptr<bool>(this->alive),
                     change = ++worker.row_change](WriteStatus status) {
--- a/src/scheduler/WorkerPool.h
+++ b/src/scheduler/WorkerPool.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/Core.h"
-#include "scheduler/Job.h"
+#include "scheduler/JobRecords.h"
 #include "scheduler/Services.h"
 #include "scheduler/WorkerSession.h"
 #include "store/RecordWriter.h"
@@ -26,9 +26,9 @@
       usage;
   /// The worker is new, or its state or description changed.
   std::function<void(const Vm&, core::WorkerState)> changed;
-  /// A worker has answered, or its lease lapsed without an answer since the
-  /// take-over (`lapsed`).
-  std::function<void(bool lapsed)> settled;
+  /// A worker has answered, or can no longer tell what it ran before the
+  /// take-over (`unknown`): its lease lapsed first, or it has restarted.
+  std::function<void(bool unknown)> settled;
   std::function<void(uint64_t epoch)> higher_epoch;
   /// Whether leases may still be extended: false while this process cannot
   /// rule out that another owner exists.
@@ -43,7 +43,7 @@
   WorkerPool& operator=(const WorkerPool&) = delete;
 
   /// Adds a worker that an earlier owner used, from its row.
-  void AddUsed(const Vm& vm);
+  void AddUsed(const UsedWorkerRow& row);
   /// Takes over the platform's list: adds workers, marks those that are
   /// leaving or no longer listed as draining.
   void SetListed(const std::vector<Vm>& vms);
@@ -69,6 +69,8 @@
     RowState row = RowState::kAbsent;
     /// Counts writes and removals, so that only the last one's end matters.
     uint64_t row_change = 0;
+    /// Incarnation in the row.
+    uint64_t row_incarnation = 0;
     bool used_before = false;
     bool answered = false;
     bool listed = false;
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -227,8 +227,8 @@
 }
 
 void WorkerModel::AnswerSync() {
+  if (this->waiting == nullptr || this->frozen) return;
   this->sync_timer.Cancel();
-  if (this->waiting == nullptr) return;
   const std::unique_ptr<WaitingSync> sync = std::move(this->waiting);
   SyncReply reply;
   reply.incarnation = this->incarnation;
@@ -278,7 +278,7 @@
 
 void WorkerModel::RenewLease(int64_t lease_ms) {
   this->lease_end_ms = MonotonicMs() + lease_ms;
-  if (!this->frozen) this->lease_timer.StartAfter(lease_ms);
+  this->lease_timer.StartAfter(lease_ms);
 }
 
 void WorkerModel::OnLeaseEnd() {
@@ -304,17 +304,12 @@
   this->frozen = on;
   if (on) {
     for (auto& [id, running] : this->tasks) this->PauseTimer(running);
-    this->lease_timer.Cancel();
     this->sync_timer.Cancel();
     return;
   }
-  // As on a real VM, the lapsed lease is noticed before anything goes on.
-  const TimeMs now = MonotonicMs();
-  if (now >= this->lease_end_ms) {
-    this->OnLeaseEnd();
-  } else {
-    this->lease_timer.StartAfter(this->lease_end_ms - now);
-  }
+  // The lease timer goes on while frozen: a task makes no progress from the
+  // freeze on, and a VM that wakes up after the end of its lease notices that
+  // first. So its tasks end, and are journaled, at the end of the lease.
   for (auto& [id, running] : this->tasks) this->Run(running);
   if (this->waiting != nullptr) this->sync_timer.StartAfter(0);
 }
--- a/standins/WorkerModel.h
+++ b/standins/WorkerModel.h
@@ -53,7 +53,8 @@
   void SetFailAll(bool on);
   /// Every start is refused.
   void SetRefuseAll(bool on);
-  /// While frozen nothing runs and no timer fires; the lease goes on.
+  /// While frozen no task makes progress and nothing is answered; the lease
+  /// goes on.
   void SetFrozen(bool on);
   /// The VM dies: its tasks end and all it remembered is lost.
   void Die();
--- /dev/null
+++ b/tests/SchedulerBasicTest.cpp
@@ -0,0 +1,171 @@
+/// The scheduler daemon without faults: placement, records, keys, cancel,
+/// status.
+#include <criterion/criterion.h>
+
+#include "base/Hash.h"
+#include "standins/WorkerVerdict.h"
+#include "tests/SchedulerHarness.h"
+
+namespace dotterelcove::tests {
+namespace {
+
+Outcome OutcomeOf(const SubmittedJob& job) {
+  return static_cast<Outcome>(job.outcome.outcome);
+}
+
+std::string BodyOf(const wire::OutcomeT& outcome) {
+  return {outcome.body.begin(), outcome.body.end()};
+}
+
+}  // namespace
+
+// Guards against losing any kind of job on the way from Submit to Outcome.
+Test(SchedulerBasic, EveryKindOfJobEnds, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  entry->Submit("held-open");
+  entry->Submit("durable", {.durable = true});
+  entry->Submit("not-idempotent", {.idempotent = false});
+  entry->Submit("urgent", {.request_class = RequestClass::kUrgent});
+  entry->Submit("many", {.durable = true, .tasks = 3});
+  entry->Submit("gang", {.durable = true, .tasks = 4, .gang = true});
+  cr_assert(cell.WaitForOutcomes(*entry));
+  for (const auto& [id, job] : entry->jobs) {
+    cr_expect(job.accepted);
+    cr_expect_eq(OutcomeOf(job), Outcome::kDone, "%s", job.submit.key.c_str());
+    cr_expect_eq(job.outcomes, 1);
+  }
+  const std::string many = MakeJobId("caller-1", "many");
+  cr_expect_eq(BodyOf(entry->jobs[many].outcome),
+               R"({"results":["ok","ok","ok"]})");
+  cr_expect(cell.Clean(*entry));
+}
+
+// Guards against running a key twice, and against answering another body with
+// the answer of the first.
+Test(SchedulerBasic, SameKeyJoinsAndOtherBodyConflicts, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto first = cell.MakeEntry("entry-1");
+  const auto second = cell.MakeEntry("entry-2");
+  const std::string id = first->Submit("key", {.durable = true});
+  second->Submit("key", {.durable = true});
+  cr_assert(cell.WaitForOutcomes(*first));
+  cr_assert(cell.WaitForOutcomes(*second));
+  cr_expect_eq(BodyOf(second->jobs[id].outcome),
+               BodyOf(first->jobs[id].outcome));
+  cr_expect_eq(standins::CountEntries(cell.workers->journal().entries(),
+                                      standins::JournalEvent::kStarted, id),
+               1);
+  const auto third = cell.MakeEntry("entry-3");
+  third->Submit("key", {.durable = true, .payload = R"({"run_ms": 1})"});
+  cr_assert(cell.WaitForOutcomes(*third));
+  cr_expect_eq(third->jobs[id].reply.status, wire::SubmitStatus::Conflict);
+}
+
+// Guards against a large answer that fits neither a row nor a frame.
+Test(SchedulerBasic, LargeResultIsInTheObjectStore, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  const std::string held = entry->Submit(
+      "held", {.payload = R"({"run_ms": 1, "result_bytes": 400000})"});
+  const std::string recorded = entry->Submit(
+      "recorded",
+      {.durable = true, .payload = R"({"run_ms": 1, "result_bytes": 20000})"});
+  cr_assert(cell.WaitForOutcomes(*entry));
+  cr_expect_eq(entry->jobs[held].outcome.object, "result/" + held);
+  cr_expect_eq(entry->jobs[recorded].outcome.body.size(), 20000);
+  HttpClient http(cell.loop);
+  size_t stored = 0;
+  for (const std::string& id : {held, recorded}) {
+    GetObject({http, cell.platform->url()}, "result/" + id,
+              [&stored](const ObjectResult& result) {
+                if (result.found) stored += result.content.size();
+              });
+  }
+  cr_expect(cell.RunUntil([&stored] { return stored == 420000; }));
+}
+
+// Guards against refusing late, or not at all, what can never run.
+Test(SchedulerBasic, JobThatFitsNowhereIsRefused, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  cr_assert(cell.RunUntil([&] {
+    const auto* workers = cell.Owner()->daemon->scheduler().term()->workers();
+    return workers->ids().size() == 4;
+  }));
+  const std::string id =
+      entry->Submit("huge", {.durable = true, .milli_cores = 64'000});
+  cr_assert(cell.WaitForOutcomes(*entry));
+  cr_expect_eq(entry->jobs[id].reply.status, wire::SubmitStatus::Refused);
+  cr_expect(!entry->jobs[id].reply.message.empty());
+}
+
+// Guards against a false "not run" for a cancelled job that had started, and
+// against running one that was told "not run".
+Test(SchedulerBasic, CancelTellsWhetherItRan, .timeout = 60) {
+  HarnessOptions options;
+  options.workers = 1;
+  options.worker_cores = 1;
+  SchedulerHarness cell(options);
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  const std::string running =
+      entry->Submit("running", {.payload = R"({"run_ms": -1})"});
+  cr_assert(cell.RunUntil([&] { return cell.workers->running("w-0") == 1; }));
+  const std::string queued = entry->Submit("queued");
+  cr_assert(cell.RunUntil([&] { return entry->jobs[queued].accepted; }));
+  for (const char* key : {"queued", "running"}) {
+    wire::CancelT cancel;
+    cancel.call = 77;
+    cancel.caller = "caller-1";
+    cancel.key = key;
+    entry->SendToOwner(MakeFrame(std::move(cancel)));
+  }
+  cr_assert(cell.WaitForOutcomes(*entry));
+  cr_expect_eq(entry->cancels.size(), 2);
+  cr_expect_eq(OutcomeOf(entry->jobs[queued]), Outcome::kNotRun);
+  cr_expect_eq(OutcomeOf(entry->jobs[running]), Outcome::kDone);
+  cr_expect_eq(cell.workers->running("w-0"), 0);
+  cr_expect(cell.Clean(*entry));
+}
+
+// Guards against a handle that stops working when its job ends or its owner
+// has forgotten the job.
+Test(SchedulerBasic, StatusIsAnsweredBeforeAndAfterTheEnd, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  entry->Submit(
+      "key", {.durable = true, .payload = R"({"run_ms": 200, "result": "r"})"});
+  const auto ask = [&](const std::string& key, bool wait) {
+    wire::StatusQueryT query;
+    query.call = 5;
+    query.caller = "caller-1";
+    query.key = key;
+    query.wait = wait;
+    const size_t before = entry->statuses.size();
+    entry->SendToOwner(MakeFrame(std::move(query)));
+    cr_assert(cell.RunUntil([&] { return entry->statuses.size() > before; }));
+    return entry->statuses.back();
+  };
+  cr_assert(cell.RunUntil(
+      [&] { return entry->jobs[MakeJobId("caller-1", "key")].accepted; }));
+  cr_expect_eq(static_cast<Outcome>(ask("key", false).outcome),
+               Outcome::kAccepted);
+  const wire::StatusReplyT ended = ask("key", true);
+  cr_expect_eq(static_cast<Outcome>(ended.outcome), Outcome::kDone);
+  cr_expect_eq(std::string(ended.body.begin(), ended.body.end()), "r");
+  cr_expect(!ask("unknown", false).found);
+  cell.Kill(*cell.Owner());
+  cr_assert(cell.RunUntil(
+      [&] { return cell.Owner() != nullptr && entry->has_owner(); }));
+  const wire::StatusReplyT later = ask("key", false);
+  cr_expect_eq(static_cast<Outcome>(later.outcome), Outcome::kDone);
+  cr_expect_eq(std::string(later.body.begin(), later.body.end()), "r");
+}
+
+}  // namespace dotterelcove::tests
