--- a/src/operator/CtlContext.cpp
+++ b/src/operator/CtlContext.cpp
@@ -13,12 +13,12 @@
 constexpr int64_t kProgressStepMs = 200;
 constexpr const char* kClearLine = "\r\033[K";
 
-/// "owner" of /v1/state: true at the owner itself.
+/// "is_owner" of /v1/state: true at the owner itself.
 bool IsOwner(const ProcessView& process) {
   return process.scheduler && process.reached &&
-         process.state.contains("owner") &&
-         process.state["owner"].is_boolean() &&
-         process.state["owner"].get<bool>();
+         process.state.contains("is_owner") &&
+         process.state["is_owner"].is_boolean() &&
+         process.state["is_owner"].get<bool>();
 }
 
 uint64_t EpochOf(const ProcessView& process) {
--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -441,7 +441,7 @@
   for (const auto& [name, port] : this->peer_ports) {
     if (this->processes.at(name).pid == 0) continue;
     const auto state = this->Get(name, "/v1/state");
-    if (state.is_object() && state.value("owner", false)) return name;
+    if (state.is_object() && state.value("serving", false)) return name;
   }
   return "";
 }
--- a/standins/Traffic.cpp
+++ b/standins/Traffic.cpp
@@ -9,6 +9,21 @@
 constexpr TimeMs kAskAgainMs = 200;
 const char kCaller[] = "tests";
 
+/// Whether an answer is whole and belongs to the request. A job of several
+/// tasks answers {"results": [one of each task]}.
+bool AnswerMatches(const SentRequest& request, const std::string& answer) {
+  const std::string expected =
+      ExpectedAnswer(request.key, request.kind.answer_bytes);
+  if (request.kind.tasks == 1) return answer == expected;
+  const auto body = nlohmann::json::parse(answer, nullptr, false);
+  if (!body.is_object() || !body.contains("results")) return false;
+  int matching = 0;
+  for (const auto& result : body["results"]) {
+    if (result == expected) matching++;
+  }
+  return matching == request.kind.tasks;
+}
+
 }  // namespace
 
 std::string ExpectedAnswer(const std::string& key, int64_t bytes) {
@@ -133,8 +148,8 @@
   request.outcome = outcome;
   request.ended_ms = MonotonicMs();
   if (outcome == "done") {
-    request.answer_matches = body.value("answer", std::string()) ==
-                             ExpectedAnswer(key, request.kind.answer_bytes);
+    request.answer_matches =
+        AnswerMatches(request, body.value("answer", std::string()));
   }
   this->open_requests.erase(key);
 }
--- a/standins/Traffic.h
+++ b/standins/Traffic.h
@@ -23,6 +23,8 @@
   int64_t run_ms = 20;
   /// Size of the answer.
   int64_t answer_bytes = 100;
+  /// Tasks of one job, as configured for the kind.
+  int tasks = 1;
 };
 
 /// What one caller sent and was told.
