--- a/bench/PackingRows.cpp
+++ b/bench/PackingRows.cpp
@@ -11,52 +11,38 @@
 constexpr TimeMs kHorizonMs = 2'400'000;
 
 /// Upper bound of the core time that any scheduler can deliver up to the
-/// horizon: the cell as one VM, work divisible without limit and served in the
-/// order of arrival. Each resource bounds it on its own.
-double FluidBound(const Trace& trace) {
-  Resources capacity;
+/// horizon: up to any moment s no more than if every job had started when it
+/// arrived, and after s no more than the cores of the cell.
+double UpperBound(const Trace& trace) {
+  constexpr TimeMs kStepMs = 1'000;
+  double cores = 0;
   for (const auto& worker : trace.workers) {
-    capacity = capacity + worker.capacity;
+    cores += static_cast<double>(worker.capacity.milli_cores) / 1000;
   }
-  const auto horizon = static_cast<double>(trace.horizon_ms);
-  const double cores = static_cast<double>(capacity.milli_cores) / 1000;
-  double backlog = 0;
-  double delivered = 0;
-  TimeMs last = 0;
-  const auto serve = [&](TimeMs until) {
-    const double done =
-        std::min(backlog, cores * static_cast<double>(until - last));
-    backlog -= done;
-    delivered += done;
-    last = until;
-  };
-  double memory_ms = 0;
-  double core_ms_by_memory = 0;
-  std::vector<std::pair<double, double>> by_memory;
+  // Change of the cores in use if every job had started when it arrived.
+  const auto steps = static_cast<size_t>(trace.horizon_ms / kStepMs);
+  std::vector<double> change(steps + 1);
   for (const TraceJob& job : trace.jobs) {
-    serve(job.arrives_ms);
-    const double ms = std::min(static_cast<double>(job.run_ms),
-                               horizon - static_cast<double>(job.arrives_ms)) *
-                      job.spec.tasks;
-    const double work =
-        ms * static_cast<double>(job.spec.size.milli_cores) / 1000;
-    backlog += work;
-    by_memory.emplace_back(work,
-                           ms * static_cast<double>(job.spec.size.memory_mb));
+    const double size =
+        static_cast<double>(job.spec.size.milli_cores) / 1000 * job.spec.tasks;
+    const auto step = [&](TimeMs at) {
+      return std::min(static_cast<size_t>(at / kStepMs), steps);
+    };
+    change[step(job.arrives_ms)] += size;
+    // Rounded up, so that the bound stays one.
+    change[step(job.arrives_ms + job.run_ms + kStepMs)] -= size;
   }
-  serve(trace.horizon_ms);
-  std::sort(by_memory.begin(), by_memory.end(),
-            [](const auto& a, const auto& b) {
-              return a.first * b.second > b.first * a.second;
-            });
-  const double memory_limit = static_cast<double>(capacity.memory_mb) * horizon;
-  for (const auto& [work, memory] : by_memory) {
-    const double part =
-        memory > 0 ? std::min(1.0, (memory_limit - memory_ms) / memory) : 1.0;
-    core_ms_by_memory += work * std::max(part, 0.0);
-    memory_ms += memory * std::max(part, 0.0);
+  const auto horizon = static_cast<double>(trace.horizon_ms);
+  double bound = cores * horizon;
+  double in_use = 0;
+  double possible = 0;
+  for (size_t i = 0; i < steps; ++i) {
+    in_use += change[i];
+    possible += in_use * kStepMs;
+    const double at = static_cast<double>(i + 1) * kStepMs;
+    bound = std::min(bound, possible + cores * (horizon - at));
   }
-  return std::min(delivered, core_ms_by_memory);
+  return bound;
 }
 
 struct PackingCase {
@@ -67,7 +53,7 @@
 };
 
 double PackingOf(const Trace& trace, const Scheduler& scheduler) {
-  return Simulate(trace, scheduler).core_ms / FluidBound(trace);
+  return Simulate(trace, scheduler).core_ms / UpperBound(trace);
 }
 
 }  // namespace
--- a/src/core/Core.h
+++ b/src/core/Core.h
@@ -141,6 +141,15 @@
   TimeMs quarantine_probe_ms = 30'000;
   uint32_t max_attempts = 5;
   uint32_t cancellations_per_tick = 1'000;
+  /// Shortest time from one reservation to the next. Each keeps capacity idle,
+  /// so this trades packing against the wait of gangs.
+  TimeMs reservation_gap_ms = 300'000;
+  /// Switches for measurements of single mechanisms; all are on in production.
+  bool preemption = true;
+  bool reservations = true;
+  bool size_learning = true;
+  bool retry_backoff = true;
+  bool spreading = true;
 };
 
 /// Position of a job, for the operator's "explain".
--- a/src/core/Lifecycle.cpp
+++ b/src/core/Lifecycle.cpp
@@ -39,7 +39,8 @@
 void Delay(Cell& cell, JobIndex job_index, uint32_t member, TimeMs now) {
   const Job& job = cell.jobs[job_index];
   Timer timer;
-  timer.at_ms = now + RetryDelay(job, member);
+  timer.at_ms =
+      cell.options.retry_backoff ? now + RetryDelay(job, member) : now;
   timer.kind = TimerKind::kRetry;
   timer.job = job_index;
   timer.job_sequence = job.sequence;
--- a/src/core/Preemption.cpp
+++ b/src/core/Preemption.cpp
@@ -284,6 +284,7 @@
 }
 
 void RunQuotas(Cell& cell, TimeMs now, Commands& commands) {
+  if (!cell.options.preemption) return;
   if (now < cell.next_return_ms) return;
   cell.next_return_ms = now + kReturnEveryMs;
   const bool borrowed =
@@ -296,6 +297,7 @@
 }
 
 void RunPreemption(Cell& cell, TimeMs now, Commands& commands) {
+  if (!cell.options.preemption) return;
   ClaimForClass(cell, RequestClass::kUrgent,
                 {Victims::kBatch, now, kPlansPerTick, kLanesPerTick}, now,
                 commands);
--- a/src/core/Reservation.cpp
+++ b/src/core/Reservation.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// A plan is made again after this time, since run times differ from the
-/// declared ones, and a new one follows the last after the second time. Each
-/// visits all running tasks, which at 1,100 workers takes a good part of a
+/// declared ones; without a result it is tried again after the second time.
+/// Each visits all running tasks, which at 1,100 workers takes a good part of a
 /// millisecond.
 constexpr TimeMs kReplanMs = 2'000;
 constexpr TimeMs kPlanGapMs = 500;
@@ -149,6 +149,7 @@
 }  // namespace
 
 void RunReservation(Cell& cell, TimeMs now, Commands& /*commands*/) {
+  if (!cell.options.reservations) return;
   JobIndex holder = kNone;
   if (cell.reservation) {
     const Job& job = cell.jobs[cell.reservation->job];
@@ -157,12 +158,14 @@
     if (waits && now - cell.reservation->made_ms < kReplanMs) return;
     if (waits) holder = cell.reservation->job;
     DropReservation(cell);
+    if (!waits) return;
   } else if (now < cell.next_reservation_ms) {
     return;
   }
   if (holder == kNone) holder = NextHolder(cell, now);
-  cell.next_reservation_ms = now + kPlanGapMs;
   if (holder != kNone) Plan(cell, holder, now);
+  cell.next_reservation_ms =
+      now + (cell.reservation ? cell.options.reservation_gap_ms : kPlanGapMs);
 }
 
 }  // namespace dotterelcove::core
--- a/src/core/Service.cpp
+++ b/src/core/Service.cpp
@@ -10,8 +10,10 @@
   const Resources size = AllocationOf(cell, ShapeOf(job));
   while (job.waiting > 0) {
     const WorkerIndex worker =
-        FindSpread(cell, {size, Access::kOpen, job.failed_on},
-                   cell.workloads[job.workload]);
+        cell.options.spreading
+            ? FindSpread(cell, {size, Access::kOpen, job.failed_on},
+                         cell.workloads[job.workload])
+            : FindBestFit(cell, {size, Access::kOpen, job.failed_on});
     if (worker == kNone) return false;
     StartMember(cell, index, FirstWaiting(job), worker, size, now, commands);
   }
--- a/src/core/Usage.cpp
+++ b/src/core/Usage.cpp
@@ -70,6 +70,7 @@
 }
 
 void RunUsageLearning(Cell& cell, TimeMs /*now*/, Commands& /*commands*/) {
+  if (!cell.options.size_learning) cell.usage.clear();
   for (const UsageReport& report : cell.usage) {
     Workload& workload = cell.workloads[report.workload];
     const double cores = Learned(workload.core_peak, workload.reports);
