--- a/src/operator/ConfigInput.cpp
+++ b/src/operator/ConfigInput.cpp
@@ -47,9 +47,10 @@
         for (std::string line; std::getline(lines, line);) {
           context.err << Printable(line) << "\n";
         }
-        exit_code =
-            Complain(context, kExitFailed,
-                     std::to_string(error.faults.size()) + " faults found");
+        const size_t count = error.faults.size();
+        exit_code = Complain(
+            context, kExitFailed,
+            std::to_string(count) + (count == 1 ? " fault" : " faults"));
         return std::optional<CellConfig>();
       },
       [&] {
--- a/src/operator/ConfigPublishCommand.cpp
+++ b/src/operator/ConfigPublishCommand.cpp
@@ -87,7 +87,7 @@
   if (result.version > 0) stream << ": version " << result.version;
   stream << "\n";
   if (result.status == PublishStatus::kConflict) {
-    stream << "another version was published meanwhile; its difference to "
+    stream << "another version was published meanwhile; from it to "
               "yours:\n"
            << result.difference;
   }
--- a/src/operator/DrainCommand.cpp
+++ b/src/operator/DrainCommand.cpp
@@ -5,7 +5,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int64_t kMaxWaitS = 24 * 3'600;
+constexpr int64_t kMaxWaitS = 86'400;
 constexpr int64_t kMsPerSecond = 1'000;
 /// Between two looks at what is being drained.
 constexpr int64_t kPollMs = 250;
--- a/src/operator/StatusCommand.cpp
+++ b/src/operator/StatusCommand.cpp
@@ -4,7 +4,7 @@
 namespace dotterelcove {
 namespace {
 
-constexpr int64_t kMaxWaitS = 24 * 3'600;
+constexpr int64_t kMaxWaitS = 86'400;
 constexpr int64_t kMsPerSecond = 1'000;
 
 }  // namespace
--- a/src/operator/SubmitCommand.cpp
+++ b/src/operator/SubmitCommand.cpp
@@ -2,8 +2,8 @@
 #include <fstream>
 #include <iterator>
 
-#include "base/Random.h"
 #include "base/Base64.h"
+#include "base/Random.h"
 #include "operator/Commands.h"
 #include "operator/EntryCalls.h"
 
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 constexpr int64_t kMaxNumber = 1'000'000'000'000;
-constexpr int64_t kMaxWaitS = 24 * 3'600;
+constexpr int64_t kMaxWaitS = 86'400;
 constexpr int64_t kMsPerSecond = 1'000;
 
 std::string MakeRandomKey() {
--- a/tests/OptionsTest.cpp
+++ b/tests/OptionsTest.cpp
@@ -29,8 +29,9 @@
       {"", ""},
   };
   for (const Case& test_case : cases) {
-    cr_expect_str_eq(NearestName(test_case.typed, commands).c_str(),
-                     test_case.expected, "%s", test_case.typed);
+    const std::string nearest = NearestName(test_case.typed, commands);
+    cr_expect_str_eq(nearest.c_str(), test_case.expected, "%s",
+                     test_case.typed);
   }
 }
 
@@ -65,7 +66,7 @@
   cr_expect_eq(mixed.operands.size(), 3u);
   cr_expect_str_eq(mixed.operands.back().c_str(), "--json");
   cr_expect(!mixed.Has("json"));
-  cr_expect_str_eq(mixed.Get("cell").c_str(), "c");
+  cr_expect(mixed.Get("cell") == "c");
 }
 
 // Guards against a number that is cut short or out of range.
--- a/tests/TelemetryTest.cpp
+++ b/tests/TelemetryTest.cpp
@@ -52,9 +52,9 @@
   cr_expect_eq(lines[0].find('\n'), std::string::npos);
   const auto json = nlohmann::json::parse(lines[0], nullptr, false);
   cr_assert(json.is_object());
-  cr_expect_str_eq(json["event"].get<std::string>().c_str(), "odd_bytes");
-  cr_expect_str_eq(json["level"].get<std::string>().c_str(), "warning");
-  cr_expect_str_eq(json["process"].get<std::string>().c_str(), "entry-1");
+  cr_expect(json["event"] == "odd_bytes");
+  cr_expect(json["level"] == "warning");
+  cr_expect(json["process"] == "entry-1");
   cr_expect_eq(json["number"].get<int>(), 7);
   cr_expect(json["flag"].get<bool>());
 }
