--- a/src/border/caller/CallerAnswer.cpp
+++ b/src/border/caller/CallerAnswer.cpp
@@ -13,8 +13,8 @@
 }  // namespace
 
 HttpResponse RenderAnswer(const CallerAnswer& answer) {
-  nlohmann::json json = {{"outcome", NameOf(kOutcomeNames, answer.outcome)},
-                         {"key", answer.key}};
+  nlohmann::json json = {{"key", answer.key}};
+  if (answer.outcome) json["outcome"] = NameOf(kOutcomeNames, *answer.outcome);
   const std::pair<const char*, const std::string*> texts[] = {
       {"worker", &answer.worker}, {"endpoint", &answer.endpoint},
       {"state", &answer.state},   {"reason", &answer.reason},
