Find the owner by is_owner and explain routed requests

Cause: the scheduler daemon names the owner under "owner" and tells by "is_owner" whether it is the owner itself; explain failed for requests that the owner does not hold. Change: the commands read is_owner; explain falls back to the events.

--- a/src/border/operator/OperatorApi.h
+++ b/src/border/operator/OperatorApi.h
@@ -24,9 +24,9 @@
   /// Why the process takes no new work, or an empty string when it is ready.
   std::function<std::string()> not_ready_reason;
   /// State as a JSON object. The command-line tool reads "role" ("entry" or
-  /// "scheduler"), "config_version", "owner" (whether this process is the
-  /// owner), "owner_process", "owner_epoch", "draining" and "store_up" where
-  /// they are present; process, zone, version and ready are added by the route.
+  /// "scheduler"), "config_version", "is_owner", "owner" (process name),
+  /// "owner_epoch" and "draining" where they are present; process, zone,
+  /// version and ready are added by the route.
   std::function<std::string()> state_json;
   /// Drains a worker or endpoint VM, or this daemon itself when `vm` is empty.
   std::function<void(const std::string& vm, const HttpReply& reply)> drain;
--- a/src/operator/CtlContext.cpp
+++ b/src/operator/CtlContext.cpp
@@ -13,12 +13,11 @@
 constexpr int64_t kProgressStepMs = 200;
 constexpr const char* kClearLine = "\r\033[K";
 
-/// "owner" of /v1/state: true at the owner itself.
 bool IsOwner(const ProcessView& process) {
-  return process.scheduler && process.reached &&
-         process.state.contains("owner") &&
-         process.state["owner"].is_boolean() &&
-         process.state["owner"].get<bool>();
+  if (!process.scheduler || !process.reached) return false;
+  const auto found = process.state.find("is_owner");
+  return found != process.state.end() && found->is_boolean() &&
+         found->get<bool>();
 }
 
 uint64_t EpochOf(const ProcessView& process) {
--- a/src/operator/ExplainCommand.cpp
+++ b/src/operator/ExplainCommand.cpp
@@ -57,20 +57,25 @@
   if (!CallOwner(context, "explaining " + name, call, result)) {
     return kExitUnavailable;
   }
-  if (result.status != 200) {
+  // Moves, preemptions and the ends of routed or refused requests are in the
+  // past, which only the events tell.
+  EventSubject filter;
+  filter.job = job;
+  const FetchedEvents fetched = FetchEvents(context, filter);
+  Json explanation = BodyOf(result);
+  const bool only_events = result.status == 404 && !fetched.events.empty();
+  if (only_events) {
+    explanation = {{"state", "not held by the owner"},
+                   {"reason", "routed, refused, or ended long ago"}};
+  } else if (result.status != 200) {
     const std::string what =
         IsJobId(name) ? "job " + name
                       : "key " + name + " of caller " + context.caller;
     return ComplainAbout(context, what, result);
   }
-  const Json explanation = BodyOf(result);
   if (!explanation.is_object()) {
     return Complain(context, kExitFailed, "the owner's answer is no object");
   }
-  // Moves and preemptions are in the past, which only the events tell.
-  EventSubject filter;
-  filter.job = job;
-  const FetchedEvents fetched = FetchEvents(context, filter);
   if (context.json) {
     PrintJson(context, {{"job", job},
                         {"explanation", explanation},
--- a/tests/CommandsTest.cpp
+++ b/tests/CommandsTest.cpp
@@ -76,13 +76,13 @@
     context.cell.schedulers = {sched1.url(), sched2.url()};
     context.caller = "desk";
     context.timeout_ms = 300;
-    const auto state = [](const char* process, Json owner, int epoch) {
-      return Json{{"process", process}, {"ready", true},
-                  {"owner", owner},     {"owner_epoch", epoch},
-                  {"zone", "kpong"},    {"config_version", 3}};
+    const auto state = [](const char* process, bool is_owner, int epoch) {
+      return Json{{"process", process},   {"ready", true},
+                  {"is_owner", is_owner}, {"owner_epoch", epoch},
+                  {"zone", "kpong"},      {"config_version", 3}};
     };
-    entry1.Set("GET /v1/state", 200, state("entry-1", "sched-2", 5));
-    entry2.Set("GET /v1/state", 200, state("entry-2", "sched-2", 5));
+    entry1.Set("GET /v1/state", 200, state("entry-1", false, 5));
+    entry2.Set("GET /v1/state", 200, state("entry-2", false, 5));
     // A paused owner that has not noticed its loss still claims epoch 4.
     sched1.Set("GET /v1/state", 200, state("sched-1", true, 4));
     sched2.Set("GET /v1/state", 200, state("sched-2", true, 5));
@@ -189,9 +189,14 @@
   cr_expect(fixture.Printed("no worker is free"));
   cr_expect_eq(fixture.Run(RunExplain, {}, {job}), kExitOk, "by job id");
   cr_expect_eq(fixture.Run(RunExplain, {}, {"other"}), kExitFailed);
+  fixture.entry1.Set("GET /v1/events", 200,
+                     {{{"time", "0000000000010000"}, {"event", "answered"}}});
+  cr_expect_eq(fixture.Run(RunExplain, {}, {"other"}), kExitOk,
+               "a routed or refused request has events only");
+  cr_expect(fixture.Printed("answered"));
 
   for (FakeDaemon* scheduler : {&fixture.sched1, &fixture.sched2}) {
-    scheduler->Set("GET /v1/state", 200, {{"owner", false}});
+    scheduler->Set("GET /v1/state", 200, {{"is_owner", false}});
   }
   cr_expect_eq(fixture.Run(RunExplain, {}, {"k1"}), kExitUnavailable);
   cr_expect(fixture.Printed("is the owner now"));
