--- a/src/operator/ConfigPublishCommand.cpp
+++ b/src/operator/ConfigPublishCommand.cpp
@@ -1,3 +1,4 @@
+#include "base/Clock.h"
 #include "config/ConfigPublisher.h"
 #include "operator/Commands.h"
 #include "operator/ConfigInput.h"
@@ -50,7 +51,8 @@
 bool WaitUntilInForce(CtlContext& context, uint64_t version, int64_t wait_ms) {
   const size_t all =
       context.cell.entries.size() + context.cell.schedulers.size();
-  for (int64_t waited_ms = 0; waited_ms <= wait_ms; waited_ms += kPollMs) {
+  const TimeMs deadline = MonotonicMs() + wait_ms;
+  while (MonotonicMs() < deadline) {
     if (CountInForce(FetchProcesses(context), version) == all) return true;
     WaitWithProgress(
         context, "waiting for the processes", [] { return false; }, kPollMs);
--- a/src/operator/DrainCommand.cpp
+++ b/src/operator/DrainCommand.cpp
@@ -1,3 +1,4 @@
+#include "base/Clock.h"
 #include "operator/Commands.h"
 
 namespace dotterelcove {
@@ -30,27 +31,34 @@
   return CallOne(context, "waiting", call).failure == HttpFailure::kNotSent;
 }
 
-/// Tasks or slots in use on a VM as the owner sees it; -1 when it is not known.
-int64_t WorkOn(CtlContext& context, const std::string& vm) {
-  for (const char* path : {"/v1/workers", "/v1/endpoints"}) {
-    HttpCall call;
-    call.url = path;
-    HttpResult result;
-    if (!CallOwner(context, "waiting", call, result)) return -1;
-    const Json body = BodyOf(result);
-    const std::string list = std::string(path).substr(4);
-    if (!body.is_object() || !body.contains(list)) continue;
-    for (const Json& row : body[list]) {
-      if (TextOf(row, "id") != vm) continue;
-      for (const char* count : {"tasks", "busy", "slots_in_use"}) {
-        if (!row.contains(count)) continue;
-        const Json& value = row[count];
-        if (value.is_array()) return static_cast<int64_t>(value.size());
-        if (value.is_number_integer()) return value.get<int64_t>();
-      }
-    }
+/// The owner's rows under a path such as "/v1/workers"; false without an owner.
+bool FetchRows(CtlContext& context, const std::string& name, Json& rows) {
+  HttpCall call;
+  call.url = "/v1/" + name;
+  HttpResult result;
+  if (!CallOwner(context, "waiting", call, result)) return false;
+  const Json body = BodyOf(result);
+  if (!body.is_object() || !body.contains(name)) return false;
+  rows = body[name];
+  return rows.is_array();
+}
+
+/// Whether the owner sees no work on a VM. One that it no longer lists has
+/// left.
+bool IsIdle(CtlContext& context, const std::string& vm) {
+  Json workers;
+  Json endpoints;
+  if (!FetchRows(context, "workers", workers) ||
+      !FetchRows(context, "endpoints", endpoints)) {
+    return false;
   }
-  return -1;
+  for (const Json& row : workers) {
+    if (TextOf(row, "id") == vm) return ScalarOf(row, "tasks") == "0";
+  }
+  for (const Json& row : endpoints) {
+    if (TextOf(row, "id") == vm) return ScalarOf(row, "slots_in_use") == "0";
+  }
+  return true;
 }
 
 int Report(CtlContext& context, const std::string& name, const char* kind,
@@ -97,8 +105,8 @@
   }
   if (wait_ms == 0) return Report(context, name, "vm", false);
   if (!PollUntil(
-          context, "waiting for " + name,
-          [&] { return WorkOn(context, name) == 0; }, wait_ms)) {
+          context, "waiting for " + name, [&] { return IsIdle(context, name); },
+          wait_ms)) {
     return Complain(context, kExitUnknown, name + " is still draining");
   }
   return Report(context, name, "vm", true);
--- a/tests/CommandsTest.cpp
+++ b/tests/CommandsTest.cpp
@@ -212,6 +212,17 @@
   cr_expect_eq(fixture.Run(RunDrain, {}, {"w-07"}), kExitOk);
   cr_expect_eq(fixture.sched2.calls.back(), "POST /v1/drain");
   cr_expect_eq(fixture.sched1.calls.back(), "GET /v1/state");
+  fixture.sched2.Set("GET /v1/endpoints", 200, {{"endpoints", Json::array()}});
+  const auto set_tasks = [&](int tasks) {
+    fixture.sched2.Set("GET /v1/workers", 200,
+                       {{"workers", {{{"id", "w-07"}, {"tasks", tasks}}}}});
+  };
+  set_tasks(1);
+  cr_expect_eq(fixture.Run(RunDrain, {{"wait-s", "1"}}, {"w-07"}), kExitUnknown,
+               "a task is still there");
+  set_tasks(0);
+  cr_expect_eq(fixture.Run(RunDrain, {{"wait-s", "1"}}, {"w-07"}), kExitOk);
+  cr_expect(fixture.Printed("has drained"));
   fixture.sched2.Set("POST /v1/drain", 404, {{"error", "no such VM"}});
   cr_expect_eq(fixture.Run(RunDrain, {}, {"w-99"}), kExitFailed);
   cr_expect(fixture.Printed("no such VM"));
