--- a/src/operator/CtlContext.cpp
+++ b/src/operator/CtlContext.cpp
@@ -13,11 +13,12 @@
 constexpr int64_t kProgressStepMs = 200;
 constexpr const char* kClearLine = "\r\033[K";
 
+/// "is_owner" of /v1/state: true at the owner itself.
 bool IsOwner(const ProcessView& process) {
-  if (!process.scheduler || !process.reached) return false;
-  const auto found = process.state.find("is_owner");
-  return found != process.state.end() && found->is_boolean() &&
-         found->get<bool>();
+  return process.scheduler && process.reached &&
+         process.state.contains("is_owner") &&
+         process.state["is_owner"].is_boolean() &&
+         process.state["is_owner"].get<bool>();
 }
 
 uint64_t EpochOf(const ProcessView& process) {
