--- a/src/border/worker/WorkerMessages.h
+++ b/src/border/worker/WorkerMessages.h
@@ -19,7 +19,10 @@
 struct FenceToken {
   uint64_t epoch = 0;
   uint64_t count = 0;
-  friend auto operator<=>(const FenceToken&, const FenceToken&) = default;
+  friend bool operator==(const FenceToken&, const FenceToken&) = default;
+  friend bool operator<(const FenceToken& a, const FenceToken& b) {
+    return a.epoch != b.epoch ? a.epoch < b.epoch : a.count < b.count;
+  }
 };
 
 /// One attempt to run one member of a job. `id` is "<job>.<member>.<attempt>".
--- a/src/scheduler/CellDriver.cpp
+++ b/src/scheduler/CellDriver.cpp
@@ -357,7 +357,7 @@
       continue;
     }
     // A start under the present token may still be on its way.
-    if (!entry.confirmed && entry.token >= session->token()) continue;
+    if (!entry.confirmed && !(entry.token < session->token())) continue;
     absent.push_back(id);
   }
   for (const std::string& id : unconfirmed) {
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -130,15 +130,13 @@
                       : static_cast<int64_t>(static_cast<double>(plan.run_ms) /
                                              this->options.speed);
   running.timer = std::make_unique<Timer>(this->loop, [this, id = task.id] {
-    // A copy, since ending the task destroys this callback.
-    const std::string ended_id = id;
-    const RunningTask& task = this->tasks.at(ended_id);
+    const RunningTask& task = this->tasks.at(id);
     if (task.checkpointing) {
-      this->EndTask(ended_id, WorkerTaskEnd::kCheckpointed, "");
+      this->EndTask(id, WorkerTaskEnd::kCheckpointed, "");
       return;
     }
     const bool fails = task.fails || this->fail_all;
-    this->EndTask(ended_id,
+    this->EndTask(id,
                   fails ? WorkerTaskEnd::kFailed : WorkerTaskEnd::kSucceeded,
                   fails ? "task failed" : "");
   });
@@ -260,7 +258,8 @@
 void WorkerModel::EndTask(const std::string& id, WorkerTaskEnd end,
                           std::string message) {
   const auto found = this->tasks.find(id);
-  // The timer may be the caller, so it is destroyed after this function.
+  // The timer may be the caller and hold `id`, so it is destroyed at the end
+  // of this function.
   RunningTask running = std::move(found->second);
   this->tasks.erase(found);
   this->journal.Add(this->options.id, JournalEvent::kEnded, running.task,
