Document the platform protocol and test a late first copy

Cause: switching off the read-back after a conflict in doubt was not caught by a test; the protocol was described nowhere.

--- a/src/store/RecordWriter.h
+++ b/src/store/RecordWriter.h
@@ -31,6 +31,8 @@
   int64_t backoff_max_ms = 5'000;
 };
 
+/// At most one writer exists for each version of the owner row: the sequence
+/// numbers of two would be taken for one another. A new owner makes a new one.
 class RecordWriter {
  public:
   RecordWriter(EventLoop& loop, TableClient tables,
--- a/tests/RecordWriterTest.cpp
+++ b/tests/RecordWriterTest.cpp
@@ -205,6 +205,27 @@
   }
 }
 
+// Guards against a false "nothing was written" when the resend meets a new
+// owner after a delayed first copy has taken effect.
+Test(RecordWriter, knows_a_late_first_copy_behind_a_new_owner) {
+  WriterHarness harness;
+  harness.Put("before", true);
+  cr_assert(harness.WaitFor(1));
+  const uint64_t writes = harness.standin->stats().writes;
+  // The first copy lands after the time limit of 100 ms, the resend is decided
+  // after that and still answered in time.
+  harness.standin->faults().delay_applied_ms = 160;
+  harness.Put("row", true);
+  cr_assert(
+      harness.Wait([&] { return harness.standin->stats().writes > writes; }));
+  harness.standin->faults().delay_applied_ms = 85;
+  cr_assert(harness.Wait([&] { return harness.CommitsOf("row") == 1; }));
+  harness.Own("second");
+  cr_assert(harness.WaitFor(2));
+  cr_expect_eq(harness.Answer("row"), kCommitted);
+  cr_expect_eq(harness.CommitsOf("row"), 1);
+}
+
 // Guards against more than 40 transactions a second, and against a batch over
 // its limit.
 Test(RecordWriter, groups_records_into_few_transactions) {
