Damage a stored configuration without breaking its syntax in the test

Cause: with the digest check switched off the test still passed, since a flipped bit in the middle was refused by the parser. Change: one digit of a quota is changed, so only the digest shows the damage. Conclusion: as strict as before in what it expects, and now about the digest.

--- a/tests/ConfigPublishTest.cpp
+++ b/tests/ConfigPublishTest.cpp
@@ -165,7 +165,9 @@
   cr_expect_eq(follower->in_force().services.size(), 2'000u);
   harness.Publish(MakeConfig(2, 2'000));
   for (auto& [name, content] : harness.standin->tables().objects) {
-    content[content.size() / 2] ^= 1;
+    // Still valid, so that only the digest shows the damage.
+    const size_t at = content.find("\"milli_cores\": 2");
+    if (at != std::string::npos) content[at + 15] = '3';
   }
   auto late = harness.Follow({});
   const uint64_t reads = harness.standin->stats().reads;
