Set may_have_run before a routed send; wake the server after answers from a handler

Cause: (1) at the end of a forced stop a request that was running at an endpoint was told not_run, since may_have_run was set only after the run; (2) an answer given while another request was handled stayed unsent, since the library's timeout does not count a connection resumed during its run and the server then cancelled its timer. Ruled out for (2): the hang-up watch, which was stopped before. Change: may_have_run is set before the send and goes back when the run certainly did not happen; the server runs the library again after a resume.

--- a/src/border/caller/CallerAnswer.cpp
+++ b/src/border/caller/CallerAnswer.cpp
@@ -56,7 +56,7 @@
   CallerAnswer answer;
   answer.outcome = Outcome::kNotRun;
   answer.status = fault.status;
-  answer.key = key;
+  answer.key = key.empty() ? fault.key : key;
   answer.field = fault.field;
   answer.reason =
       fault.field.empty() ? fault.message : fault.field + ": " + fault.message;
--- a/src/border/caller/CallerRequest.cpp
+++ b/src/border/caller/CallerRequest.cpp
@@ -304,6 +304,8 @@
   BOOST_LEAF_CHECK(CheckKnown(object, "", kKnownFields));
   CallerRequest request;
   request.caller = caller;
+  const auto add_key = leaf::on_error(
+      [&request](CallerFault& fault) { fault.key = request.key; });
   BOOST_LEAF_ASSIGN(request.key, ReadText(object, "key", true));
   if (!IsValidKey(request.key)) {
     return Fail(400, "key",
--- a/src/border/caller/CallerRequest.h
+++ b/src/border/caller/CallerRequest.h
@@ -26,6 +26,8 @@
   std::string field;
   /// What is wrong and what is allowed.
   std::string message;
+  /// The key of the request, once it has been read.
+  std::string key = {};
 };
 
 /// A submitted request with every default filled in.
--- a/src/entry/Routing.cpp
+++ b/src/entry/Routing.cpp
@@ -133,8 +133,7 @@
 void OnRunEnded(EntryState& state, uint64_t call, EndpointResult result) {
   Request* request = FindCall(state, call);
   if (request == nullptr) return;
-  // A run that certainly did not happen leaves earlier attempts as they were.
-  request->may_have_run = request->may_have_run || MayHaveRun(result.status);
+  request->may_have_run = request->ran_before || MayHaveRun(result.status);
   request->promised_retry = false;
   const bool done = result.status == RunStatus::kDone;
   const int64_t delay_ms = done ? -1 : RetryDelayMs(state, *request, result);
@@ -219,6 +218,8 @@
         std::string(NameOf(kRequestClassNames, request->spec.request_class))}});
   request->phase = Phase::kRunning;
   request->attempts++;
+  request->ran_before = request->may_have_run;
+  request->may_have_run = true;
   AddRequestEvent(state, "sent", *request, std::to_string(request->attempts));
   EndpointRun run;
   run.address = request->grant.address;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -60,6 +60,8 @@
   /// Since when a request is expected or being received; 0 while one is open.
   std::map<MHD_Connection*, TimeMs> receiving_since;
   bool listening = true;
+  /// A connection was resumed since the last run of the library began.
+  bool resumed = false;
   bool close_after_answers = false;
   std::map<HttpExchange*, std::shared_ptr<HttpExchange>> exchanges;
   size_t open_requests = 0;
@@ -149,7 +151,14 @@
 
 void HttpServer::State::Pump() {
   if (this->closing) return;
+  this->resumed = false;
   MHD_run(this->daemon);
+  if (this->resumed) {
+    // A handler answered another connection's request. The library does not
+    // count that in its own timeout.
+    this->timer.StartAfter(0);
+    return;
+  }
   MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
   if (MHD_get_timeout(this->daemon, &timeout_ms) == MHD_YES) {
     this->timer.StartAfter(static_cast<TimeMs>(timeout_ms));
@@ -271,6 +280,7 @@
       exchange->suspended = false;
       exchange->hangup_watch.reset();
       MHD_resume_connection(exchange->connection);
+      state->resumed = true;
       // Resuming from inside a callback of the library must not re-enter it.
       state->timer.StartAfter(0);
     };
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -124,6 +124,12 @@
   }
 }
 
+// Guards against an error that a caller cannot match with its request.
+Test(CallerRequest, faults_name_the_key_once_it_is_read) {
+  cr_expect_eq(FaultOf(BodyWith(R"(,"tasks":0)")).key, "k");
+  cr_expect_eq(FaultOf(R"({"key":"k")").key, "");
+}
+
 // Guards against defaults of the configuration that are not applied.
 Test(CallerRequest, fills_in_defaults) {
   const CallerRequest request = Parse(BodyWith(""));
--- a/tests/FakeOwner.h
+++ b/tests/FakeOwner.h
@@ -28,10 +28,15 @@
       wire::HeartbeatT heartbeat;
       heartbeat.owner_epoch = this->epoch;
       heartbeat.serving = this->serving;
+      heartbeat.config_version = this->config.version;
       return heartbeat;
     };
     callbacks.received = [this](const PeerInfo& peer, wire::FrameT& frame) {
       if (frame.body.type == wire::Body::Heartbeat) return;
+      if (frame.body.type == wire::Body::ConfigRequest) {
+        this->node->Send(peer.link, this->config);
+        return;
+      }
       this->order.push_back(frame.body.type);
       this->link = peer.link;
       if (const auto* report = frame.body.AsSlotReport()) {
@@ -85,6 +90,8 @@
   uint64_t epoch;
   bool serving;
   HybridClock clock;
+  /// Sent to peers that ask; version 0 for none.
+  wire::ConfigReplyT config;
   LinkId link = 0;
   uint64_t grants = 0;
   std::function<void(wire::FrameT&)> on_message;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -25,6 +25,9 @@
                   this->held.push_back(std::move(reply));
                   return;
                 }
+                if (request.path == "/release") {
+                  this->held[0].Send({.body = "released", .headers = {}});
+                }
                 HttpResponse response;
                 response.body = request.body;
                 reply.Send(std::move(response));
@@ -188,6 +191,19 @@
   cr_expect_lt(raw.received.find("one"), raw.received.find("two"));
 }
 
+// Guards against an answer that stays unsent when it is given while another
+// request is handled.
+Test(HttpServer, handler_answers_another_request) {
+  Harness harness;
+  RawSocket held(harness.server->port());
+  held.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  RawSocket other(harness.server->port());
+  other.Send("GET /release HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_expect(harness.WaitUntil(
+      [&] { return !held.Read().empty() && !other.Read().empty(); }));
+}
+
 // Guards against a planned stop that loses what was accepted before it.
 Test(HttpServer, stop_listening_keeps_open_connections) {
   Harness harness;
