--- a/src/scheduler/CellDriver.cpp
+++ b/src/scheduler/CellDriver.cpp
@@ -313,6 +313,7 @@
 }
 
 bool CellDriver::Adopt(Job& job, const FoundTask& found) {
+  if (this->entries.contains(found.task.id)) return true;
   TaskEntry entry;
   entry.ref = {found.task.job, found.task.member,
                found.task.attempt & kAttemptMask};
@@ -356,7 +357,7 @@
       continue;
     }
     // A start under the present token may still be on its way.
-    if (!entry.confirmed && entry.token >= session->token()) continue;
+    if (!entry.confirmed && !(entry.token < session->token())) continue;
     absent.push_back(id);
   }
   for (const std::string& id : unconfirmed) {
--- a/src/scheduler/JobRecords.h
+++ b/src/scheduler/JobRecords.h
@@ -10,11 +10,12 @@
 #include <cstdint>
 #include <string>
 
+#include "border/vmlist/VmList.h"
 #include "scheduler/Job.h"
 
 namespace dotterelcove {
 
-inline constexpr int64_t kEndedRecordKeptMs = 24 * 3'600'000;
+inline constexpr int64_t kEndedRecordKeptMs = 86'400'000;
 
 std::string OpenJobPrefix(uint32_t partition);
 std::string OpenJobKey(uint32_t partition, const std::string& job);
@@ -67,4 +68,13 @@
 std::string ToRow(const IntentRow& row);
 bool FromRow(const std::string& text, IntentRow& row);
 
+/// A worker that may hold tasks of its present incarnation. A later owner that
+/// finds another incarnation there knows that such tasks may have run.
+struct UsedWorkerRow {
+  Vm vm;
+  uint64_t incarnation = 0;
+};
+std::string ToRow(const UsedWorkerRow& row);
+bool FromRow(const std::string& text, UsedWorkerRow& row);
+
 }  // namespace dotterelcove
--- a/standins/WorkerModel.cpp
+++ b/standins/WorkerModel.cpp
@@ -130,15 +130,13 @@
                       : static_cast<int64_t>(static_cast<double>(plan.run_ms) /
                                              this->options.speed);
   running.timer = std::make_unique<Timer>(this->loop, [this, id = task.id] {
-    // A copy, since ending the task destroys this callback.
-    const std::string ended_id = id;
-    const RunningTask& task = this->tasks.at(ended_id);
+    const RunningTask& task = this->tasks.at(id);
     if (task.checkpointing) {
-      this->EndTask(ended_id, WorkerTaskEnd::kCheckpointed, "");
+      this->EndTask(id, WorkerTaskEnd::kCheckpointed, "");
       return;
     }
     const bool fails = task.fails || this->fail_all;
-    this->EndTask(ended_id,
+    this->EndTask(id,
                   fails ? WorkerTaskEnd::kFailed : WorkerTaskEnd::kSucceeded,
                   fails ? "task failed" : "");
   });
@@ -227,8 +225,8 @@
 }
 
 void WorkerModel::AnswerSync() {
+  if (this->waiting == nullptr || this->frozen) return;
   this->sync_timer.Cancel();
-  if (this->waiting == nullptr) return;
   const std::unique_ptr<WaitingSync> sync = std::move(this->waiting);
   SyncReply reply;
   reply.incarnation = this->incarnation;
@@ -260,7 +258,8 @@
 void WorkerModel::EndTask(const std::string& id, WorkerTaskEnd end,
                           std::string message) {
   const auto found = this->tasks.find(id);
-  // The timer may be the caller, so it is destroyed after this function.
+  // The timer may be the caller and hold `id`, so it is destroyed at the end
+  // of this function.
   RunningTask running = std::move(found->second);
   this->tasks.erase(found);
   this->journal.Add(this->options.id, JournalEvent::kEnded, running.task,
@@ -278,7 +277,7 @@
 
 void WorkerModel::RenewLease(int64_t lease_ms) {
   this->lease_end_ms = MonotonicMs() + lease_ms;
-  if (!this->frozen) this->lease_timer.StartAfter(lease_ms);
+  this->lease_timer.StartAfter(lease_ms);
 }
 
 void WorkerModel::OnLeaseEnd() {
@@ -304,17 +303,12 @@
   this->frozen = on;
   if (on) {
     for (auto& [id, running] : this->tasks) this->PauseTimer(running);
-    this->lease_timer.Cancel();
     this->sync_timer.Cancel();
     return;
   }
-  // As on a real VM, the lapsed lease is noticed before anything goes on.
-  const TimeMs now = MonotonicMs();
-  if (now >= this->lease_end_ms) {
-    this->OnLeaseEnd();
-  } else {
-    this->lease_timer.StartAfter(this->lease_end_ms - now);
-  }
+  // The lease timer goes on while frozen: a task makes no progress from the
+  // freeze on, and a VM that wakes up after the end of its lease notices that
+  // first. So its tasks end, and are journaled, at the end of the lease.
   for (auto& [id, running] : this->tasks) this->Run(running);
   if (this->waiting != nullptr) this->sync_timer.StartAfter(0);
 }
