Leave line and key out of faults that have none

Cause: an unreadable settings file was shown as "file:0: = : allowed: …". Change: line and key appear only when the fault has them.

--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -177,8 +177,14 @@
 std::string FormatFaults(const SettingsError& error) {
   std::string text;
   for (const SettingsFault& fault : error.faults) {
-    text.append(fault.file).append(":").append(std::to_string(fault.line));
-    text.append(": ").append(fault.key).append(" = ").append(fault.value);
+    text.append(fault.file);
+    // A fault of the file itself has neither a line nor a key.
+    if (fault.line > 0) text.append(":").append(std::to_string(fault.line));
+    if (!fault.key.empty()) {
+      text.append(": ").append(fault.key).append(" = ").append(fault.value);
+    } else if (!fault.value.empty()) {
+      text.append(": ").append(fault.value);
+    }
     text.append(": allowed: ").append(fault.allowed).append("\n");
   }
   return text;
--- a/tests/DaemonSettingsTest.cpp
+++ b/tests/DaemonSettingsTest.cpp
@@ -141,6 +141,10 @@
   const std::string shown = FormatFaults(error);
   cr_expect(shown.starts_with("entry.json:4: zone = \"\": allowed: "), "%s",
             shown.c_str());
+  const std::string unreadable =
+      FormatFaults({{{"a.json", 0, "", "", "a readable file"}}});
+  cr_expect(unreadable == "a.json: allowed: a readable file\n", "%s",
+            unreadable.c_str());
   const bool loaded = leaf::try_handle_all(
       []() -> Result<bool> {
         BOOST_LEAF_CHECK(LoadDaemonSettings("/nonexistent/entry.json"));
