--- a/bench/BenchMain.cpp
+++ b/bench/BenchMain.cpp
@@ -17,11 +17,10 @@
   void (*add)(BenchTable&);
 };
 
-constexpr RowGroup kRowGroups[] = {{"decision", AddDecisionRows},
-                                   {"packing", AddPackingRows},
-                                   {"waiting", AddWaitingRows},
-                                   {"faults", AddFaultRows},
-                                   {"system", AddSystemRows}};
+constexpr RowGroup kRowGroups[] = {
+    {"decision", AddDecisionRows}, {"packing", AddPackingRows},
+    {"waiting", AddWaitingRows},   {"faults", AddFaultRows},
+    {"system", AddSystemRows},     {"capacity", AddCapacityRows}};
 
 int Run(int argc, char** argv) {
   BenchTable table;
--- a/bench/BenchRows.h
+++ b/bench/BenchRows.h
@@ -10,5 +10,6 @@
 void AddWaitingRows(BenchTable& table);
 void AddFaultRows(BenchTable& table);
 void AddSystemRows(BenchTable& table);
+void AddCapacityRows(BenchTable& table);
 
 }  // namespace dotterelcove::bench
--- /dev/null
+++ b/bench/CapacityRows.cpp
@@ -0,0 +1,121 @@
+// What the daemons spend at several cell sizes; docs/CAPACITY.md works out the
+// slopes from these rows.
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include "base/Clock.h"
+#include "bench/BenchRows.h"
+#include "standins/Deployment.h"
+#include "standins/Measurements.h"
+
+namespace dotterelcove::bench {
+namespace {
+
+constexpr int kWorkerCounts[] = {50, 275, 1'100};
+constexpr int kTasksPerWorker = 4;
+constexpr TimeMs kWindowMs = 10'000;
+/// Limits of a daemon for control, see docs/design.md 1.6.
+constexpr double kCoreLimitPercent = 1.6;
+constexpr double kMemoryLimitMb = 32;
+
+/// Processor time and memory of one process, from /proc.
+struct ProcessUse {
+  double cpu_ms = 0;
+  double resident_mb = 0;
+};
+
+ProcessUse ReadUse(pid_t pid) {
+  ProcessUse use;
+  const std::string folder = "/proc/" + std::to_string(pid);
+  std::ifstream stat(folder + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)),
+                   std::istreambuf_iterator<char>());
+  // Fields are counted after the name, which may hold blanks.
+  unsigned long user = 0;
+  unsigned long system = 0;
+  std::sscanf(text.c_str() + text.rfind(')') + 2,
+              "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+              &system);
+  use.cpu_ms = static_cast<double>(user + system) * 1000.0 /
+               static_cast<double>(sysconf(_SC_CLK_TCK));
+  std::ifstream statm(folder + "/statm");
+  double total = 0;
+  double resident = 0;
+  statm >> total >> resident;
+  use.resident_mb =
+      resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
+  return use;
+}
+
+void AddUseRows(BenchTable& table, Deployment& deployment,
+                const std::string& process, const std::string& what) {
+  const pid_t pid = deployment.pid(process);
+  const ProcessUse before = ReadUse(pid);
+  deployment.loop().RunUntil([] { return false; }, kWindowMs);
+  const ProcessUse after = ReadUse(pid);
+  BenchRow core;
+  core.name = what + ": processor time";
+  core.unit = "% of a core";
+  core.target = "<= 1.6";
+  core.ours = (after.cpu_ms - before.cpu_ms) * 100.0 / kWindowMs;
+  core.met = core.ours <= kCoreLimitPercent;
+  core.note = "over 10 s";
+  AddRow(table, core);
+  BenchRow memory;
+  memory.name = what + ": resident memory";
+  memory.unit = "MB";
+  memory.target = "<= 32";
+  memory.ours = after.resident_mb;
+  memory.met = memory.ours <= kMemoryLimitMb;
+  AddRow(table, memory);
+}
+
+/// Submits recorded long-running tasks and waits until all run.
+bool FillCell(Deployment& deployment, int tasks) {
+  TrafficOptions options;
+  options.kinds = {{"watch", true, true, 1, 3'600'000, 100}};
+  options.rate = 500;
+  options.patience_ms = 1;
+  Traffic traffic(deployment, options);
+  traffic.Start();
+  deployment.loop().RunUntil(
+      [&] { return static_cast<int>(traffic.sent().size()) >= tasks; }, 60'000);
+  traffic.StopSending();
+  const std::string owner = deployment.Owner();
+  return deployment.loop().RunUntil(
+      [&] {
+        const auto state = deployment.Get(owner, "/v1/state");
+        return state.is_object() && state.value("running", 0) >= tasks;
+      },
+      60'000);
+}
+
+}  // namespace
+
+void AddCapacityRows(BenchTable& table) {
+  for (const int workers : kWorkerCounts) {
+    DeploymentOptions options;
+    options.schedulers = 1;
+    options.entries = 1;
+    options.workers = workers;
+    Deployment deployment(options);
+    if (!deployment.Start()) return;
+    const std::string size = std::to_string(workers) + " workers";
+    deployment.loop().RunUntil([] { return false; }, 3'000);
+    AddUseRows(table, deployment, "sched-1", "owner, " + size + ", no tasks");
+    const int tasks = workers * kTasksPerWorker;
+    const std::string loaded =
+        size + ", " + std::to_string(tasks) + " tasks running";
+    if (!FillCell(deployment, tasks)) {
+      std::fprintf(stderr, "%s: not all tasks run\n", loaded.c_str());
+      continue;
+    }
+    AddUseRows(table, deployment, "sched-1", "owner, " + loaded);
+    AddUseRows(table, deployment, "entry-1", "entry daemon, " + loaded);
+  }
+}
+
+}  // namespace dotterelcove::bench
--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -374,6 +374,10 @@
   return this->processes.at(name).pid != 0;
 }
 
+pid_t Deployment::pid(const std::string& name) const {
+  return this->processes.at(name).pid;
+}
+
 nlohmann::json Deployment::Call(const std::string& method,
                                 const std::string& url,
                                 const std::string& body) {
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -51,6 +51,7 @@
   /// Sends SIGTERM and waits; returns the exit code, or -1 on timeout.
   int Terminate(const std::string& process, TimeMs timeout_ms);
   bool Running(const std::string& process) const;
+  pid_t pid(const std::string& process) const;
 
   /// Cuts relays; names are "entry-1>sched-2", "sched-1>platform" and so on.
   void Cut(const std::string& link, const std::string& cut);
