--- a/src/scheduler/Recovery.cpp
+++ b/src/scheduler/Recovery.cpp
@@ -118,6 +118,7 @@
     }
     RecoveredJob job;
     job.submit = std::move(open.submit);
+    job.accepted_wall_ms = open.accepted_wall_ms;
     job.members.resize(std::max<uint32_t>(job.submit.tasks, 1));
     if (job.submit.deadline_ms > 0) {
       job.submit.deadline_ms =
@@ -176,6 +177,10 @@
   const std::string intents = IntentPrefix(this->services.settings.partition);
   RecoveredRecords records;
   for (auto& [id, job] : this->jobs) records.jobs.push_back(std::move(job));
+  std::stable_sort(records.jobs.begin(), records.jobs.end(),
+                   [](const RecoveredJob& a, const RecoveredJob& b) {
+                     return a.accepted_wall_ms < b.accepted_wall_ms;
+                   });
   for (const TableRow& row : this->rows[kIntents]) {
     IntentRow intent;
     if (!FromRow(row.value, intent)) continue;
--- a/src/scheduler/Recovery.h
+++ b/src/scheduler/Recovery.h
@@ -17,9 +17,11 @@
   /// Its deadline is what was left of it when the rows were read.
   wire::SubmitT submit;
   std::vector<MemberResult> members;
+  int64_t accepted_wall_ms = 0;
 };
 
 struct RecoveredRecords {
+  /// In the order in which they were accepted.
   std::vector<RecoveredJob> jobs;
   std::vector<std::pair<std::string, IntentRow>> intents;
   std::set<std::string> entries_down;
--- a/src/scheduler/Term.cpp
+++ b/src/scheduler/Term.cpp
@@ -90,8 +90,6 @@
   for (const UsedWorkerRow& worker : records.used_workers) {
     this->pool->AddUsed(worker);
   }
-  // The order in which the jobs were accepted is not known; the core orders
-  // them by class and age from here on.
   for (RecoveredJob& job : records.jobs) {
     this->job_service.Recover(std::move(job.submit), std::move(job.members));
   }
--- a/tests/SchedulerBasicTest.cpp
+++ b/tests/SchedulerBasicTest.cpp
@@ -168,4 +168,52 @@
   cr_expect_eq(std::string(later.body.begin(), later.body.end()), "r");
 }
 
+// Guards against a planned stop that loses or repeats work, or that leaves the
+// others waiting for the end of its lease.
+Test(SchedulerBasic, PlannedStopHandsOver, .timeout = 60) {
+  SchedulerHarness cell;
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  const auto submit = [&](const std::string& prefix) {
+    entry->Submit(prefix + "-long", {.payload = R"({"run_ms": 400})"});
+    entry->Submit(prefix + "-durable", {.durable = true});
+    entry->Submit(prefix + "-once", {.idempotent = false});
+  };
+  submit("before");
+  SchedulerNode* const owner = cell.Owner();
+  owner->daemon->Stop();
+  submit("during");
+  cr_assert(cell.WaitForOwner());
+  cr_expect_neq(cell.Owner(), owner);
+  submit("after");
+  cr_assert(cell.WaitForOutcomes(*entry));
+  for (const auto& [id, job] : entry->jobs) {
+    if (!job.accepted) continue;
+    cr_expect_eq(OutcomeOf(job), Outcome::kDone, "%s", job.submit.key.c_str());
+  }
+  cr_expect(cell.Clean(*entry));
+}
+
+// Guards against new tasks on a worker that an operator drains.
+Test(SchedulerBasic, DrainedWorkerGetsNothing, .timeout = 60) {
+  HarnessOptions options;
+  options.workers = 2;
+  SchedulerHarness cell(options);
+  cr_assert(cell.WaitForOwner());
+  const auto entry = cell.MakeEntry("entry-1");
+  Term& term = *cell.Owner()->daemon->scheduler().term();
+  cr_assert(cell.RunUntil([&] {
+    return term.workers()->StateOf("w-0") == core::WorkerState::kUsable &&
+           term.workers()->StateOf("w-1") == core::WorkerState::kUsable;
+  }));
+  cr_assert(term.Drain("w-0"));
+  cr_expect_not(term.Drain("unknown"));
+  for (int i = 0; i < 8; ++i) entry->Submit("key-" + std::to_string(i));
+  cr_assert(cell.WaitForOutcomes(*entry));
+  for (const auto& line : cell.workers->journal().entries()) {
+    if (line.event != standins::JournalEvent::kStarted) continue;
+    cr_expect_eq(line.worker, "w-1");
+  }
+}
+
 }  // namespace dotterelcove::tests
--- a/tests/WorkerClientTest.cpp
+++ b/tests/WorkerClientTest.cpp
@@ -151,6 +151,8 @@
   const auto first = fixture.Sync({1, 1}, 0, true, 300);
   cr_assert_eq(first.reply.ended.size(), 1);
   cr_expect_eq(first.reply.ended[0].result, "r\xC3\xA9");
+  // Receiving it is no acknowledgement.
+  cr_expect_eq(fixture.Sync({1, 1}).reply.ended.size(), 1);
   const auto fence = fixture.Fence({2, 1});
   cr_assert_eq(fence.reply.ended.size(), 1);
   fixture.Sync({2, 1}, fence.reply.ended[0].sequence);
