--- a/standins/Traffic.cpp
+++ b/standins/Traffic.cpp
@@ -9,6 +9,21 @@
 constexpr TimeMs kAskAgainMs = 200;
 const char kCaller[] = "tests";
 
+/// Whether an answer is whole and belongs to the request. A job of several
+/// tasks answers {"results": [one of each task]}.
+bool AnswerMatches(const SentRequest& request, const std::string& answer) {
+  const std::string expected =
+      ExpectedAnswer(request.key, request.kind.answer_bytes);
+  if (request.kind.tasks == 1) return answer == expected;
+  const auto body = nlohmann::json::parse(answer, nullptr, false);
+  if (!body.is_object() || !body.contains("results")) return false;
+  int matching = 0;
+  for (const auto& result : body["results"]) {
+    if (result == expected) matching++;
+  }
+  return matching == request.kind.tasks;
+}
+
 }  // namespace
 
 std::string ExpectedAnswer(const std::string& key, int64_t bytes) {
@@ -31,9 +46,15 @@
 void Traffic::StopSending() { this->sender.Cancel(); }
 
 std::string Traffic::Target() {
-  const int index = static_cast<int>(
-      UniformInt(this->random, 0, this->deployment.options().entries - 1));
-  return this->deployment.entry_url(index);
+  const int entries = this->deployment.options().entries;
+  const int first = static_cast<int>(UniformInt(this->random, 0, entries - 1));
+  // The balancer passes over processes that have ended.
+  for (int i = 0; i < entries; ++i) {
+    const int index = (first + i) % entries;
+    const std::string name = "entry-" + std::to_string(index + 1);
+    if (this->deployment.Running(name)) return this->deployment.url(name);
+  }
+  return this->deployment.entry_url(first);
 }
 
 std::string Traffic::Body(const SentRequest& request) const {
@@ -133,8 +154,8 @@
   request.outcome = outcome;
   request.ended_ms = MonotonicMs();
   if (outcome == "done") {
-    request.answer_matches = body.value("answer", std::string()) ==
-                             ExpectedAnswer(key, request.kind.answer_bytes);
+    request.answer_matches =
+        AnswerMatches(request, body.value("answer", std::string()));
   }
   this->open_requests.erase(key);
 }
