--- a/src/entry/Placing.cpp
+++ b/src/entry/Placing.cpp
@@ -107,10 +107,11 @@
   // A routed request waits for an Outcome only after a Duplicate.
   const bool routed = request->spec.delivery == Delivery::kRoute;
   if (routed && request->phase != Phase::kDuplicate) return;
-  if (ReportedOutcome(outcome.outcome) == Outcome::kNotRun && !routed) {
+  if (ReportedOutcome(outcome.outcome) == Outcome::kNotRun) {
     // This owner vouches for itself only; an earlier one may have run the job.
     request->exposed.erase(link);
-    request->may_have_run = !request->exposed.empty();
+    request->may_have_run =
+        routed ? request->ran_before : !request->exposed.empty();
   }
   RequestEnd end;
   end.body.assign(outcome.body.begin(), outcome.body.end());
--- a/src/entry/Request.h
+++ b/src/entry/Request.h
@@ -69,8 +69,9 @@
   /// Set before anything is sent that could make the work run, cleared only by
   /// proof that it did not. With it set, "not_run" is never answered.
   bool may_have_run = false;
-  /// The same as it was before the run in progress, to which it returns when
-  /// that run certainly did not happen.
+  /// The same as it was before the run in progress here, or at the process
+  /// that a duplicate waits for, to which it returns when that run certainly
+  /// did not happen.
   bool ran_before = false;
   /// Links of the owners to which a Submit went that was not refused.
   std::set<LinkId> exposed;
--- a/src/entry/Routing.cpp
+++ b/src/entry/Routing.cpp
@@ -242,6 +242,7 @@
   switch (refusal.reason) {
     case wire::SlotRefusalReason::Duplicate:
       request->phase = Phase::kDuplicate;
+      request->ran_before = request->may_have_run;
       // Its outcome is the other process's to report.
       request->may_have_run = true;
       return;
--- a/tests/EntryFaultTest.cpp
+++ b/tests/EntryFaultTest.cpp
@@ -343,6 +343,31 @@
   cr_expect_eq(harness.standin->Count("started"), 0u);
 }
 
+// Guards against an outcome of the process that holds the same key that is lost
+// or made "unknown" here.
+Test(EntryFault, duplicate_gets_the_outcome_of_the_other_process) {
+  for (const Outcome told : {Outcome::kDone, Outcome::kNotRun}) {
+    EntryHarness harness;
+    FakeOwner& owner = harness.owner();
+    owner.on_message = [&](wire::FrameT& frame) {
+      const auto* request = frame.body.AsSlotRequest();
+      if (request == nullptr) return;
+      wire::SlotRefusalT refusal;
+      refusal.call = request->call;
+      refusal.job = request->job;
+      refusal.reason = wire::SlotRefusalReason::Duplicate;
+      owner.Send(std::move(refusal));
+      wire::OutcomeT outcome;
+      outcome.job = request->job;
+      outcome.outcome = static_cast<uint8_t>(told);
+      owner.Send(std::move(outcome));
+    };
+    const auto seen = harness.Submit("dispatch", "k1");
+    cr_assert(harness.WaitFor(seen));
+    cr_expect_eq(seen->outcome(), NameOf(kOutcomeNames, told));
+  }
+}
+
 // Guards against a stored answer that is cut, or claimed when it cannot be
 // read.
 Test(EntryFault, answer_in_the_object_store) {
