--- a/src/border/operator/OperatorApi.cpp
+++ b/src/border/operator/OperatorApi.cpp
@@ -17,9 +17,27 @@
   return context.not_ready_reason ? context.not_ready_reason() : "";
 }
 
+/// Gauges that every daemon has: readiness, and the version in force and the
+/// age of the last answer of the store, where its state tells them.
+void SetCommonGauges(const OperatorContext& context) {
+  context.metrics->Set("ready", NotReadyReason(context).empty() ? 1.0 : 0.0);
+  if (!context.state_json) return;
+  const Json state = Json::parse(context.state_json(), nullptr, false);
+  if (!state.is_object()) return;
+  const auto version = state.find("config_version");
+  if (version != state.end() && version->is_number()) {
+    context.metrics->Set("config_version", version->get<double>());
+  }
+  const auto age_ms = state.find("store_age_ms");
+  if (age_ms != state.end() && age_ms->is_number()) {
+    context.metrics->Set("store_age_seconds", age_ms->get<double>() / 1'000);
+  }
+}
+
 void ServeMetrics(const OperatorContext& context, const HttpRequest&,
                   const HttpReply& reply) {
   if (context.refresh_metrics) context.refresh_metrics();
+  if (context.metrics != nullptr) SetCommonGauges(context);
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
   if (context.metrics != nullptr) response.body = context.metrics->Render();
--- a/src/border/operator/OperatorApi.h
+++ b/src/border/operator/OperatorApi.h
@@ -25,8 +25,10 @@
   std::function<std::string()> not_ready_reason;
   /// State as a JSON object. The command-line tool reads "role" ("entry" or
   /// "scheduler"), "config_version", "is_owner", "owner" (process name),
-  /// "owner_epoch" and "draining" where they are present; process, zone,
-  /// version and ready are added by the route.
+  /// "owner_epoch", "draining" and "store_age_ms" (since the store last
+  /// answered) where they are present; process, zone, version and ready are
+  /// added by the route. The metrics "ready", "config_version" and
+  /// "store_age_seconds" are taken from here.
   std::function<std::string()> state_json;
   /// Drains a worker or endpoint VM, or this daemon itself when `vm` is empty.
   std::function<void(const std::string& vm, const HttpReply& reply)> drain;
--- a/src/operator/ListCommand.cpp
+++ b/src/operator/ListCommand.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
+
 #include "operator/Commands.h"
 #include "operator/FetchEvents.h"
+#include "operator/NearestName.h"
 #include "operator/TextTable.h"
 
 namespace dotterelcove {
@@ -12,6 +15,13 @@
 /// Rows in one answer; a page must stay small beside the owner's other work.
 constexpr int64_t kPageRows = 500;
 
+/// What the scheduler daemon calls the stages of a job.
+const std::vector<std::string>& JobStates() {
+  static const std::vector<std::string> states = {
+      "recording", "held", "waiting", "running", "partly_running", "ending"};
+  return states;
+}
+
 void PrintJobs(CtlContext& context, const Json& jobs) {
   TextTable table;
   table.heading = {"JOB", "KEY", "CALLER", "KIND", "CLASS", "STATE", "REASON"};
@@ -36,6 +46,13 @@
   if (!ParseNumberOption(options, "limit", 1, kMaxRows, limit, error)) {
     return Complain(context, kExitBadCommandLine, error);
   }
+  const std::string state = options.Get("state");
+  const auto& states = JobStates();
+  if (!state.empty() &&
+      std::find(states.begin(), states.end(), state) == states.end()) {
+    return Complain(context, kExitBadCommandLine,
+                    DescribeUnknown("state", state, states));
+  }
   Json jobs = Json::array();
   std::string after;
   bool more = true;
@@ -45,9 +62,7 @@
     HttpCall call;
     call.url = "/v1/jobs?limit=" + std::to_string(rows);
     if (!after.empty()) call.url += "&after=" + EscapeQuery(after);
-    if (options.Has("state")) {
-      call.url += "&state=" + EscapeQuery(options.Get("state"));
-    }
+    if (!state.empty()) call.url += "&state=" + state;
     HttpResult result;
     if (!CallOwner(context, "listing jobs", call, result)) {
       return kExitUnavailable;
--- a/tests/CommandsTest.cpp
+++ b/tests/CommandsTest.cpp
@@ -22,6 +22,7 @@
   std::map<std::string, HttpResponse> answers;
   std::vector<std::string> calls;
   std::string last_caller;
+  FieldMap last_query;
   /// Keeps requests without an answer.
   bool silent = false;
   std::vector<HttpReply> held;
@@ -43,6 +44,7 @@
     if (request.headers.contains("x-caller")) {
       this->last_caller = request.headers.at("x-caller");
     }
+    this->last_query = request.query;
     if (this->silent) {
       this->held.push_back(reply);
       return;
@@ -202,6 +204,27 @@
   cr_expect(fixture.Printed("is the owner now"));
 }
 
+// Guards against pages that repeat or leave out jobs, and against an empty list
+// for a misspelled state.
+Test(Commands, list_follows_pages_and_refuses_unknown_states) {
+  Fixture fixture;
+  fixture.sched2.Set(
+      "GET /v1/jobs", 200,
+      {{"jobs", {{{"job", "a"}}, {{"job", "b"}}}}, {"next", "b"}});
+  cr_expect_eq(fixture.Run(RunList, {{"limit", "6"}}, {}), kExitOk);
+  size_t pages = 0;
+  for (const std::string& call : fixture.sched2.calls) {
+    pages += call == "GET /v1/jobs" ? 1 : 0;
+  }
+  cr_expect_eq(pages, 3u);
+  cr_expect(fixture.sched2.last_query ==
+            (FieldMap{{"after", "b"}, {"limit", "2"}}));
+  cr_expect(fixture.Printed("there are more jobs"));
+  cr_expect_eq(fixture.Run(RunList, {{"state", "runing"}}, {}),
+               kExitBadCommandLine);
+  cr_expect(fixture.Printed("did you mean running?"));
+}
+
 // Guards against draining the wrong thing.
 Test(Commands, drain_picks_the_process_or_the_vm) {
   Fixture fixture;
@@ -245,6 +268,18 @@
   ownerless.sched2.Set("GET /v1/state", 200, {{"ready", true}});
   cr_expect_eq(ownerless.Run(RunHealth, {}, {}), kExitFailed);
   cr_expect(ownerless.Printed("no owner"));
+  Fixture storeless;
+  for (const int age_ms : {200, 4'200}) {
+    for (FakeDaemon* scheduler : {&storeless.sched1, &storeless.sched2}) {
+      scheduler->Set("GET /v1/state", 200,
+                     {{"ready", true},
+                      {"is_owner", scheduler == &storeless.sched2},
+                      {"store_age_ms", age_ms}});
+    }
+    cr_expect_eq(storeless.Run(RunHealth, {}, {}),
+                 age_ms < 1'000 ? kExitOk : kExitFailed, "%d", age_ms);
+  }
+  cr_expect(storeless.Printed("store down for 4 s"));
 }
 
 // Guards against a time line that looks complete when a process is missing.
--- a/tests/OperatorApiTest.cpp
+++ b/tests/OperatorApiTest.cpp
@@ -31,7 +31,10 @@
     context.metrics = &metrics;
     context.events = &events;
     context.not_ready_reason = [this] { return this->not_ready; };
-    context.state_json = [] { return std::string(R"({"role":"entry"})"); };
+    context.state_json = [] {
+      return std::string(
+          R"({"role":"entry","config_version":7,"store_age_ms":2500})");
+    };
     context.drain = [this](const std::string& vm, const HttpReply& reply) {
       this->drained = vm.empty() ? "self" : vm;
       reply.Send({});
@@ -86,6 +89,9 @@
   };
   const Case cases[] = {
       {"GET", "/metrics", "", 200, "dotterelcove_process_resident", "none"},
+      {"GET", "/metrics", "", 200, "dotterelcove_ready 1\n", "none"},
+      {"GET", "/metrics", "", 200, "dotterelcove_config_version 7\n", "none"},
+      {"GET", "/metrics", "", 200, "store_age_seconds 2.5\n", "none"},
       {"GET", "/healthz", "", 200, "\"ok\"", "none"},
       {"GET", "/readyz", "", 200, "true", "none"},
       {"GET", "/v1/events?job=j1", "", 200, "j1", "none"},
