Add long-running tasks to the fault traffic

Cause: with the wait for a worker's lease switched off, the case worker_unreachable still passed, because every task ended within 300 ms and none was running when its worker was lost. Watches of 2.5 s now run through the faults.

--- a/tests/system/FaultTest.cpp
+++ b/tests/system/FaultTest.cpp
@@ -201,6 +201,8 @@
       {"dispatch", false, true, 4, 60, 100},
       {"crew", true, false, 3, 60, 100},
       {"audit", true, true, 2, 300, 40'000},
+      // Long enough to be running when a fault begins and when it ends.
+      {"watch", true, true, 1, 2'500, 100},
       {"gang", true, true, 1, 200, 100, 4},
   };
   return options;
