--- a/src/entry/CallerLimits.cpp
+++ b/src/entry/CallerLimits.cpp
@@ -20,10 +20,10 @@
 
 const CallerConfig& LimitsOf(const CellConfig& config,
                              const std::string& caller) {
-  static const CallerConfig kUnconfigured;
+  static const CallerConfig unconfigured;
   auto found = config.callers.find(caller);
   if (found == config.callers.end()) found = config.callers.find("default");
-  return found == config.callers.end() ? kUnconfigured : found->second;
+  return found == config.callers.end() ? unconfigured : found->second;
 }
 
 /// This process's share of a limit over the cell.
--- a/src/entry/EntryApi.cpp
+++ b/src/entry/EntryApi.cpp
@@ -87,8 +87,8 @@
 
 bool Entry::Handle(const HttpRequest& request, const HttpReply& reply) {
   if (!request.path.starts_with(kRequestsPath)) return false;
-  const std::string_view rest =
-      std::string_view(request.path).substr(kRequestsPath.size());
+  std::string_view rest = request.path;
+  rest.remove_prefix(kRequestsPath.size());
   if (!rest.empty() && !rest.starts_with('/')) return false;
   const auto caller = ParseOrAnswer<std::string>(
       reply, [&] { return ReadCaller(request.headers); });
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -106,7 +106,7 @@
     this->peers->SendHeartbeats();
   };
   callbacks.request = [this](LinkId link, wire::ConfigRequestT request) {
-    this->peers->Send(link, std::move(request));
+    this->peers->Send(link, request);
   };
   return callbacks;
 }
@@ -307,12 +307,12 @@
   state->entry.SetPeers(state->peers.get());
   state->follower.Start();
   state->operator_context = state->MakeOperatorContext();
-  BOOST_LEAF_ASSIGN(
-      state->server,
-      HttpServer::Start(loop, state->MakeServerOptions(),
-                        [state](const HttpRequest& request, HttpReply reply) {
-                          state->OnHttp(request, reply);
-                        }));
+  BOOST_LEAF_ASSIGN(state->server,
+                    HttpServer::Start(loop, state->MakeServerOptions(),
+                                      [state](const HttpRequest& request,
+                                              const HttpReply& reply) {
+                                        state->OnHttp(request, reply);
+                                      }));
   return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(created)));
 }
 
--- a/standins/EndpointStandin.cpp
+++ b/standins/EndpointStandin.cpp
@@ -134,7 +134,7 @@
                      const std::string& default_id);
   void Run(Endpoint& endpoint, const HttpRequest& request, HttpReply reply);
   void EndRun(Endpoint& endpoint, const std::string& request, RunPlan plan,
-              bool cut_off, HttpReply reply);
+              bool cut_off, const HttpReply& reply);
   void Journal(const Endpoint& endpoint, const std::string& request,
                const std::string& event);
   void After(int64_t delay_ms, std::function<void()> action);
@@ -323,7 +323,7 @@
 
 void EndpointStandin::State::EndRun(Endpoint& endpoint,
                                     const std::string& request, RunPlan plan,
-                                    bool cut_off, HttpReply reply) {
+                                    bool cut_off, const HttpReply& reply) {
   endpoint.busy_slots--;
   this->Journal(endpoint, request, "ended");
   if (endpoint.faults.lose_answers > 0) {
@@ -377,10 +377,11 @@
     State* self = state.get();
     BOOST_LEAF_ASSIGN(
         state->control,
-        HttpServer::Start(loop, options,
-                          [self](const HttpRequest& request, HttpReply reply) {
-                            self->HandleControl(request, reply, "");
-                          }));
+        HttpServer::Start(
+            loop, options,
+            [self](const HttpRequest& request, const HttpReply& reply) {
+              self->HandleControl(request, reply, "");
+            }));
   }
   return std::unique_ptr<EndpointStandin>(
       new EndpointStandin(std::move(state)));
