--- a/tests/system/FaultTest.cpp
+++ b/tests/system/FaultTest.cpp
@@ -308,6 +308,7 @@
            Fault::kVmListEmpty)
 FAULT_CASE(kill_entry_and_endpoint_loses_answers, Fault::kKillEntry,
            Fault::kEndpointLosesAnswers)
+FAULT_CASE(store_slow_and_kill_owner, Fault::kStoreSlow, Fault::kKillOwner)
 FAULT_CASE(store_slow_and_kill_entry, Fault::kStoreSlow, Fault::kKillEntry)
 FAULT_CASE(worker_unreachable_and_store_outage, Fault::kWorkerUnreachable,
            Fault::kStoreOutage, 5'000)
