Make the nesting test fail without the depth check

Cause: with the depth check switched off the test still passed, since its unclosed brackets are malformed in any case. Change: closed brackets; without the check the process crashes while writing the payload.

--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -58,7 +58,9 @@
       {"not an object", "[]", 400, ""},
       {"text after the object", BodyWith("") + "x", 400, ""},
       {"nesting that would exhaust the stack",
-       BodyWith(R"(,"payload":)" + std::string(100'000, '[')), 400, ""},
+       BodyWith(R"(,"payload":)" + std::string(100'000, '[') +
+                std::string(100'000, ']')),
+       400, ""},
       {"key twice", BodyWith(R"(,"key":"k2")"), 400, "\"key\""},
       {"unknown key", BodyWith(R"(,"dead_line":1)"), 400, "\"dead_line\""},
       {"unknown size", BodyWith(R"(,"resources":{"cores":1})"), 400,
