--- a/src/scheduler/EntryTracker.cpp
+++ b/src/scheduler/EntryTracker.cpp
@@ -9,7 +9,7 @@
 namespace dotterelcove {
 
 EntryTracker::EntryTracker(Services& services, RecordWriter& writer,
-                           std::set<std::string> down,
+                           const std::set<std::string>& down,
                            std::function<void()> changed)
     : services(services),
       writer(writer),
--- a/src/scheduler/EntryTracker.h
+++ b/src/scheduler/EntryTracker.h
@@ -28,7 +28,8 @@
  public:
   /// `changed` runs when an entry daemon may be granted slots from now on.
   EntryTracker(Services& services, RecordWriter& writer,
-               std::set<std::string> down, std::function<void()> changed);
+               const std::set<std::string>& down,
+               std::function<void()> changed);
   EntryTracker(const EntryTracker&) = delete;
   EntryTracker& operator=(const EntryTracker&) = delete;
 
--- a/src/scheduler/ResultRecorder.cpp
+++ b/src/scheduler/ResultRecorder.cpp
@@ -44,7 +44,7 @@
     write();
     return;
   }
-  this->PutBody(job.submit.job, job.result.body, 0, [this, &job, write] {
+  this->PutBody(job.submit.job, job.result.body, 0, [&job, write] {
     job.result.object = "result/" + job.submit.job;
     // A body that fits into a frame stays here for fast answers.
     if (job.result.body.size() > kMaxFrameBodyBytes) job.result.body.clear();
@@ -52,7 +52,7 @@
   });
 }
 
-void ResultRecorder::PutBody(const std::string& id, std::string body,
+void ResultRecorder::PutBody(const std::string& id, const std::string& body,
                              int attempt, std::function<void()> done) {
   PutObject(
       this->services.objects, "result/" + id, body,
--- a/src/scheduler/ResultRecorder.h
+++ b/src/scheduler/ResultRecorder.h
@@ -33,7 +33,7 @@
   void RecordEnd(Job& job, std::function<void()> done);
 
  private:
-  void PutBody(const std::string& id, std::string body, int attempt,
+  void PutBody(const std::string& id, const std::string& body, int attempt,
                std::function<void()> done);
   void WriteEnd(const Job& job, std::function<void()> done);
 
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -24,8 +24,7 @@
 
 Scheduler::Scheduler(EventLoop& loop, const DaemonSettings& settings,
                      SchedulerHooks hooks)
-    : loop(loop),
-      settings(settings),
+    : settings(settings),
       hooks(std::move(hooks)),
       end_term(loop, [this] { this->present.reset(); }),
       stop_timer(loop, [this] { this->ContinueStop(); }) {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -68,7 +68,6 @@
   bool MayRenew() const;
   void ContinueStop();
 
-  EventLoop& loop;
   const DaemonSettings& settings;
   SchedulerHooks hooks;
   uint64_t incarnation;
--- a/src/scheduler/SchedulerDaemon.cpp
+++ b/src/scheduler/SchedulerDaemon.cpp
@@ -32,8 +32,8 @@
           [self](const CellConfig& config) {
             self->candidate->ApplyConfig(config);
           },
-          [self](LinkId link, wire::ConfigRequestT request) {
-            self->candidate->peers().Send(link, std::move(request));
+          [self](LinkId link, const wire::ConfigRequestT& request) {
+            self->candidate->peers().Send(link, request);
           }});
   SchedulerHooks hooks;
   hooks.config_version = [self] { return self->follower->in_force().version; };
@@ -56,7 +56,8 @@
   BOOST_LEAF_ASSIGN(
       self->server,
       HttpServer::Start(
-          loop, server, [self](const HttpRequest& request, HttpReply reply) {
+          loop, server,
+          [self](const HttpRequest& request, const HttpReply& reply) {
             HandleSchedulerRequest(self->operator_context, *self->candidate,
                                    request, reply);
           }));
--- a/standins/LinkStandin.cpp
+++ b/standins/LinkStandin.cpp
@@ -83,7 +83,7 @@
 /// One link with its listener and its relayed connections.
 struct LinkStandin::Relay {
   struct Session {
-    explicit Session(EventLoop& loop, std::function<void()> ready)
+    Session(EventLoop& loop, const std::function<void()>& ready)
         : client_watch(loop, [ready](int) { ready(); }),
           server_watch(loop, [ready](int) { ready(); }) {}
     ~Session() {
@@ -135,8 +135,9 @@
                     static_cast<uint16_t>(
                         std::atoi(this->spec.target.c_str() + colon + 1)));
     const int server = OpenSocket();
-    connect(server, reinterpret_cast<const sockaddr*>(&address),
-            sizeof(address));
+    // A refusal shows as a broken connection when the session first moves.
+    static_cast<void>(connect(
+        server, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
     this->sessions.emplace_back();
     const auto position = std::prev(this->sessions.end());
     *position = std::make_unique<Session>(
--- a/standins/Traffic.cpp
+++ b/standins/Traffic.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr TimeMs kAskAgainMs = 200;
-const char kCaller[] = "tests";
+constexpr char kCaller[] = "tests";
 
 /// Whether an answer is whole and belongs to the request. A job of several
 /// tasks answers {"results": [one of each task]}.
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -88,12 +88,12 @@
   server.receive_timeout_ms = 60'000;
   server.max_connections = 16'384;
   WorkerStandin* self = standin.get();
-  BOOST_LEAF_ASSIGN(
-      standin->server,
-      HttpServer::Start(loop, server,
-                        [self](const HttpRequest& request, HttpReply reply) {
-                          self->Handle(request, reply);
-                        }));
+  BOOST_LEAF_ASSIGN(standin->server,
+                    HttpServer::Start(loop, server,
+                                      [self](const HttpRequest& request,
+                                             const HttpReply& reply) {
+                                        self->Handle(request, reply);
+                                      }));
   for (auto& [id, worker] : standin->workers) {
     worker->vm.address = standin->UrlOf(id);
   }
