Take back the smaller receive buffer; tell the reason in "answered" events

Cause of the buffer change: 41.0 MB at 1,100 workers without a task. So the buffer is not what grows with the workers: libcurl allocates it but does not touch it. The default is back; the cause of 24 KB a worker is still to be found.

The "answered" event now carries the reason, so that "explain" can tell why a request was refused.

--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -80,7 +80,10 @@
       "request_seconds",
       static_cast<double>(MonotonicUs() - request.received_us) / kUsPerSecond,
       {{"class", request_class}});
-  AddRequestEvent(state, "answered", request, outcome);
+  // The reason lets "explain" tell why a request was refused.
+  AddRequestEvent(state, "answered", request,
+                  answer.reason.empty() ? outcome
+                                        : outcome + ": " + answer.reason);
   for (const std::string& caller : request.admitted) {
     Leave(state.limits, caller);
   }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -12,10 +12,6 @@
 namespace dotterelcove {
 namespace {
 
-/// The owner holds a call open to every worker. With libcurl's default of
-/// 16 KiB for each call, 1,100 workers took a third of the memory limit.
-constexpr long kReceiveBufferBytes = 4'096;
-
 /// One call in progress.
 struct Transfer {
   uint64_t id = 0;
@@ -223,7 +219,6 @@
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
