--- a/tests/SchedulerBasicTest.cpp
+++ b/tests/SchedulerBasicTest.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 // Guards against losing any kind of job on the way from Submit to Outcome.
-Test(SchedulerBasic, EveryKindOfJobEnds, .timeout = 60) {
+Test(SchedulerBasic, every_kind_of_job_ends, .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -44,7 +44,7 @@
 
 // Guards against running a key twice, and against answering another body with
 // the answer of the first.
-Test(SchedulerBasic, SameKeyJoinsAndOtherBodyConflicts, .timeout = 60) {
+Test(SchedulerBasic, same_key_joins_and_other_body_conflicts, .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto first = cell.MakeEntry("entry-1");
@@ -65,7 +65,7 @@
 }
 
 // Guards against a large answer that fits neither a row nor a frame.
-Test(SchedulerBasic, LargeResultIsInTheObjectStore, .timeout = 60) {
+Test(SchedulerBasic, large_result_is_in_the_object_store, .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -89,7 +89,7 @@
 }
 
 // Guards against refusing late, or not at all, what can never run.
-Test(SchedulerBasic, JobThatFitsNowhereIsRefused, .timeout = 60) {
+Test(SchedulerBasic, job_that_fits_nowhere_is_refused, .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -106,7 +106,7 @@
 
 // Guards against a false "not run" for a cancelled job that had started, and
 // against running one that was told "not run".
-Test(SchedulerBasic, CancelTellsWhetherItRan, .timeout = 60) {
+Test(SchedulerBasic, cancel_tells_whether_it_ran, .timeout = 60) {
   HarnessOptions options;
   options.workers = 1;
   options.worker_cores = 1;
@@ -135,7 +135,8 @@
 
 // Guards against a handle that stops working when its job ends or its owner
 // has forgotten the job.
-Test(SchedulerBasic, StatusIsAnsweredBeforeAndAfterTheEnd, .timeout = 60) {
+Test(SchedulerBasic, status_is_answered_before_and_after_the_end,
+     .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -170,7 +171,7 @@
 
 // Guards against a planned stop that loses or repeats work, or that leaves the
 // others waiting for the end of its lease.
-Test(SchedulerBasic, PlannedStopHandsOver, .timeout = 60) {
+Test(SchedulerBasic, planned_stop_hands_over, .timeout = 60) {
   SchedulerHarness cell;
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -195,7 +196,7 @@
 }
 
 // Guards against new tasks on a worker that an operator drains.
-Test(SchedulerBasic, DrainedWorkerGetsNothing, .timeout = 60) {
+Test(SchedulerBasic, drained_worker_gets_nothing, .timeout = 60) {
   HarnessOptions options;
   options.workers = 2;
   SchedulerHarness cell(options);
--- a/tests/SchedulerFaultTest.cpp
+++ b/tests/SchedulerFaultTest.cpp
@@ -144,7 +144,7 @@
 // Guards against a task run twice, a false "not run", a non-idempotent task
 // started again, a worker above its capacity, and an accepted job that is lost,
 // when any of these faults occurs alone or with another one.
-ParameterizedTestParameters(SchedulerFault, NothingIsLostOrRunTwice) {
+ParameterizedTestParameters(SchedulerFault, nothing_is_lost_or_run_twice) {
   static FaultRow rows[] = {
       {"no fault", Fault::kNone, Fault::kNone},
       {"owner killed", Fault::kKillOwner, Fault::kNone},
@@ -180,7 +180,7 @@
   return cr_make_param_array(FaultRow, rows, sizeof(rows) / sizeof(rows[0]));
 }
 
-ParameterizedTest(FaultRow* row, SchedulerFault, NothingIsLostOrRunTwice,
+ParameterizedTest(FaultRow* row, SchedulerFault, nothing_is_lost_or_run_twice,
                   .timeout = 90) {
   cr_assert(RunRow(*row), "%s", row->name);
 }
--- a/tests/SchedulerSlotTest.cpp
+++ b/tests/SchedulerSlotTest.cpp
@@ -74,7 +74,7 @@
 
 // Guards against more requests on an endpoint than it has slots, and against a
 // lower class that gets a free slot before a higher one.
-Test(SchedulerSlot, GrantsWithinSlotsAndByClass, .timeout = 60) {
+Test(SchedulerSlot, grants_within_slots_and_by_class, .timeout = 60) {
   SchedulerHarness cell(MakeOptions(2, 2));
   cr_assert(cell.WaitForOwner());
   const auto entry = cell.MakeEntry("entry-1");
@@ -101,7 +101,7 @@
 }
 
 // Guards against running one key twice through two entry daemons.
-Test(SchedulerSlot, SameKeyIsGrantedOnce, .timeout = 60) {
+Test(SchedulerSlot, same_key_is_granted_once, .timeout = 60) {
   HarnessOptions options = MakeOptions(1, 4);
   options.entries = {"entry-1", "entry-2"};
   SchedulerHarness cell(options);
@@ -127,7 +127,7 @@
 }
 
 // Guards against new work for an endpoint after any sign that it leaves.
-Test(SchedulerSlot, LeavingEndpointGetsNothing, .timeout = 60) {
+Test(SchedulerSlot, leaving_endpoint_gets_nothing, .timeout = 60) {
   struct Row {
     const char* name;
     wire::SlotResult result;
@@ -172,7 +172,7 @@
 
 // Guards against using a slot a second time that a grant of the earlier owner
 // still occupies.
-Test(SchedulerSlot, NewOwnerWaitsForReports, .timeout = 60) {
+Test(SchedulerSlot, new_owner_waits_for_reports, .timeout = 60) {
   HarnessOptions options = MakeOptions(1, 1);
   options.entries = {"entry-1", "entry-2"};
   SchedulerHarness cell(options);
@@ -208,7 +208,8 @@
 
 // Guards against waiting for ever for an entry daemon that is gone, and against
 // granting before its slots must have come back.
-Test(SchedulerSlot, MissingEntryDelaysGrantsUntilItsDeadline, .timeout = 60) {
+Test(SchedulerSlot, missing_entry_delays_grants_until_its_deadline,
+     .timeout = 60) {
   HarnessOptions options = MakeOptions(1, 1);
   options.entries = {"entry-1", "entry-gone"};
   SchedulerHarness cell(options);
@@ -240,7 +241,7 @@
 // Guards against a non-idempotent request that is sent before its intent is
 // recorded, and against telling "not run" or running it again when the entry
 // daemon that had the slot is lost.
-Test(SchedulerSlot, LostNonIdempotentRequestIsUnknown, .timeout = 60) {
+Test(SchedulerSlot, lost_non_idempotent_request_is_unknown, .timeout = 60) {
   HarnessOptions options = MakeOptions(1, 4);
   options.entries = {"entry-1", "entry-2"};
   SchedulerHarness cell(options);
--- a/tests/WorkerClientTest.cpp
+++ b/tests/WorkerClientTest.cpp
@@ -87,7 +87,7 @@
 
 // Guards against reading "certainly not started" into an answer that does not
 // prove it, and against starting what the worker must refuse.
-Test(WorkerClient, StartOutcomes, .timeout = 60) {
+Test(WorkerClient, start_outcomes, .timeout = 60) {
   standins::WorkerFaults refuse;
   refuse.refuse_all = true;
   standins::WorkerFaults lose;
@@ -120,7 +120,7 @@
 }
 
 // Guards against a port that nobody listens on being taken as "may have run".
-Test(WorkerClient, RefusedConnectionIsNotSent, .timeout = 60) {
+Test(WorkerClient, refused_connection_is_not_sent, .timeout = 60) {
   Fixture fixture;
   WorkerClient client = fixture.client();
   fixture.workers.reset();
@@ -131,7 +131,7 @@
 }
 
 // Guards against running a task twice when its start arrives twice.
-Test(WorkerClient, SecondStartIsADuplicate, .timeout = 60) {
+Test(WorkerClient, second_start_is_a_duplicate, .timeout = 60) {
   Fixture fixture;
   fixture.Open({1, 1});
   cr_expect_eq(fixture.Start({1, 1}, "job").status, WorkerStatus::kOk);
@@ -143,7 +143,7 @@
 
 // Guards against losing a result before it has been recorded, and against
 // keeping it for ever.
-Test(WorkerClient, EndedTaskIsKeptUntilAcknowledged, .timeout = 60) {
+Test(WorkerClient, ended_task_is_kept_until_acknowledged, .timeout = 60) {
   Fixture fixture;
   fixture.Open({1, 1});
   const std::string payload = "{\"run_ms\": 1, \"result\": \"r\xC3\xA9\"}";
@@ -161,7 +161,7 @@
 
 // Guards against a task that outlives the lease by which a later owner takes
 // it as ended, and against probes that extend that lease.
-Test(WorkerClient, LapsedLeaseStopsTasks, .timeout = 60) {
+Test(WorkerClient, lapsed_lease_stops_tasks, .timeout = 60) {
   Fixture fixture;
   fixture.Open({1, 1});
   fixture.Start({1, 1}, "job");
@@ -183,7 +183,7 @@
 }
 
 // Guards against a codec that accepts a message it cannot read whole.
-Test(WorkerClient, MalformedMessagesAreRefused) {
+Test(WorkerClient, malformed_messages_are_refused) {
   const char* const texts[] = {
       "",
       "[]",
