--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -81,9 +81,9 @@
       static_cast<double>(MonotonicUs() - request.received_us) / kUsPerSecond,
       {{"class", request_class}});
   // The reason lets "explain" tell why a request was refused.
-  AddRequestEvent(state, "answered", request,
-                  answer.reason.empty() ? outcome
-                                        : outcome + ": " + answer.reason);
+  AddRequestEvent(
+      state, "answered", request,
+      answer.reason.empty() ? outcome : outcome + ": " + answer.reason);
   for (const std::string& caller : request.admitted) {
     Leave(state.limits, caller);
   }
