--- a/bench/CapacityRows.cpp
+++ b/bench/CapacityRows.cpp
@@ -20,6 +20,7 @@
 /// Limits of a daemon for control, see docs/design.md 1.6.
 constexpr double kCoreLimitPercent = 1.6;
 constexpr double kMemoryLimitMb = 32;
+constexpr double kPeerLimitKbPerSecond = 5;
 
 /// Processor time and memory of one process, from /proc.
 struct ProcessUse {
@@ -93,9 +94,41 @@
       60'000);
 }
 
+/// One of the deployments as shipped: 9 entry VMs, 50 workers, 50 endpoints.
+void AddFullDeploymentRows(BenchTable& table) {
+  DeploymentOptions options;
+  options.entries = 9;
+  options.schedulers = 9;
+  options.workers = 50;
+  options.endpoints = 50;
+  Deployment deployment(options);
+  if (!deployment.Start()) return;
+  const std::string owner = deployment.Owner();
+  const std::string standby = owner == "sched-1" ? "sched-2" : "sched-1";
+  deployment.loop().RunUntil([] { return false; }, 3'000);
+  const std::pair<std::string, std::string> daemons[] = {
+      {"owner", owner}, {"standby", standby}, {"entry daemon", "entry-1"}};
+  for (const auto& [role, process] : daemons) {
+    const std::string what = role + ", 9 entry VMs, no requests";
+    const double before = deployment.Metric(process, "peer_bytes_sent");
+    const TimeMs start = MonotonicMs();
+    AddUseRows(table, deployment, process, what);
+    const double bytes = deployment.Metric(process, "peer_bytes_sent") - before;
+    BenchRow row;
+    row.name = what + ": sent to other processes";
+    row.unit = "KB/s";
+    row.target = "<= 5";
+    row.ours = bytes / static_cast<double>(MonotonicMs() - start);
+    row.met = row.ours <= kPeerLimitKbPerSecond;
+    row.note = "over 10 s";
+    AddRow(table, row);
+  }
+}
+
 }  // namespace
 
 void AddCapacityRows(BenchTable& table) {
+  AddFullDeploymentRows(table);
   for (const int workers : kWorkerCounts) {
     DeploymentOptions options;
     options.schedulers = 1;
--- a/src/scheduler/SlotService.cpp
+++ b/src/scheduler/SlotService.cpp
@@ -39,7 +39,7 @@
 SlotService::SlotService(Services& services, JobTable& jobs,
                          JobService& job_service, RecordWriter& writer,
                          RowLookup& lookup, uint64_t epoch,
-                         std::set<std::string> down,
+                         const std::set<std::string>& down,
                          std::function<void()> fenced)
     : services(services),
       jobs(jobs),
@@ -48,8 +48,7 @@
       lookup(lookup),
       epoch(epoch),
       fenced(std::move(fenced)),
-      tracker(services, writer, std::move(down),
-              [this] { this->DispatchAll(); }),
+      tracker(services, writer, down, [this] { this->DispatchAll(); }),
       timer(services.loop, [this] { this->OnTimer(); }) {
   this->ScheduleTimer();
 }
--- a/src/scheduler/SlotService.h
+++ b/src/scheduler/SlotService.h
@@ -25,7 +25,7 @@
   /// `down` names the entry daemons that hold no grant.
   SlotService(Services& services, JobTable& jobs, JobService& job_service,
               RecordWriter& writer, RowLookup& lookup, uint64_t epoch,
-              std::set<std::string> down, std::function<void()> fenced);
+              const std::set<std::string>& down, std::function<void()> fenced);
   SlotService(const SlotService&) = delete;
   SlotService& operator=(const SlotService&) = delete;
 
--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "base/Clock.h"
 
@@ -20,8 +21,8 @@
 constexpr TimeMs kReadyTimeoutMs = 15'000;
 /// Below the ephemeral range, so that no outgoing connection takes a port.
 constexpr int kFirstPort = 12'000;
-constexpr int kPortsPerDeployment = 150;
-constexpr int kPortRanges = 130;
+constexpr int kPortsPerDeployment = 320;
+constexpr int kPortRanges = 60;
 
 /// The build folder: every binary lies beside the one that runs now.
 std::string BinaryFolder() {
@@ -378,9 +379,8 @@
   return this->processes.at(name).pid;
 }
 
-nlohmann::json Deployment::Call(const std::string& method,
-                                const std::string& url,
-                                const std::string& body) {
+HttpResult Deployment::Fetch(const std::string& method, const std::string& url,
+                             const std::string& body) {
   HttpCall call;
   call.method = method;
   call.url = url;
@@ -394,12 +394,35 @@
   });
   this->event_loop.RunUntil([&] { return finished; }, 3'000);
   if (!finished) this->client.Cancel(id);
+  return result;
+}
+
+nlohmann::json Deployment::Call(const std::string& method,
+                                const std::string& url,
+                                const std::string& body) {
+  const HttpResult result = this->Fetch(method, url, body);
   auto answer = nlohmann::json::parse(result.body, nullptr, false);
   if (answer.is_discarded() || result.failure != HttpFailure::kNone) return {};
   if (answer.is_object()) answer["http_status"] = result.status;
   return answer;
 }
 
+double Deployment::Metric(const std::string& process, const std::string& name) {
+  const HttpResult result =
+      this->Fetch("GET", this->url(process) + "/metrics", "");
+  const std::string full_name = "dotterelcove_" + name;
+  std::istringstream lines(result.body);
+  std::string line;
+  double sum = 0;
+  while (std::getline(lines, line)) {
+    if (!line.starts_with(full_name)) continue;
+    const char next = line[full_name.size()];
+    if (next != ' ' && next != '{') continue;
+    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+  }
+  return sum;
+}
+
 bool Deployment::WaitForHttp(const std::string& name, const std::string& path,
                              TimeMs timeout_ms) {
   const bool any_status = path.rfind("/control", 0) == 0;
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -59,6 +59,8 @@
   nlohmann::json Control(const std::string& standin, const std::string& path,
                          const nlohmann::json& body);
   nlohmann::json Get(const std::string& process, const std::string& path);
+  /// The sum of one metric of a daemon over its label sets, 0 if it has none.
+  double Metric(const std::string& process, const std::string& name);
   /// The scheduler daemon that owns the partition now, or empty.
   std::string Owner();
   /// Waits until some scheduler daemon is the owner.
@@ -91,6 +93,8 @@
   void WriteVms();
   void WriteDaemonSettings(const std::string& process, bool scheduler);
   void Spawn(const std::string& process);
+  HttpResult Fetch(const std::string& method, const std::string& url,
+                   const std::string& body);
   nlohmann::json Call(const std::string& method, const std::string& url,
                       const std::string& body);
   bool WaitForHttp(const std::string& process, const std::string& path,
