--- a/src/scheduler/Term.cpp
+++ b/src/scheduler/Term.cpp
@@ -96,7 +96,7 @@
   this->adoption->OnSettled(false);
   this->slot_service = std::make_unique<SlotService>(
       this->services, this->table, this->job_service, this->writer,
-      this->lookup, this->term_epoch, std::move(records.entries_down),
+      this->lookup, this->term_epoch, records.entries_down,
       [this] { this->callbacks.superseded(0); });
   for (const auto& [id, intent] : records.intents) {
     this->slot_service->RecoverIntent(id, intent);
