--- /dev/null
+++ b/src/node/JobStore.cpp
@@ -0,0 +1,173 @@
+#include "node/JobStore.h"
+
+#include <memory>
+#include <utility>
+
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kRetryMs = 60;
+/// Tries after which a store that turns this process away is given up.
+constexpr int kMaxRefusals = 2;
+
+/// One change to the job table, tried until its outcome is known.
+struct Attempt {
+  Runtime runtime;
+  RowStore store;
+  std::string key;
+  std::string value;
+  TimeMs deadline_ms = 0;
+  JobAnswerCallback done;
+  /// An earlier try may have been carried out.
+  bool in_doubt = false;
+  int refusals = 0;
+};
+using AttemptPtr = std::shared_ptr<Attempt>;
+using Step = void (*)(const AttemptPtr&);
+
+void Finish(const AttemptPtr& attempt, JobAnswer answer, StoreRow row = {}) {
+  std::exchange(attempt->done, nullptr)(answer, std::move(row));
+}
+
+/// Tries again after a try that brought no usable answer, or gives up.
+void TryAgain(const AttemptPtr& attempt, StoreStatus status, Step step) {
+  if (status == StoreStatus::kRefused) {
+    attempt->refusals++;
+    if (!attempt->in_doubt && attempt->refusals >= kMaxRefusals) {
+      Finish(attempt, JobAnswer::kRefused);
+      return;
+    }
+  }
+  if (attempt->runtime.now() + kRetryMs >= attempt->deadline_ms) {
+    Finish(attempt,
+           attempt->in_doubt ? JobAnswer::kUnknown : JobAnswer::kRefused);
+    return;
+  }
+  attempt->runtime.after(kRetryMs, [attempt, step] { step(attempt); });
+}
+
+void TryInsert(const AttemptPtr& attempt) {
+  RowTransaction transaction;
+  transaction.conditions.push_back({workflow::kJobTable, attempt->key, 0});
+  transaction.puts.push_back(
+      {workflow::kJobTable, attempt->key, attempt->value});
+  attempt->store.transact(
+      std::move(transaction), [attempt](const StoreAnswer& answer) {
+        if (answer.status == StoreStatus::kOk) {
+          StoreRow row{workflow::kJobTable, attempt->key, attempt->value,
+                       answer.version, false};
+          Finish(attempt, JobAnswer::kStored, std::move(row));
+          return;
+        }
+        if (answer.status == StoreStatus::kConflict) {
+          // The id is stored, by an earlier try or another process.
+          StoreRow row;
+          for (const StoreRow& each : answer.rows) {
+            if (each.key == attempt->key) row = each;
+          }
+          Finish(attempt, JobAnswer::kStored, std::move(row));
+          return;
+        }
+        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        TryAgain(attempt, answer.status, TryInsert);
+      });
+}
+
+void TryCancel(const AttemptPtr& attempt);
+
+void PutCancellation(const AttemptPtr& attempt, uint64_t job_version) {
+  RowTransaction transaction;
+  transaction.conditions.push_back(
+      {workflow::kJobTable, attempt->key, job_version});
+  transaction.puts.push_back({workflow::kJobTable,
+                              attempt->key + workflow::kCancelSuffix, "1"});
+  attempt->store.transact(
+      std::move(transaction), [attempt](const StoreAnswer& answer) {
+        if (answer.status == StoreStatus::kOk) {
+          StoreRow row{workflow::kJobTable,
+                       attempt->key + workflow::kCancelSuffix, "1",
+                       answer.version, false};
+          Finish(attempt, JobAnswer::kStored, std::move(row));
+          return;
+        }
+        if (answer.status == StoreStatus::kConflict) {
+          // The job has ended meanwhile.
+          TryCancel(attempt);
+          return;
+        }
+        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        TryAgain(attempt, answer.status, TryCancel);
+      });
+}
+
+void TryCancel(const AttemptPtr& attempt) {
+  attempt->store.read_one(
+      workflow::kJobTable, attempt->key, [attempt](const StoreAnswer& answer) {
+        if (answer.status != StoreStatus::kOk) {
+          TryAgain(attempt, answer.status, TryCancel);
+          return;
+        }
+        if (answer.rows.empty()) {
+          Finish(attempt, JobAnswer::kNotFound);
+          return;
+        }
+        if (workflow::DecodeJob(answer.rows.front().value).ended) {
+          Finish(attempt, JobAnswer::kStored);
+          return;
+        }
+        PutCancellation(attempt, answer.rows.front().version);
+      });
+}
+
+AttemptPtr MakeAttempt(const Runtime& runtime, const RowStore& store,
+                       const std::string& key, TimeMs deadline_ms,
+                       JobAnswerCallback done) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->runtime = runtime;
+  attempt->store = store;
+  attempt->key = key;
+  attempt->deadline_ms = deadline_ms;
+  attempt->done = std::move(done);
+  return attempt;
+}
+
+}  // namespace
+
+void InsertJob(const Runtime& runtime, const RowStore& store,
+               const std::string& key, const std::string& value,
+               TimeMs deadline_ms, JobAnswerCallback done) {
+  const AttemptPtr attempt =
+      MakeAttempt(runtime, store, key, deadline_ms, std::move(done));
+  attempt->value = value;
+  TryInsert(attempt);
+}
+
+void InsertCancellation(const Runtime& runtime, const RowStore& store,
+                        const std::string& id, TimeMs deadline_ms,
+                        JobAnswerCallback done) {
+  TryCancel(MakeAttempt(runtime, store, id, deadline_ms, std::move(done)));
+}
+
+void LookUpJob(const RowStore& store, const std::string& id,
+               std::function<void(JobLookup)> done) {
+  store.read_one(
+      workflow::kJobTable, id,
+      [done = std::move(done)](const StoreAnswer& answer) {
+        JobLookup lookup;
+        lookup.status = answer.status;
+        lookup.found = !answer.rows.empty();
+        if (!lookup.found) {
+          done(lookup);
+          return;
+        }
+        const workflow::DecodedJob job =
+            workflow::DecodeJob(answer.rows.front().value);
+        lookup.phase =
+            job.ended ? job.ended->phase : workflow::JobPhase::kRunning;
+        done(lookup);
+      });
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,554 @@
+#include "node/Node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Clock.h"
+#include "base/Hash.h"
+#include "base/Random.h"
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+namespace {
+
+constexpr TimeMs kHeartbeatMs = 250;
+constexpr TimeMs kPeerSilenceMs = 900;
+/// The owner's answer about a job is waited for this long before the store is
+/// asked.
+constexpr TimeMs kOwnerAnswerMs = 250;
+constexpr TimeMs kOwnerInsertMs = 1'000;
+constexpr TimeMs kIsolationCheckMs = 200;
+/// Spreads the take-overs of the standbys.
+constexpr uint64_t kRankSteps = 12;
+constexpr TimeMs kRankStepMs = 6;
+/// A permit question that brings no answer is given up after this, besides the
+/// time it should take.
+constexpr TimeMs kPermitTimeoutMs = 2'500;
+
+std::string AskerName(const PeerInfo& info) {
+  return info.process + "/" + std::to_string(info.incarnation);
+}
+
+workflow::PermitAnswer ReadPermitReply(const wire::FrameT* frame) {
+  workflow::PermitAnswer answer;
+  if (frame == nullptr) return answer;
+  const wire::PermitReplyT* reply = frame->body.AsPermitReply();
+  if (reply == nullptr) return answer;
+  answer.status = static_cast<workflow::PermitStatus>(reply->status);
+  answer.validity_ms = reply->validity_ms;
+  for (const auto& row : reply->granted) {
+    answer.grants.push_back({row->worker, row->ticket});
+  }
+  return answer;
+}
+
+}  // namespace
+
+Node::Node(EventLoop& loop, Runtime runtime, NodeOptions options,
+           NodePorts ports, Metrics& metrics)
+    : loop(loop),
+      runtime(std::move(runtime)),
+      options(std::move(options)),
+      ports(std::move(ports)),
+      metrics(metrics) {
+  Random random = MakeSystemRandom();
+  this->incarnation = random() | 1U;
+  this->peer_heard_ms = this->runtime.now();
+}
+
+Node::~Node() {
+  *this->alive = false;
+  if (this->controller) workflow::StopController(*this->controller);
+}
+
+Result<void> Node::Start() {
+  PeerOptions peer_options;
+  peer_options.process = this->options.process;
+  peer_options.incarnation = this->incarnation;
+  peer_options.role = wire::Role::Scheduler;
+  peer_options.zone = this->options.zone;
+  peer_options.listen_address = this->options.peer_address;
+  peer_options.listen_port = this->options.peer_port;
+  peer_options.heartbeat_ms = kHeartbeatMs;
+  peer_options.silence_limit_ms = kPeerSilenceMs;
+  PeerCallbacks callbacks;
+  callbacks.connected = [this](const PeerInfo& info) {
+    this->OnPeerConnected(info);
+  };
+  callbacks.disconnected = [this](const PeerInfo& info, LinkEnd reason) {
+    this->OnPeerLost(info, reason);
+  };
+  callbacks.received = [this](const PeerInfo& info, wire::FrameT& frame) {
+    this->OnMessage(info, frame);
+  };
+  callbacks.dial_failed = [this](const std::string& address, LinkEnd reason) {
+    if (address != this->leadership->view().address) return;
+    this->leadership->OnOwnerLink(false, reason == LinkEnd::kNetworkError);
+  };
+  callbacks.make_heartbeat = [this] { return this->MakeHeartbeat(); };
+  LeadershipOptions leader_options;
+  leader_options.process = this->options.process;
+  leader_options.address = this->options.peer_address + ":" +
+                           std::to_string(this->options.peer_port);
+  leader_options.incarnation = this->incarnation;
+  leader_options.rank_delay_ms =
+      static_cast<TimeMs>(Hash64(this->options.process) % kRankSteps) *
+      kRankStepMs;
+  LeadershipCallbacks leader_callbacks;
+  leader_callbacks.acquired = [this](const std::shared_ptr<OwnerLog>& log) {
+    this->OnAcquired(log);
+  };
+  leader_callbacks.lost = [this] { this->OnLost(); };
+  leader_callbacks.owner_changed = [this](const OwnerRow& row) {
+    this->OnOwnerChanged(row);
+  };
+  this->leadership = std::make_shared<Leadership>(
+      this->runtime, this->ports.store, leader_options, leader_callbacks);
+  BOOST_LEAF_ASSIGN(this->peers,
+                    PeerNode::Start(this->loop, peer_options,
+                                    std::move(callbacks), this->clock));
+  this->leadership->Start();
+  return {};
+}
+
+void Node::OnAcquired(const std::shared_ptr<OwnerLog>& log) {
+  this->owner_link = 0;
+  this->peers->SetDialled({});
+  this->controller = std::make_shared<workflow::Controller>();
+  workflow::Controller& c = *this->controller;
+  c.runtime = this->runtime;
+  c.store = this->ports.store;
+  c.port = this->ports.workers;
+  c.options = this->options.controller;
+  c.log = log;
+  c.epoch = log->row().epoch;
+  c.policies = this->policies;
+  c.fenced = [this] {
+    // Not from inside the controller, which this ends.
+    this->runtime.after(0, [this, alive = this->alive] {
+      if (*alive) this->leadership->OnFenced();
+    });
+  };
+  c.observe = [this](const char* name, TimeMs waited_ms) {
+    this->metrics.ObserveSeconds("wait_seconds",
+                                 static_cast<double>(waited_ms) / 1'000,
+                                 {{"of", name}});
+  };
+  this->metrics.Count("takeovers_total");
+  workflow::AddAsker(c, this->options.process, this->ports.permits);
+  for (const auto& [link, info] : this->peers->peers()) {
+    workflow::AddAsker(c, AskerName(info), this->MakeRemoteAsker(link));
+  }
+  this->peer_heard_ms = this->runtime.now();
+  workflow::StartController(c);
+  this->peers->SendHeartbeats();
+  this->PollWorkers();
+  this->CheckIsolation();
+}
+
+void Node::OnLost() {
+  if (!this->controller) return;
+  workflow::StopController(*this->controller);
+  // The controller may be on the stack.
+  this->runtime.after(0, [old = std::move(this->controller)] {});
+  this->controller = nullptr;
+  if (this->peers) this->peers->SendHeartbeats();
+}
+
+void Node::OnOwnerChanged(const OwnerRow& row) {
+  this->owner_link = 0;
+  Log(LogLevel::kInfo, "owner_changed",
+      {F("owner", row.process), F("address", row.address),
+       F("epoch", row.epoch)});
+  const bool other = !row.process.empty() &&
+                     row.incarnation != this->incarnation &&
+                     row.process != this->options.process;
+  std::vector<std::string> dialled;
+  if (other) dialled.push_back(row.address);
+  this->peers->SetDialled(dialled);
+  for (const auto& [link, info] : this->peers->peers()) {
+    if (info.incarnation != row.incarnation) continue;
+    this->owner_link = link;
+    this->leadership->OnOwnerLink(true, false);
+  }
+}
+
+void Node::PollWorkers() {
+  const workflow::ControllerPtr current = this->controller;
+  if (!current || this->stopping) return;
+  this->ports.list_workers(
+      [this, current, alive = this->alive](
+          const std::optional<std::vector<workflow::WorkerInfo>>& list) {
+        if (!*alive || current->stopped) return;
+        if (list) workflow::UpdateFleet(*current, *list);
+        this->runtime.after(this->options.list_interval_ms,
+                            [this, current, alive] {
+                              if (!*alive || this->controller != current) return;
+                              this->PollWorkers();
+                            });
+      });
+}
+
+void Node::CheckIsolation() {
+  const workflow::ControllerPtr current = this->controller;
+  if (!current) return;
+  const TimeMs limit_ms = this->options.controller.isolation_ms;
+  const TimeMs silent_ms = this->runtime.now() - this->peer_heard_ms;
+  const bool isolated = this->had_peers && silent_ms > limit_ms &&
+                        current->log->store_age_ms() > limit_ms;
+  workflow::SuspendController(*current, isolated);
+  this->runtime.after(kIsolationCheckMs, [this, current, alive = this->alive] {
+    if (*alive && this->controller == current) this->CheckIsolation();
+  });
+}
+
+workflow::PermitPort Node::MakeRemoteAsker(LinkId link) {
+  return [this, link, alive = this->alive](
+             const workflow::PermitQuestion& question,
+             workflow::PermitCallback done) {
+    if (!*alive) return;
+    const uint64_t call = AddCall(this->calls, link,
+                                  [done = std::move(done)](
+                                      const wire::FrameT* frame) {
+                                    done(ReadPermitReply(frame));
+                                  });
+    wire::PermitAskT ask;
+    ask.call = call;
+    ask.step = question.step;
+    ask.workers = question.workers;
+    this->peers->Send(link, std::move(ask));
+    this->runtime.after(kPermitTimeoutMs, [this, call, alive] {
+      if (*alive) EndCall(this->calls, call, nullptr);
+    });
+  };
+}
+
+void Node::AskPermitsHere(LinkId link, const wire::PermitAskT& ask) {
+  const uint64_t call = ask.call;
+  this->ports.permits(
+      {ask.step, ask.workers},
+      [this, link, call, alive = this->alive](
+          const workflow::PermitAnswer& answer) {
+        if (!*alive) return;
+        wire::PermitReplyT reply;
+        reply.call = call;
+        reply.status = static_cast<uint8_t>(answer.status);
+        reply.validity_ms = answer.validity_ms;
+        for (const workflow::PermitGrant& grant : answer.grants) {
+          auto row = std::make_unique<wire::PermitTicketT>();
+          row->worker = grant.worker;
+          row->ticket = grant.ticket;
+          reply.granted.push_back(std::move(row));
+        }
+        this->peers->Send(link, std::move(reply));
+      });
+}
+
+void Node::OnPeerConnected(const PeerInfo& info) {
+  this->had_peers = true;
+  this->peer_heard_ms = this->runtime.now();
+  if (this->controller) {
+    workflow::AddAsker(*this->controller, AskerName(info),
+                       this->MakeRemoteAsker(info.link));
+    return;
+  }
+  if (info.dialled.empty()) return;
+  if (info.dialled != this->leadership->view().address) return;
+  if (info.incarnation != this->leadership->view().incarnation) {
+    // Another process has the owner's address: the owner is gone.
+    this->leadership->OnOwnerLink(false, true);
+    return;
+  }
+  this->owner_link = info.link;
+  this->leadership->OnOwnerLink(true, false);
+}
+
+void Node::OnPeerLost(const PeerInfo& info, LinkEnd reason) {
+  EndCallsOf(this->calls, info.link);
+  Log(LogLevel::kInfo, "peer_lost",
+      {F("peer", info.process), F("reason", NameOf(kLinkEndNames, reason)),
+       F("was_owner", info.link == this->owner_link)});
+  if (this->controller) {
+    workflow::RemoveAsker(*this->controller, AskerName(info));
+  }
+  if (info.link != this->owner_link) return;
+  this->owner_link = 0;
+  // The redial that follows tells whether the process is gone.
+  this->leadership->OnOwnerLink(false, false);
+}
+
+wire::HeartbeatT Node::MakeHeartbeat() const {
+  wire::HeartbeatT beat;
+  beat.config_version = this->config_version;
+  beat.draining = this->stopping;
+  if (!this->controller) return beat;
+  const workflow::Controller& c = *this->controller;
+  beat.serving = true;
+  beat.owner_epoch = c.epoch;
+  beat.owner_process = this->options.process;
+  beat.sequence = c.log->row().sequence;
+  beat.store_age_ms = c.log->store_age_ms();
+  for (const auto& [queue, jobs] : workflow::CountPending(c)) {
+    auto count = std::make_unique<wire::QueueCountT>();
+    count->queue = queue;
+    count->jobs = jobs;
+    beat.pending.push_back(std::move(count));
+  }
+  return beat;
+}
+
+void Node::OnHeartbeat(const PeerInfo& info, const wire::HeartbeatT& beat) {
+  if (beat.config_version > this->config_version && this->config_behind) {
+    this->config_behind(beat.config_version);
+  }
+  if (!beat.serving) {
+    // It has given ownership up, or has not got it yet.
+    if (info.link == this->owner_link) {
+      OwnerReport report;
+      report.epoch = this->leadership->view().epoch;
+      report.incarnation = info.incarnation;
+      report.releasing = true;
+      this->leadership->OnReport(report);
+    }
+    return;
+  }
+  OwnerReport report;
+  report.epoch = beat.owner_epoch;
+  report.incarnation = info.incarnation;
+  report.sequence = beat.sequence;
+  report.store_age_ms = beat.store_age_ms;
+  report.releasing = beat.draining;
+  this->leadership->OnReport(report);
+  if (info.link != this->owner_link) return;
+  this->pending.clear();
+  this->pending_known = true;
+  for (const auto& count : beat.pending) {
+    this->pending[count->queue] = count->jobs;
+  }
+}
+
+void Node::OnMessage(const PeerInfo& info, wire::FrameT& frame) {
+  this->peer_heard_ms = this->runtime.now();
+  if (const auto* beat = frame.body.AsHeartbeat()) {
+    this->OnHeartbeat(info, *beat);
+    return;
+  }
+  if (const auto* notice = frame.body.AsJobNotice()) {
+    if (!this->controller) return;
+    workflow::AdmitRow(*this->controller,
+                       {workflow::kJobTable, notice->key, notice->value,
+                        notice->version, false});
+    return;
+  }
+  if (const auto* query = frame.body.AsJobQuery()) {
+    wire::JobQueryReplyT reply;
+    reply.call = query->call;
+    if (this->controller) {
+      const auto phase = workflow::QueryJob(*this->controller, query->job);
+      reply.known = phase.has_value();
+      if (phase) reply.phase = static_cast<uint8_t>(*phase);
+    }
+    this->peers->Send(info.link, std::move(reply));
+    return;
+  }
+  if (const auto* insert = frame.body.AsJobInsert()) {
+    const uint64_t call = insert->call;
+    InsertJob(this->runtime, this->ports.store, insert->key, insert->value,
+              this->runtime.now() + kOwnerInsertMs,
+              [this, call, link = info.link, alive = this->alive](
+                  JobAnswer answer, const StoreRow& row) {
+                if (!*alive) return;
+                if (answer == JobAnswer::kStored) this->NotifyOwner(row);
+                wire::JobInsertReplyT reply;
+                reply.call = call;
+                reply.status = static_cast<uint8_t>(answer);
+                this->peers->Send(link, std::move(reply));
+              });
+    return;
+  }
+  if (const auto* ask = frame.body.AsPermitAsk()) {
+    this->AskPermitsHere(info.link, *ask);
+    return;
+  }
+  if (const auto* reply = frame.body.AsPermitReply()) {
+    EndCall(this->calls, reply->call, &frame);
+    return;
+  }
+  if (const auto* reply = frame.body.AsJobQueryReply()) {
+    EndCall(this->calls, reply->call, &frame);
+    return;
+  }
+  if (const auto* reply = frame.body.AsJobInsertReply()) {
+    EndCall(this->calls, reply->call, &frame);
+  }
+}
+
+void Node::NotifyOwner(const StoreRow& row) {
+  if (row.version == 0) return;
+  if (this->controller) {
+    workflow::AdmitRow(*this->controller, row);
+    return;
+  }
+  if (this->owner_link == 0) return;
+  wire::JobNoticeT notice;
+  notice.key = row.key;
+  notice.value = row.value;
+  notice.version = row.version;
+  this->peers->Send(this->owner_link, std::move(notice));
+}
+
+void Node::InsertThroughOwner(const std::string& key, const std::string& value,
+                              std::function<void(JobAnswer)> done) {
+  if (this->owner_link == 0) {
+    done(JobAnswer::kRefused);
+    return;
+  }
+  const uint64_t call = AddCall(
+      this->calls, this->owner_link,
+      [done = std::move(done)](const wire::FrameT* frame) {
+        const auto* reply =
+            frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
+        // Without an answer the owner may have stored the job.
+        done(reply == nullptr ? JobAnswer::kUnknown
+                              : static_cast<JobAnswer>(reply->status));
+      });
+  wire::JobInsertT insert;
+  insert.call = call;
+  insert.key = key;
+  insert.value = value;
+  this->peers->Send(this->owner_link, std::move(insert));
+  constexpr TimeMs kSlackMs = 200;
+  this->runtime.after(kOwnerInsertMs + kSlackMs,
+                      [this, call, alive = this->alive] {
+                        if (*alive) EndCall(this->calls, call, nullptr);
+                      });
+}
+
+void Node::Submit(const workflow::JobSpec& spec, TimeMs timeout_ms,
+                  std::function<void(JobAnswer)> done) {
+  const std::string key = spec.id;
+  const std::string value = workflow::EncodeJob(spec);
+  const TimeMs began_ms = this->runtime.now();
+  const auto finish = [this, key, began_ms, queue = spec.queue,
+                       done = std::move(done)](JobAnswer answer,
+                                               const char* through) {
+    const TimeMs took_ms = this->runtime.now() - began_ms;
+    this->metrics.ObserveSeconds("wait_seconds",
+                                 static_cast<double>(took_ms) / 1'000,
+                                 {{"of", "accept"}});
+    this->metrics.Count("submissions_total",
+                        {{"answer", std::string(NameOf(kJobAnswerNames, answer))}});
+    const bool stored = answer == JobAnswer::kStored;
+    Log(stored ? LogLevel::kInfo : LogLevel::kWarning,
+        stored ? "job_accepted" : "job_not_accepted",
+        {F("job", key), F("queue", queue),
+         F("answer", NameOf(kJobAnswerNames, answer)), F("through", through),
+         F("took_ms", took_ms)});
+    done(answer);
+  };
+  InsertJob(this->runtime, this->ports.store, key, value,
+            began_ms + timeout_ms,
+            [this, key, value, finish, alive = this->alive](
+                JobAnswer answer, const StoreRow& row) {
+              if (!*alive) return;
+              if (answer == JobAnswer::kStored) this->NotifyOwner(row);
+              if (answer != JobAnswer::kRefused) {
+                finish(answer, "store");
+                return;
+              }
+              this->InsertThroughOwner(key, value,
+                                       [finish](JobAnswer through_owner) {
+                                         finish(through_owner, "owner");
+                                       });
+            });
+}
+
+void Node::Cancel(const std::string& id, TimeMs timeout_ms,
+                  std::function<void(JobAnswer)> done) {
+  InsertCancellation(
+      this->runtime, this->ports.store, id, this->runtime.now() + timeout_ms,
+      [this, id, done = std::move(done), alive = this->alive](
+          JobAnswer answer, const StoreRow& row) {
+        if (!*alive) return;
+        Log(LogLevel::kInfo, "cancel_answered",
+            {F("job", id), F("answer", NameOf(kJobAnswerNames, answer))});
+        if (answer == JobAnswer::kStored) this->NotifyOwner(row);
+        done(answer);
+      });
+}
+
+void Node::Query(const std::string& id, std::function<void(JobStatus)> done) {
+  const auto from_store = [this, id, done] {
+    LookUpJob(this->ports.store, id, [done](const JobLookup& lookup) {
+      JobStatus status;
+      status.answered = lookup.status == StoreStatus::kOk;
+      status.found = lookup.found;
+      status.phase = lookup.phase;
+      status.source = "store";
+      done(status);
+    });
+  };
+  if (this->controller) {
+    const auto phase = workflow::QueryJob(*this->controller, id);
+    if (!phase) {
+      from_store();
+      return;
+    }
+    done({true, true, *phase, "owner"});
+    return;
+  }
+  if (this->owner_link == 0) {
+    from_store();
+    return;
+  }
+  const uint64_t call = AddCall(
+      this->calls, this->owner_link,
+      [done, from_store](const wire::FrameT* frame) {
+        const auto* reply =
+            frame == nullptr ? nullptr : frame->body.AsJobQueryReply();
+        if (reply == nullptr || !reply->known) {
+          from_store();
+          return;
+        }
+        done({true, true, static_cast<workflow::JobPhase>(reply->phase),
+              "owner"});
+      });
+  wire::JobQueryT query;
+  query.call = call;
+  query.job = id;
+  this->peers->Send(this->owner_link, std::move(query));
+  this->runtime.after(kOwnerAnswerMs, [this, call, alive = this->alive] {
+    if (*alive) EndCall(this->calls, call, nullptr);
+  });
+}
+
+std::optional<uint32_t> Node::Pending(const std::string& queue) const {
+  if (this->controller && this->controller->loaded) {
+    const auto counts = workflow::CountPending(*this->controller);
+    const auto found = counts.find(queue);
+    return found == counts.end() ? 0 : found->second;
+  }
+  if (!this->pending_known) return std::nullopt;
+  const auto found = this->pending.find(queue);
+  return found == this->pending.end() ? 0 : found->second;
+}
+
+void Node::UpdatePolicies(
+    std::map<std::string, workflow::QueuePolicy> new_policies,
+    uint64_t version) {
+  this->policies = std::move(new_policies);
+  this->config_version = version;
+  if (this->controller) {
+    workflow::UpdatePolicies(*this->controller, this->policies);
+  }
+}
+
+void Node::Stop(std::function<void()> done) {
+  this->stopping = true;
+  this->leadership->Release([this, done = std::move(done)] {
+    this->peers->SendHeartbeats();
+    done();
+  });
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/node/PeerCalls.h
@@ -0,0 +1,52 @@
+/// Questions to a peer that are waiting for its answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "dotterelcove/Types.h"
+#include "peer/Framing.h"
+
+namespace dotterelcove {
+
+/// Runs once, with null when no answer came.
+using PeerAnswer = std::function<void(const wire::FrameT*)>;
+
+struct PeerCalls {
+  struct Open {
+    uint64_t link = 0;
+    PeerAnswer answer;
+  };
+  std::map<uint64_t, Open> open;
+  uint64_t next_call = 1;
+};
+
+/// Registers a question sent over `link`; returns its number.
+inline uint64_t AddCall(PeerCalls& calls, uint64_t link, PeerAnswer answer) {
+  const uint64_t call = calls.next_call++;
+  calls.open[call] = {link, std::move(answer)};
+  return call;
+}
+
+/// Ends a question; nothing happens if it has ended already.
+inline void EndCall(PeerCalls& calls, uint64_t call,
+                    const wire::FrameT* answer) {
+  const auto found = calls.open.find(call);
+  if (found == calls.open.end()) return;
+  const PeerAnswer done = std::move(found->second.answer);
+  calls.open.erase(found);
+  done(answer);
+}
+
+/// Ends every question sent over a connection that broke.
+inline void EndCallsOf(PeerCalls& calls, uint64_t link) {
+  std::vector<uint64_t> ended;
+  for (const auto& [call, open] : calls.open) {
+    if (open.link == link) ended.push_back(call);
+  }
+  for (const uint64_t call : ended) EndCall(calls, call, nullptr);
+}
+
+}  // namespace dotterelcove
--- a/src/peer/PeerNode.cpp
+++ b/src/peer/PeerNode.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <set>
 #include <utility>
 
 #include "base/Clock.h"
@@ -81,11 +82,7 @@
                                            node->options.listen_port});
   }
   for (const std::string& address : node->options.dial) {
-    const size_t index = node->dialers.size();
-    PeerNode* self = node.get();
-    node->dialers.push_back(std::make_unique<Dialer>(
-        loop, address, [self, index] { self->Dial(*self->dialers[index]); }));
-    node->dialers.back()->timer.StartAfter(0);
+    node->AddDialer(address);
   }
   node->tick.StartEvery(node->options.heartbeat_ms);
   return node;
@@ -124,6 +121,33 @@
   }
 }
 
+void PeerNode::AddDialer(const std::string& address) {
+  auto dialer = std::make_unique<Dialer>(this->loop, address, [this, address] {
+    const auto found = this->dialers.find(address);
+    if (found != this->dialers.end()) this->Dial(*found->second);
+  });
+  dialer->timer.StartAfter(0);
+  this->dialers[address] = std::move(dialer);
+}
+
+void PeerNode::SetDialled(const std::vector<std::string>& addresses) {
+  const std::set<std::string> wanted(addresses.begin(), addresses.end());
+  std::vector<LinkId> unwanted;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection->dialer == nullptr) continue;
+    if (wanted.contains(connection->dialer->address)) continue;
+    connection->dialer = nullptr;
+    unwanted.push_back(id);
+  }
+  std::erase_if(this->dialers, [&](const auto& dialer) {
+    return !wanted.contains(dialer.first);
+  });
+  for (const LinkId id : unwanted) this->OnEnded(id, LinkEnd::kClosedByPeer);
+  for (const std::string& address : wanted) {
+    if (!this->dialers.contains(address)) this->AddDialer(address);
+  }
+}
+
 void PeerNode::Dial(Dialer& dialer) {
   sockaddr_in address{};
   if (!ParseAddress(dialer.address, address)) return;
@@ -232,12 +256,21 @@
   if (reason == LinkEnd::kBadFrame || reason == LinkEnd::kBadHello) {
     this->past.bad_frames++;
   }
-  if (connection->dialer != nullptr) this->RetryLater(*connection->dialer);
+  std::string dialled;
+  if (connection->dialer != nullptr) {
+    dialled = connection->dialer->address;
+    this->RetryLater(*connection->dialer);
+  }
   // The link may be in the middle of a callback, so it is destroyed later.
   this->ended.push_back(std::move(connection));
   this->reaper.StartAfter(0);
   const auto peer = this->connected.find(id);
-  if (peer == this->connected.end()) return;
+  if (peer == this->connected.end()) {
+    if (!dialled.empty() && this->callbacks.dial_failed) {
+      this->callbacks.dial_failed(dialled, reason);
+    }
+    return;
+  }
   const PeerInfo info = peer->second;
   this->connected.erase(peer);
   this->callbacks.disconnected(info, reason);
--- a/src/peer/PeerNode.h
+++ b/src/peer/PeerNode.h
@@ -53,6 +53,9 @@
   std::function<void(const PeerInfo&, LinkEnd)> disconnected;
   /// Every message but Hello, heartbeats included.
   std::function<void(const PeerInfo&, wire::FrameT&)> received;
+  /// An outgoing connection ended before the hello: with kNetworkError nobody
+  /// listens at the address. May be empty.
+  std::function<void(const std::string& address, LinkEnd)> dial_failed;
   /// Content of the next heartbeat.
   std::function<wire::HeartbeatT()> make_heartbeat;
 };
@@ -88,6 +91,9 @@
   void Send(LinkId link, T message) {
     this->Send(link, MakeFrame(std::move(message)));
   }
+  /// Replaces the peers this process connects to; connections to others that it
+  /// opened are closed.
+  void SetDialled(const std::vector<std::string>& addresses);
   /// Sends a heartbeat to every peer now, besides the periodic ones.
   void SendHeartbeats();
   /// Connected peers, by link.
@@ -103,6 +109,7 @@
            HybridClock& clock);
   bool Listen();
   void OnAccept();
+  void AddDialer(const std::string& address);
   void Dial(Dialer& dialer);
   void RetryLater(Dialer& dialer);
   void AddConnection(int fd, Dialer* dialer);
@@ -121,7 +128,7 @@
   LinkId next_link = 1;
   std::map<LinkId, std::unique_ptr<Connection>> connections;
   std::map<LinkId, PeerInfo> connected;
-  std::vector<std::unique_ptr<Dialer>> dialers;
+  std::map<std::string, std::unique_ptr<Dialer>> dialers;
   std::vector<std::unique_ptr<Connection>> ended;
   PeerStats past;
   IoWatch accept_watch;
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -24,6 +24,42 @@
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
+struct QueueCount;
+struct QueueCountBuilder;
+struct QueueCountT;
+
+struct JobNotice;
+struct JobNoticeBuilder;
+struct JobNoticeT;
+
+struct JobInsert;
+struct JobInsertBuilder;
+struct JobInsertT;
+
+struct JobInsertReply;
+struct JobInsertReplyBuilder;
+struct JobInsertReplyT;
+
+struct JobQuery;
+struct JobQueryBuilder;
+struct JobQueryT;
+
+struct JobQueryReply;
+struct JobQueryReplyBuilder;
+struct JobQueryReplyT;
+
+struct PermitAsk;
+struct PermitAskBuilder;
+struct PermitAskT;
+
+struct PermitTicket;
+struct PermitTicketBuilder;
+struct PermitTicketT;
+
+struct PermitReply;
+struct PermitReplyBuilder;
+struct PermitReplyT;
+
 struct ConfigRequest;
 struct ConfigRequestBuilder;
 struct ConfigRequestT;
@@ -260,11 +296,18 @@
   SlotRefusal = 14,
   SlotRelease = 15,
   SlotReport = 16,
+  JobNotice = 17,
+  JobInsert = 18,
+  JobInsertReply = 19,
+  JobQuery = 20,
+  JobQueryReply = 21,
+  PermitAsk = 22,
+  PermitReply = 23,
   MIN = NONE,
-  MAX = SlotReport
+  MAX = PermitReply
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[24] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -282,13 +325,20 @@
     Body::SlotGrant,
     Body::SlotRefusal,
     Body::SlotRelease,
-    Body::SlotReport
+    Body::SlotReport,
+    Body::JobNotice,
+    Body::JobInsert,
+    Body::JobInsertReply,
+    Body::JobQuery,
+    Body::JobQueryReply,
+    Body::PermitAsk,
+    Body::PermitReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[25] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -306,13 +356,20 @@
     "SlotRefusal",
     "SlotRelease",
     "SlotReport",
+    "JobNotice",
+    "JobInsert",
+    "JobInsertReply",
+    "JobQuery",
+    "JobQueryReply",
+    "PermitAsk",
+    "PermitReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::SlotReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -385,6 +442,34 @@
   static const Body enum_value = Body::SlotReport;
 };
 
+template<> struct BodyTraits<dotterelcove::wire::JobNotice> {
+  static const Body enum_value = Body::JobNotice;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::JobInsert> {
+  static const Body enum_value = Body::JobInsert;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::JobInsertReply> {
+  static const Body enum_value = Body::JobInsertReply;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::JobQuery> {
+  static const Body enum_value = Body::JobQuery;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::JobQueryReply> {
+  static const Body enum_value = Body::JobQueryReply;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::PermitAsk> {
+  static const Body enum_value = Body::PermitAsk;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::PermitReply> {
+  static const Body enum_value = Body::PermitReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -453,6 +538,34 @@
   static const Body enum_value = Body::SlotReport;
 };
 
+template<> struct BodyUnionTraits<dotterelcove::wire::JobNoticeT> {
+  static const Body enum_value = Body::JobNotice;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::JobInsertT> {
+  static const Body enum_value = Body::JobInsert;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::JobInsertReplyT> {
+  static const Body enum_value = Body::JobInsertReply;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::JobQueryT> {
+  static const Body enum_value = Body::JobQuery;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::JobQueryReplyT> {
+  static const Body enum_value = Body::JobQueryReply;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::PermitAskT> {
+  static const Body enum_value = Body::PermitAsk;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::PermitReplyT> {
+  static const Body enum_value = Body::PermitReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -583,280 +696,1177 @@
     return type == Body::SlotGrant ?
       reinterpret_cast<dotterelcove::wire::SlotGrantT *>(value) : nullptr;
   }
-  const dotterelcove::wire::SlotGrantT *AsSlotGrant() const {
-    return type == Body::SlotGrant ?
-      reinterpret_cast<const dotterelcove::wire::SlotGrantT *>(value) : nullptr;
+  const dotterelcove::wire::SlotGrantT *AsSlotGrant() const {
+    return type == Body::SlotGrant ?
+      reinterpret_cast<const dotterelcove::wire::SlotGrantT *>(value) : nullptr;
+  }
+  dotterelcove::wire::SlotRefusalT *AsSlotRefusal() {
+    return type == Body::SlotRefusal ?
+      reinterpret_cast<dotterelcove::wire::SlotRefusalT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::SlotRefusalT *AsSlotRefusal() const {
+    return type == Body::SlotRefusal ?
+      reinterpret_cast<const dotterelcove::wire::SlotRefusalT *>(value) : nullptr;
+  }
+  dotterelcove::wire::SlotReleaseT *AsSlotRelease() {
+    return type == Body::SlotRelease ?
+      reinterpret_cast<dotterelcove::wire::SlotReleaseT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::SlotReleaseT *AsSlotRelease() const {
+    return type == Body::SlotRelease ?
+      reinterpret_cast<const dotterelcove::wire::SlotReleaseT *>(value) : nullptr;
+  }
+  dotterelcove::wire::SlotReportT *AsSlotReport() {
+    return type == Body::SlotReport ?
+      reinterpret_cast<dotterelcove::wire::SlotReportT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::SlotReportT *AsSlotReport() const {
+    return type == Body::SlotReport ?
+      reinterpret_cast<const dotterelcove::wire::SlotReportT *>(value) : nullptr;
+  }
+  dotterelcove::wire::JobNoticeT *AsJobNotice() {
+    return type == Body::JobNotice ?
+      reinterpret_cast<dotterelcove::wire::JobNoticeT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::JobNoticeT *AsJobNotice() const {
+    return type == Body::JobNotice ?
+      reinterpret_cast<const dotterelcove::wire::JobNoticeT *>(value) : nullptr;
+  }
+  dotterelcove::wire::JobInsertT *AsJobInsert() {
+    return type == Body::JobInsert ?
+      reinterpret_cast<dotterelcove::wire::JobInsertT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::JobInsertT *AsJobInsert() const {
+    return type == Body::JobInsert ?
+      reinterpret_cast<const dotterelcove::wire::JobInsertT *>(value) : nullptr;
+  }
+  dotterelcove::wire::JobInsertReplyT *AsJobInsertReply() {
+    return type == Body::JobInsertReply ?
+      reinterpret_cast<dotterelcove::wire::JobInsertReplyT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::JobInsertReplyT *AsJobInsertReply() const {
+    return type == Body::JobInsertReply ?
+      reinterpret_cast<const dotterelcove::wire::JobInsertReplyT *>(value) : nullptr;
+  }
+  dotterelcove::wire::JobQueryT *AsJobQuery() {
+    return type == Body::JobQuery ?
+      reinterpret_cast<dotterelcove::wire::JobQueryT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::JobQueryT *AsJobQuery() const {
+    return type == Body::JobQuery ?
+      reinterpret_cast<const dotterelcove::wire::JobQueryT *>(value) : nullptr;
+  }
+  dotterelcove::wire::JobQueryReplyT *AsJobQueryReply() {
+    return type == Body::JobQueryReply ?
+      reinterpret_cast<dotterelcove::wire::JobQueryReplyT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::JobQueryReplyT *AsJobQueryReply() const {
+    return type == Body::JobQueryReply ?
+      reinterpret_cast<const dotterelcove::wire::JobQueryReplyT *>(value) : nullptr;
+  }
+  dotterelcove::wire::PermitAskT *AsPermitAsk() {
+    return type == Body::PermitAsk ?
+      reinterpret_cast<dotterelcove::wire::PermitAskT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::PermitAskT *AsPermitAsk() const {
+    return type == Body::PermitAsk ?
+      reinterpret_cast<const dotterelcove::wire::PermitAskT *>(value) : nullptr;
+  }
+  dotterelcove::wire::PermitReplyT *AsPermitReply() {
+    return type == Body::PermitReply ?
+      reinterpret_cast<dotterelcove::wire::PermitReplyT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::PermitReplyT *AsPermitReply() const {
+    return type == Body::PermitReply ?
+      reinterpret_cast<const dotterelcove::wire::PermitReplyT *>(value) : nullptr;
+  }
+};
+
+bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
+bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
+
+struct HelloT : public flatbuffers::NativeTable {
+  typedef Hello TableType;
+  uint32_t protocol = 0;
+  std::string process{};
+  uint64_t incarnation = 0;
+  dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry;
+  std::string zone{};
+};
+
+struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HelloT NativeTableType;
+  typedef HelloBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROTOCOL = 4,
+    VT_PROCESS = 6,
+    VT_INCARNATION = 8,
+    VT_ROLE = 10,
+    VT_ZONE = 12
+  };
+  uint32_t protocol() const {
+    return GetField<uint32_t>(VT_PROTOCOL, 0);
+  }
+  const flatbuffers::String *process() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROCESS);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  dotterelcove::wire::Role role() const {
+    return static_cast<dotterelcove::wire::Role>(GetField<uint8_t>(VT_ROLE, 0));
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
+           VerifyOffset(verifier, VT_PROCESS) &&
+           verifier.VerifyString(process()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ROLE, 1) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           verifier.EndTable();
+  }
+  HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HelloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Hello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HelloBuilder {
+  typedef Hello Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_protocol(uint32_t protocol) {
+    fbb_.AddElement<uint32_t>(Hello::VT_PROTOCOL, protocol, 0);
+  }
+  void add_process(flatbuffers::Offset<flatbuffers::String> process) {
+    fbb_.AddOffset(Hello::VT_PROCESS, process);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Hello::VT_INCARNATION, incarnation, 0);
+  }
+  void add_role(dotterelcove::wire::Role role) {
+    fbb_.AddElement<uint8_t>(Hello::VT_ROLE, static_cast<uint8_t>(role), 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Hello::VT_ZONE, zone);
+  }
+  explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Hello> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Hello>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Hello> CreateHello(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t protocol = 0,
+    flatbuffers::Offset<flatbuffers::String> process = 0,
+    uint64_t incarnation = 0,
+    dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry,
+    flatbuffers::Offset<flatbuffers::String> zone = 0) {
+  HelloBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_zone(zone);
+  builder_.add_process(process);
+  builder_.add_protocol(protocol);
+  builder_.add_role(role);
+  return builder_.Finish();
+}
+
+struct Hello::Traits {
+  using type = Hello;
+  static auto constexpr Create = CreateHello;
+};
+
+inline flatbuffers::Offset<Hello> CreateHelloDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t protocol = 0,
+    const char *process = nullptr,
+    uint64_t incarnation = 0,
+    dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry,
+    const char *zone = nullptr) {
+  auto process__ = process ? _fbb.CreateString(process) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return dotterelcove::wire::CreateHello(
+      _fbb,
+      protocol,
+      process__,
+      incarnation,
+      role,
+      zone__);
+}
+
+flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct HeartbeatT : public flatbuffers::NativeTable {
+  typedef Heartbeat TableType;
+  uint64_t owner_epoch = 0;
+  std::string owner_process{};
+  bool serving = false;
+  uint64_t config_version = 0;
+  bool draining = false;
+  uint64_t sequence = 0;
+  int64_t store_age_ms = 0;
+  std::vector<std::unique_ptr<dotterelcove::wire::QueueCountT>> pending{};
+  HeartbeatT() = default;
+  HeartbeatT(const HeartbeatT &o);
+  HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
+  HeartbeatT &operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeartbeatT NativeTableType;
+  typedef HeartbeatBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OWNER_EPOCH = 4,
+    VT_OWNER_PROCESS = 6,
+    VT_SERVING = 8,
+    VT_CONFIG_VERSION = 10,
+    VT_DRAINING = 12,
+    VT_SEQUENCE = 14,
+    VT_STORE_AGE_MS = 16,
+    VT_PENDING = 18
+  };
+  uint64_t owner_epoch() const {
+    return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
+  }
+  const flatbuffers::String *owner_process() const {
+    return GetPointer<const flatbuffers::String *>(VT_OWNER_PROCESS);
+  }
+  bool serving() const {
+    return GetField<uint8_t>(VT_SERVING, 0) != 0;
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  bool draining() const {
+    return GetField<uint8_t>(VT_DRAINING, 0) != 0;
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int64_t store_age_ms() const {
+    return GetField<int64_t>(VT_STORE_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *>(VT_PENDING);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_OWNER_PROCESS) &&
+           verifier.VerifyString(owner_process()) &&
+           VerifyField<uint8_t>(verifier, VT_SERVING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_STORE_AGE_MS, 8) &&
+           VerifyOffset(verifier, VT_PENDING) &&
+           verifier.VerifyVector(pending()) &&
+           verifier.VerifyVectorOfTables(pending()) &&
+           verifier.EndTable();
+  }
+  HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Heartbeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeartbeatBuilder {
+  typedef Heartbeat Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_owner_epoch(uint64_t owner_epoch) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_OWNER_EPOCH, owner_epoch, 0);
+  }
+  void add_owner_process(flatbuffers::Offset<flatbuffers::String> owner_process) {
+    fbb_.AddOffset(Heartbeat::VT_OWNER_PROCESS, owner_process);
+  }
+  void add_serving(bool serving) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_SERVING, static_cast<uint8_t>(serving), 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_draining(bool draining) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_DRAINING, static_cast<uint8_t>(draining), 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_SEQUENCE, sequence, 0);
+  }
+  void add_store_age_ms(int64_t store_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
+  void add_pending(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending) {
+    fbb_.AddOffset(Heartbeat::VT_PENDING, pending);
+  }
+  explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Heartbeat> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Heartbeat>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t owner_epoch = 0,
+    flatbuffers::Offset<flatbuffers::String> owner_process = 0,
+    bool serving = false,
+    uint64_t config_version = 0,
+    bool draining = false,
+    uint64_t sequence = 0,
+    int64_t store_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending = 0) {
+  HeartbeatBuilder builder_(_fbb);
+  builder_.add_store_age_ms(store_age_ms);
+  builder_.add_sequence(sequence);
+  builder_.add_config_version(config_version);
+  builder_.add_owner_epoch(owner_epoch);
+  builder_.add_pending(pending);
+  builder_.add_owner_process(owner_process);
+  builder_.add_draining(draining);
+  builder_.add_serving(serving);
+  return builder_.Finish();
+}
+
+struct Heartbeat::Traits {
+  using type = Heartbeat;
+  static auto constexpr Create = CreateHeartbeat;
+};
+
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t owner_epoch = 0,
+    const char *owner_process = nullptr,
+    bool serving = false,
+    uint64_t config_version = 0,
+    bool draining = false,
+    uint64_t sequence = 0,
+    int64_t store_age_ms = 0,
+    const std::vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending = nullptr) {
+  auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
+  auto pending__ = pending ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>(*pending) : 0;
+  return dotterelcove::wire::CreateHeartbeat(
+      _fbb,
+      owner_epoch,
+      owner_process__,
+      serving,
+      config_version,
+      draining,
+      sequence,
+      store_age_ms,
+      pending__);
+}
+
+flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueueCountT : public flatbuffers::NativeTable {
+  typedef QueueCount TableType;
+  std::string queue{};
+  uint32_t jobs = 0;
+};
+
+struct QueueCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueCountT NativeTableType;
+  typedef QueueCountBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUEUE = 4,
+    VT_JOBS = 6
+  };
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  uint32_t jobs() const {
+    return GetField<uint32_t>(VT_JOBS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyField<uint32_t>(verifier, VT_JOBS, 4) &&
+           verifier.EndTable();
+  }
+  QueueCountT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueueCountT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueueCount> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueCountT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueueCountBuilder {
+  typedef QueueCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(QueueCount::VT_QUEUE, queue);
+  }
+  void add_jobs(uint32_t jobs) {
+    fbb_.AddElement<uint32_t>(QueueCount::VT_JOBS, jobs, 0);
+  }
+  explicit QueueCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueCount> CreateQueueCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    uint32_t jobs = 0) {
+  QueueCountBuilder builder_(_fbb);
+  builder_.add_jobs(jobs);
+  builder_.add_queue(queue);
+  return builder_.Finish();
+}
+
+struct QueueCount::Traits {
+  using type = QueueCount;
+  static auto constexpr Create = CreateQueueCount;
+};
+
+inline flatbuffers::Offset<QueueCount> CreateQueueCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *queue = nullptr,
+    uint32_t jobs = 0) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  return dotterelcove::wire::CreateQueueCount(
+      _fbb,
+      queue__,
+      jobs);
+}
+
+flatbuffers::Offset<QueueCount> CreateQueueCount(flatbuffers::FlatBufferBuilder &_fbb, const QueueCountT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobNoticeT : public flatbuffers::NativeTable {
+  typedef JobNotice TableType;
+  std::string key{};
+  std::string value{};
+  uint64_t version = 0;
+};
+
+struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobNoticeT NativeTableType;
+  typedef JobNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_VERSION = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  JobNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobNoticeBuilder {
+  typedef JobNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(JobNotice::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(JobNotice::VT_VALUE, value);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(JobNotice::VT_VERSION, version, 0);
+  }
+  explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobNotice> CreateJobNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0,
+    uint64_t version = 0) {
+  JobNoticeBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct JobNotice::Traits {
+  using type = JobNotice;
+  static auto constexpr Create = CreateJobNotice;
+};
+
+inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const char *value = nullptr,
+    uint64_t version = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return dotterelcove::wire::CreateJobNotice(
+      _fbb,
+      key__,
+      value__,
+      version);
+}
+
+flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobInsertT : public flatbuffers::NativeTable {
+  typedef JobInsert TableType;
+  uint64_t call = 0;
+  std::string key{};
+  std::string value{};
+};
+
+struct JobInsert FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobInsertT NativeTableType;
+  typedef JobInsertBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_KEY = 6,
+    VT_VALUE = 8
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  JobInsertT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobInsertT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobInsert> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobInsertBuilder {
+  typedef JobInsert Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(JobInsert::VT_CALL, call, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(JobInsert::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(JobInsert::VT_VALUE, value);
+  }
+  explicit JobInsertBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobInsert> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobInsert>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobInsert> CreateJobInsert(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  JobInsertBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct JobInsert::Traits {
+  using type = JobInsert;
+  static auto constexpr Create = CreateJobInsert;
+};
+
+inline flatbuffers::Offset<JobInsert> CreateJobInsertDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *key = nullptr,
+    const char *value = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return dotterelcove::wire::CreateJobInsert(
+      _fbb,
+      call,
+      key__,
+      value__);
+}
+
+flatbuffers::Offset<JobInsert> CreateJobInsert(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobInsertReplyT : public flatbuffers::NativeTable {
+  typedef JobInsertReply TableType;
+  uint64_t call = 0;
+  uint8_t status = 0;
+};
+
+struct JobInsertReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobInsertReplyT NativeTableType;
+  typedef JobInsertReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_STATUS = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  uint8_t status() const {
+    return GetField<uint8_t>(VT_STATUS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           verifier.EndTable();
+  }
+  JobInsertReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobInsertReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobInsertReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobInsertReplyBuilder {
+  typedef JobInsertReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(JobInsertReply::VT_CALL, call, 0);
+  }
+  void add_status(uint8_t status) {
+    fbb_.AddElement<uint8_t>(JobInsertReply::VT_STATUS, status, 0);
+  }
+  explicit JobInsertReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobInsertReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobInsertReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobInsertReply> CreateJobInsertReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint8_t status = 0) {
+  JobInsertReplyBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct JobInsertReply::Traits {
+  using type = JobInsertReply;
+  static auto constexpr Create = CreateJobInsertReply;
+};
+
+flatbuffers::Offset<JobInsertReply> CreateJobInsertReply(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobQueryT : public flatbuffers::NativeTable {
+  typedef JobQuery TableType;
+  uint64_t call = 0;
+  std::string job{};
+};
+
+struct JobQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobQueryT NativeTableType;
+  typedef JobQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_JOB = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           verifier.EndTable();
+  }
+  JobQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobQueryBuilder {
+  typedef JobQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(JobQuery::VT_CALL, call, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobQuery::VT_JOB, job);
+  }
+  explicit JobQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobQuery> CreateJobQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0) {
+  JobQueryBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct JobQuery::Traits {
+  using type = JobQuery;
+  static auto constexpr Create = CreateJobQuery;
+};
+
+inline flatbuffers::Offset<JobQuery> CreateJobQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *job = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return dotterelcove::wire::CreateJobQuery(
+      _fbb,
+      call,
+      job__);
+}
+
+flatbuffers::Offset<JobQuery> CreateJobQuery(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobQueryReplyT : public flatbuffers::NativeTable {
+  typedef JobQueryReply TableType;
+  uint64_t call = 0;
+  bool known = false;
+  uint8_t phase = 0;
+};
+
+struct JobQueryReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobQueryReplyT NativeTableType;
+  typedef JobQueryReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_KNOWN = 6,
+    VT_PHASE = 8
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  bool known() const {
+    return GetField<uint8_t>(VT_KNOWN, 0) != 0;
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           verifier.EndTable();
+  }
+  JobQueryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobQueryReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobQueryReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobQueryReplyBuilder {
+  typedef JobQueryReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(JobQueryReply::VT_CALL, call, 0);
+  }
+  void add_known(bool known) {
+    fbb_.AddElement<uint8_t>(JobQueryReply::VT_KNOWN, static_cast<uint8_t>(known), 0);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(JobQueryReply::VT_PHASE, phase, 0);
+  }
+  explicit JobQueryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobQueryReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobQueryReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobQueryReply> CreateJobQueryReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    bool known = false,
+    uint8_t phase = 0) {
+  JobQueryReplyBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_phase(phase);
+  builder_.add_known(known);
+  return builder_.Finish();
+}
+
+struct JobQueryReply::Traits {
+  using type = JobQueryReply;
+  static auto constexpr Create = CreateJobQueryReply;
+};
+
+flatbuffers::Offset<JobQueryReply> CreateJobQueryReply(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitAskT : public flatbuffers::NativeTable {
+  typedef PermitAsk TableType;
+  uint64_t call = 0;
+  std::string step{};
+  std::vector<std::string> workers{};
+};
+
+struct PermitAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitAskT NativeTableType;
+  typedef PermitAskBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_STEP = 6,
+    VT_WORKERS = 8
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *step() const {
+    return GetPointer<const flatbuffers::String *>(VT_STEP);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
   }
-  dotterelcove::wire::SlotRefusalT *AsSlotRefusal() {
-    return type == Body::SlotRefusal ?
-      reinterpret_cast<dotterelcove::wire::SlotRefusalT *>(value) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_STEP) &&
+           verifier.VerifyString(step()) &&
+           VerifyOffset(verifier, VT_WORKERS) &&
+           verifier.VerifyVector(workers()) &&
+           verifier.VerifyVectorOfStrings(workers()) &&
+           verifier.EndTable();
   }
-  const dotterelcove::wire::SlotRefusalT *AsSlotRefusal() const {
-    return type == Body::SlotRefusal ?
-      reinterpret_cast<const dotterelcove::wire::SlotRefusalT *>(value) : nullptr;
+  PermitAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitAskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitAsk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitAskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitAskBuilder {
+  typedef PermitAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(PermitAsk::VT_CALL, call, 0);
   }
-  dotterelcove::wire::SlotReleaseT *AsSlotRelease() {
-    return type == Body::SlotRelease ?
-      reinterpret_cast<dotterelcove::wire::SlotReleaseT *>(value) : nullptr;
+  void add_step(flatbuffers::Offset<flatbuffers::String> step) {
+    fbb_.AddOffset(PermitAsk::VT_STEP, step);
   }
-  const dotterelcove::wire::SlotReleaseT *AsSlotRelease() const {
-    return type == Body::SlotRelease ?
-      reinterpret_cast<const dotterelcove::wire::SlotReleaseT *>(value) : nullptr;
+  void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
+    fbb_.AddOffset(PermitAsk::VT_WORKERS, workers);
   }
-  dotterelcove::wire::SlotReportT *AsSlotReport() {
-    return type == Body::SlotReport ?
-      reinterpret_cast<dotterelcove::wire::SlotReportT *>(value) : nullptr;
+  explicit PermitAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const dotterelcove::wire::SlotReportT *AsSlotReport() const {
-    return type == Body::SlotReport ?
-      reinterpret_cast<const dotterelcove::wire::SlotReportT *>(value) : nullptr;
+  flatbuffers::Offset<PermitAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitAsk>(end);
+    return o;
   }
 };
 
-bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
-bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
+inline flatbuffers::Offset<PermitAsk> CreatePermitAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> step = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0) {
+  PermitAskBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_workers(workers);
+  builder_.add_step(step);
+  return builder_.Finish();
+}
 
-struct HelloT : public flatbuffers::NativeTable {
-  typedef Hello TableType;
-  uint32_t protocol = 0;
-  std::string process{};
-  uint64_t incarnation = 0;
-  dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry;
-  std::string zone{};
+struct PermitAsk::Traits {
+  using type = PermitAsk;
+  static auto constexpr Create = CreatePermitAsk;
 };
 
-struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HelloT NativeTableType;
-  typedef HelloBuilder Builder;
+inline flatbuffers::Offset<PermitAsk> CreatePermitAskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *step = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr) {
+  auto step__ = step ? _fbb.CreateString(step) : 0;
+  auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  return dotterelcove::wire::CreatePermitAsk(
+      _fbb,
+      call,
+      step__,
+      workers__);
+}
+
+flatbuffers::Offset<PermitAsk> CreatePermitAsk(flatbuffers::FlatBufferBuilder &_fbb, const PermitAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitTicketT : public flatbuffers::NativeTable {
+  typedef PermitTicket TableType;
+  std::string worker{};
+  std::string ticket{};
+};
+
+struct PermitTicket FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitTicketT NativeTableType;
+  typedef PermitTicketBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PROTOCOL = 4,
-    VT_PROCESS = 6,
-    VT_INCARNATION = 8,
-    VT_ROLE = 10,
-    VT_ZONE = 12
+    VT_WORKER = 4,
+    VT_TICKET = 6
   };
-  uint32_t protocol() const {
-    return GetField<uint32_t>(VT_PROTOCOL, 0);
-  }
-  const flatbuffers::String *process() const {
-    return GetPointer<const flatbuffers::String *>(VT_PROCESS);
-  }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
-  }
-  dotterelcove::wire::Role role() const {
-    return static_cast<dotterelcove::wire::Role>(GetField<uint8_t>(VT_ROLE, 0));
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
   }
-  const flatbuffers::String *zone() const {
-    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
-           VerifyOffset(verifier, VT_PROCESS) &&
-           verifier.VerifyString(process()) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ROLE, 1) &&
-           VerifyOffset(verifier, VT_ZONE) &&
-           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
            verifier.EndTable();
   }
-  HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HelloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Hello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  PermitTicketT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitTicketT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitTicket> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitTicketT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HelloBuilder {
-  typedef Hello Table;
+struct PermitTicketBuilder {
+  typedef PermitTicket Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_protocol(uint32_t protocol) {
-    fbb_.AddElement<uint32_t>(Hello::VT_PROTOCOL, protocol, 0);
-  }
-  void add_process(flatbuffers::Offset<flatbuffers::String> process) {
-    fbb_.AddOffset(Hello::VT_PROCESS, process);
-  }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(Hello::VT_INCARNATION, incarnation, 0);
-  }
-  void add_role(dotterelcove::wire::Role role) {
-    fbb_.AddElement<uint8_t>(Hello::VT_ROLE, static_cast<uint8_t>(role), 0);
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(PermitTicket::VT_WORKER, worker);
   }
-  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
-    fbb_.AddOffset(Hello::VT_ZONE, zone);
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(PermitTicket::VT_TICKET, ticket);
   }
-  explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit PermitTicketBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Hello> Finish() {
+  flatbuffers::Offset<PermitTicket> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Hello>(end);
+    auto o = flatbuffers::Offset<PermitTicket>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Hello> CreateHello(
+inline flatbuffers::Offset<PermitTicket> CreatePermitTicket(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t protocol = 0,
-    flatbuffers::Offset<flatbuffers::String> process = 0,
-    uint64_t incarnation = 0,
-    dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry,
-    flatbuffers::Offset<flatbuffers::String> zone = 0) {
-  HelloBuilder builder_(_fbb);
-  builder_.add_incarnation(incarnation);
-  builder_.add_zone(zone);
-  builder_.add_process(process);
-  builder_.add_protocol(protocol);
-  builder_.add_role(role);
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
+  PermitTicketBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_worker(worker);
   return builder_.Finish();
 }
 
-struct Hello::Traits {
-  using type = Hello;
-  static auto constexpr Create = CreateHello;
+struct PermitTicket::Traits {
+  using type = PermitTicket;
+  static auto constexpr Create = CreatePermitTicket;
 };
 
-inline flatbuffers::Offset<Hello> CreateHelloDirect(
+inline flatbuffers::Offset<PermitTicket> CreatePermitTicketDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t protocol = 0,
-    const char *process = nullptr,
-    uint64_t incarnation = 0,
-    dotterelcove::wire::Role role = dotterelcove::wire::Role::Entry,
-    const char *zone = nullptr) {
-  auto process__ = process ? _fbb.CreateString(process) : 0;
-  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
-  return dotterelcove::wire::CreateHello(
+    const char *worker = nullptr,
+    const char *ticket = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return dotterelcove::wire::CreatePermitTicket(
       _fbb,
-      protocol,
-      process__,
-      incarnation,
-      role,
-      zone__);
+      worker__,
+      ticket__);
 }
 
-flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<PermitTicket> CreatePermitTicket(flatbuffers::FlatBufferBuilder &_fbb, const PermitTicketT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HeartbeatT : public flatbuffers::NativeTable {
-  typedef Heartbeat TableType;
-  uint64_t owner_epoch = 0;
-  std::string owner_process{};
-  bool serving = false;
-  uint64_t config_version = 0;
-  bool draining = false;
+struct PermitReplyT : public flatbuffers::NativeTable {
+  typedef PermitReply TableType;
+  uint64_t call = 0;
+  uint8_t status = 0;
+  int64_t validity_ms = 0;
+  std::vector<std::unique_ptr<dotterelcove::wire::PermitTicketT>> granted{};
+  PermitReplyT() = default;
+  PermitReplyT(const PermitReplyT &o);
+  PermitReplyT(PermitReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  PermitReplyT &operator=(PermitReplyT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HeartbeatT NativeTableType;
-  typedef HeartbeatBuilder Builder;
+struct PermitReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitReplyT NativeTableType;
+  typedef PermitReplyBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OWNER_EPOCH = 4,
-    VT_OWNER_PROCESS = 6,
-    VT_SERVING = 8,
-    VT_CONFIG_VERSION = 10,
-    VT_DRAINING = 12
+    VT_CALL = 4,
+    VT_STATUS = 6,
+    VT_VALIDITY_MS = 8,
+    VT_GRANTED = 10
   };
-  uint64_t owner_epoch() const {
-    return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
-  }
-  const flatbuffers::String *owner_process() const {
-    return GetPointer<const flatbuffers::String *>(VT_OWNER_PROCESS);
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
   }
-  bool serving() const {
-    return GetField<uint8_t>(VT_SERVING, 0) != 0;
+  uint8_t status() const {
+    return GetField<uint8_t>(VT_STATUS, 0);
   }
-  uint64_t config_version() const {
-    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  int64_t validity_ms() const {
+    return GetField<int64_t>(VT_VALIDITY_MS, 0);
   }
-  bool draining() const {
-    return GetField<uint8_t>(VT_DRAINING, 0) != 0;
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>> *granted() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>> *>(VT_GRANTED);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
-           VerifyOffset(verifier, VT_OWNER_PROCESS) &&
-           verifier.VerifyString(owner_process()) &&
-           VerifyField<uint8_t>(verifier, VT_SERVING, 1) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<int64_t>(verifier, VT_VALIDITY_MS, 8) &&
+           VerifyOffset(verifier, VT_GRANTED) &&
+           verifier.VerifyVector(granted()) &&
+           verifier.VerifyVectorOfTables(granted()) &&
            verifier.EndTable();
   }
-  HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Heartbeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  PermitReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HeartbeatBuilder {
-  typedef Heartbeat Table;
+struct PermitReplyBuilder {
+  typedef PermitReply Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_owner_epoch(uint64_t owner_epoch) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_OWNER_EPOCH, owner_epoch, 0);
-  }
-  void add_owner_process(flatbuffers::Offset<flatbuffers::String> owner_process) {
-    fbb_.AddOffset(Heartbeat::VT_OWNER_PROCESS, owner_process);
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(PermitReply::VT_CALL, call, 0);
   }
-  void add_serving(bool serving) {
-    fbb_.AddElement<uint8_t>(Heartbeat::VT_SERVING, static_cast<uint8_t>(serving), 0);
+  void add_status(uint8_t status) {
+    fbb_.AddElement<uint8_t>(PermitReply::VT_STATUS, status, 0);
   }
-  void add_config_version(uint64_t config_version) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_CONFIG_VERSION, config_version, 0);
+  void add_validity_ms(int64_t validity_ms) {
+    fbb_.AddElement<int64_t>(PermitReply::VT_VALIDITY_MS, validity_ms, 0);
   }
-  void add_draining(bool draining) {
-    fbb_.AddElement<uint8_t>(Heartbeat::VT_DRAINING, static_cast<uint8_t>(draining), 0);
+  void add_granted(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>>> granted) {
+    fbb_.AddOffset(PermitReply::VT_GRANTED, granted);
   }
-  explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit PermitReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Heartbeat> Finish() {
+  flatbuffers::Offset<PermitReply> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Heartbeat>(end);
+    auto o = flatbuffers::Offset<PermitReply>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
+inline flatbuffers::Offset<PermitReply> CreatePermitReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t owner_epoch = 0,
-    flatbuffers::Offset<flatbuffers::String> owner_process = 0,
-    bool serving = false,
-    uint64_t config_version = 0,
-    bool draining = false) {
-  HeartbeatBuilder builder_(_fbb);
-  builder_.add_config_version(config_version);
-  builder_.add_owner_epoch(owner_epoch);
-  builder_.add_owner_process(owner_process);
-  builder_.add_draining(draining);
-  builder_.add_serving(serving);
+    uint64_t call = 0,
+    uint8_t status = 0,
+    int64_t validity_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>>> granted = 0) {
+  PermitReplyBuilder builder_(_fbb);
+  builder_.add_validity_ms(validity_ms);
+  builder_.add_call(call);
+  builder_.add_granted(granted);
+  builder_.add_status(status);
   return builder_.Finish();
 }
 
-struct Heartbeat::Traits {
-  using type = Heartbeat;
-  static auto constexpr Create = CreateHeartbeat;
+struct PermitReply::Traits {
+  using type = PermitReply;
+  static auto constexpr Create = CreatePermitReply;
 };
 
-inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
+inline flatbuffers::Offset<PermitReply> CreatePermitReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t owner_epoch = 0,
-    const char *owner_process = nullptr,
-    bool serving = false,
-    uint64_t config_version = 0,
-    bool draining = false) {
-  auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
-  return dotterelcove::wire::CreateHeartbeat(
+    uint64_t call = 0,
+    uint8_t status = 0,
+    int64_t validity_ms = 0,
+    const std::vector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>> *granted = nullptr) {
+  auto granted__ = granted ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>>(*granted) : 0;
+  return dotterelcove::wire::CreatePermitReply(
       _fbb,
-      owner_epoch,
-      owner_process__,
-      serving,
-      config_version,
-      draining);
+      call,
+      status,
+      validity_ms,
+      granted__);
 }
 
-flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<PermitReply> CreatePermitReply(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct ConfigRequestT : public flatbuffers::NativeTable {
   typedef ConfigRequest TableType;
@@ -3124,6 +4134,27 @@
   const dotterelcove::wire::SlotReport *body_as_SlotReport() const {
     return body_type() == dotterelcove::wire::Body::SlotReport ? static_cast<const dotterelcove::wire::SlotReport *>(body()) : nullptr;
   }
+  const dotterelcove::wire::JobNotice *body_as_JobNotice() const {
+    return body_type() == dotterelcove::wire::Body::JobNotice ? static_cast<const dotterelcove::wire::JobNotice *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::JobInsert *body_as_JobInsert() const {
+    return body_type() == dotterelcove::wire::Body::JobInsert ? static_cast<const dotterelcove::wire::JobInsert *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::JobInsertReply *body_as_JobInsertReply() const {
+    return body_type() == dotterelcove::wire::Body::JobInsertReply ? static_cast<const dotterelcove::wire::JobInsertReply *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::JobQuery *body_as_JobQuery() const {
+    return body_type() == dotterelcove::wire::Body::JobQuery ? static_cast<const dotterelcove::wire::JobQuery *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::JobQueryReply *body_as_JobQueryReply() const {
+    return body_type() == dotterelcove::wire::Body::JobQueryReply ? static_cast<const dotterelcove::wire::JobQueryReply *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::PermitAsk *body_as_PermitAsk() const {
+    return body_type() == dotterelcove::wire::Body::PermitAsk ? static_cast<const dotterelcove::wire::PermitAsk *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::PermitReply *body_as_PermitReply() const {
+    return body_type() == dotterelcove::wire::Body::PermitReply ? static_cast<const dotterelcove::wire::PermitReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HLC, 8) &&
@@ -3201,6 +4232,34 @@
   return body_as_SlotReport();
 }
 
+template<> inline const dotterelcove::wire::JobNotice *Frame::body_as<dotterelcove::wire::JobNotice>() const {
+  return body_as_JobNotice();
+}
+
+template<> inline const dotterelcove::wire::JobInsert *Frame::body_as<dotterelcove::wire::JobInsert>() const {
+  return body_as_JobInsert();
+}
+
+template<> inline const dotterelcove::wire::JobInsertReply *Frame::body_as<dotterelcove::wire::JobInsertReply>() const {
+  return body_as_JobInsertReply();
+}
+
+template<> inline const dotterelcove::wire::JobQuery *Frame::body_as<dotterelcove::wire::JobQuery>() const {
+  return body_as_JobQuery();
+}
+
+template<> inline const dotterelcove::wire::JobQueryReply *Frame::body_as<dotterelcove::wire::JobQueryReply>() const {
+  return body_as_JobQueryReply();
+}
+
+template<> inline const dotterelcove::wire::PermitAsk *Frame::body_as<dotterelcove::wire::PermitAsk>() const {
+  return body_as_PermitAsk();
+}
+
+template<> inline const dotterelcove::wire::PermitReply *Frame::body_as<dotterelcove::wire::PermitReply>() const {
+  return body_as_PermitReply();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3282,6 +4341,30 @@
       _zone);
 }
 
+inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
+      : owner_epoch(o.owner_epoch),
+        owner_process(o.owner_process),
+        serving(o.serving),
+        config_version(o.config_version),
+        draining(o.draining),
+        sequence(o.sequence),
+        store_age_ms(o.store_age_ms) {
+  pending.reserve(o.pending.size());
+  for (const auto &pending_ : o.pending) { pending.emplace_back((pending_) ? new dotterelcove::wire::QueueCountT(*pending_) : nullptr); }
+}
+
+inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(owner_epoch, o.owner_epoch);
+  std::swap(owner_process, o.owner_process);
+  std::swap(serving, o.serving);
+  std::swap(config_version, o.config_version);
+  std::swap(draining, o.draining);
+  std::swap(sequence, o.sequence);
+  std::swap(store_age_ms, o.store_age_ms);
+  std::swap(pending, o.pending);
+  return *this;
+}
+
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<HeartbeatT>();
   UnPackTo(_o.get(), _resolver);
@@ -3296,6 +4379,9 @@
   { auto _e = serving(); _o->serving = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = store_age_ms(); _o->store_age_ms = _e; }
+  { auto _e = pending(); if (_e) { _o->pending.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending[_i] = std::unique_ptr<dotterelcove::wire::QueueCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3311,13 +4397,314 @@
   auto _serving = _o->serving;
   auto _config_version = _o->config_version;
   auto _draining = _o->draining;
+  auto _sequence = _o->sequence;
+  auto _store_age_ms = _o->store_age_ms;
+  auto _pending = _o->pending.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> (_o->pending.size(), [](size_t i, _VectorArgs *__va) { return CreateQueueCount(*__va->__fbb, __va->__o->pending[i].get(), __va->__rehasher); }, &_va ) : 0;
   return dotterelcove::wire::CreateHeartbeat(
       _fbb,
       _owner_epoch,
       _owner_process,
       _serving,
       _config_version,
-      _draining);
+      _draining,
+      _sequence,
+      _store_age_ms,
+      _pending);
+}
+
+inline QueueCountT *QueueCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueueCountT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueueCount::UnPackTo(QueueCountT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = queue(); if (_e) _o->queue = _e->str(); }
+  { auto _e = jobs(); _o->jobs = _e; }
+}
+
+inline flatbuffers::Offset<QueueCount> QueueCount::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueCountT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueueCount(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueueCount> CreateQueueCount(flatbuffers::FlatBufferBuilder &_fbb, const QueueCountT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueueCountT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _queue = _o->queue.empty() ? 0 : _fbb.CreateString(_o->queue);
+  auto _jobs = _o->jobs;
+  return dotterelcove::wire::CreateQueueCount(
+      _fbb,
+      _queue,
+      _jobs);
+}
+
+inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobNotice::UnPackTo(JobNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<JobNotice> JobNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  auto _version = _o->version;
+  return dotterelcove::wire::CreateJobNotice(
+      _fbb,
+      _key,
+      _value,
+      _version);
+}
+
+inline JobInsertT *JobInsert::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobInsertT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobInsert::UnPackTo(JobInsertT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobInsert> JobInsert::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobInsert(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobInsert> CreateJobInsert(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobInsertT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  return dotterelcove::wire::CreateJobInsert(
+      _fbb,
+      _call,
+      _key,
+      _value);
+}
+
+inline JobInsertReplyT *JobInsertReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobInsertReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobInsertReply::UnPackTo(JobInsertReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = status(); _o->status = _e; }
+}
+
+inline flatbuffers::Offset<JobInsertReply> JobInsertReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobInsertReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobInsertReply> CreateJobInsertReply(flatbuffers::FlatBufferBuilder &_fbb, const JobInsertReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobInsertReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _status = _o->status;
+  return dotterelcove::wire::CreateJobInsertReply(
+      _fbb,
+      _call,
+      _status);
+}
+
+inline JobQueryT *JobQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobQuery::UnPackTo(JobQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobQuery> JobQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobQuery> CreateJobQuery(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  return dotterelcove::wire::CreateJobQuery(
+      _fbb,
+      _call,
+      _job);
+}
+
+inline JobQueryReplyT *JobQueryReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobQueryReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobQueryReply::UnPackTo(JobQueryReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = known(); _o->known = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+}
+
+inline flatbuffers::Offset<JobQueryReply> JobQueryReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobQueryReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobQueryReply> CreateJobQueryReply(flatbuffers::FlatBufferBuilder &_fbb, const JobQueryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobQueryReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _known = _o->known;
+  auto _phase = _o->phase;
+  return dotterelcove::wire::CreateJobQueryReply(
+      _fbb,
+      _call,
+      _known,
+      _phase);
+}
+
+inline PermitAskT *PermitAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitAskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitAsk::UnPackTo(PermitAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = step(); if (_e) _o->step = _e->str(); }
+  { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<PermitAsk> PermitAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitAsk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitAsk> CreatePermitAsk(flatbuffers::FlatBufferBuilder &_fbb, const PermitAskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _step = _o->step.empty() ? 0 : _fbb.CreateString(_o->step);
+  auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
+  return dotterelcove::wire::CreatePermitAsk(
+      _fbb,
+      _call,
+      _step,
+      _workers);
+}
+
+inline PermitTicketT *PermitTicket::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitTicketT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitTicket::UnPackTo(PermitTicketT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+}
+
+inline flatbuffers::Offset<PermitTicket> PermitTicket::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitTicketT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitTicket(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitTicket> CreatePermitTicket(flatbuffers::FlatBufferBuilder &_fbb, const PermitTicketT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitTicketT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  return dotterelcove::wire::CreatePermitTicket(
+      _fbb,
+      _worker,
+      _ticket);
+}
+
+inline PermitReplyT::PermitReplyT(const PermitReplyT &o)
+      : call(o.call),
+        status(o.status),
+        validity_ms(o.validity_ms) {
+  granted.reserve(o.granted.size());
+  for (const auto &granted_ : o.granted) { granted.emplace_back((granted_) ? new dotterelcove::wire::PermitTicketT(*granted_) : nullptr); }
+}
+
+inline PermitReplyT &PermitReplyT::operator=(PermitReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  std::swap(status, o.status);
+  std::swap(validity_ms, o.validity_ms);
+  std::swap(granted, o.granted);
+  return *this;
+}
+
+inline PermitReplyT *PermitReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitReply::UnPackTo(PermitReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = validity_ms(); _o->validity_ms = _e; }
+  { auto _e = granted(); if (_e) { _o->granted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->granted[_i] = std::unique_ptr<dotterelcove::wire::PermitTicketT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PermitReply> PermitReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitReply> CreatePermitReply(flatbuffers::FlatBufferBuilder &_fbb, const PermitReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _status = _o->status;
+  auto _validity_ms = _o->validity_ms;
+  auto _granted = _o->granted.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::PermitTicket>> (_o->granted.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitTicket(*__va->__fbb, __va->__o->granted[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelcove::wire::CreatePermitReply(
+      _fbb,
+      _call,
+      _status,
+      _validity_ms,
+      _granted);
 }
 
 inline ConfigRequestT *ConfigRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4133,6 +5520,34 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::SlotReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::JobNotice: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobInsert: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsert *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobInsertReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsertReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobQuery: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobQueryReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQueryReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitAsk: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4216,6 +5631,34 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::SlotReport *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::JobNotice: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobInsert: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsert *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobInsertReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsertReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobQuery: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobQueryReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQueryReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PermitAsk: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitAsk *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4287,6 +5730,34 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::SlotReportT *>(value);
       return CreateSlotReport(_fbb, ptr, _rehasher).Union();
     }
+    case Body::JobNotice: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobNoticeT *>(value);
+      return CreateJobNotice(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobInsert: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsertT *>(value);
+      return CreateJobInsert(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobInsertReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobInsertReplyT *>(value);
+      return CreateJobInsertReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobQuery: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQueryT *>(value);
+      return CreateJobQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobQueryReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::JobQueryReplyT *>(value);
+      return CreateJobQueryReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PermitAsk: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitAskT *>(value);
+      return CreatePermitAsk(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReplyT *>(value);
+      return CreatePermitReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4357,6 +5828,34 @@
       value = new dotterelcove::wire::SlotReportT(*reinterpret_cast<dotterelcove::wire::SlotReportT *>(u.value));
       break;
     }
+    case Body::JobNotice: {
+      value = new dotterelcove::wire::JobNoticeT(*reinterpret_cast<dotterelcove::wire::JobNoticeT *>(u.value));
+      break;
+    }
+    case Body::JobInsert: {
+      value = new dotterelcove::wire::JobInsertT(*reinterpret_cast<dotterelcove::wire::JobInsertT *>(u.value));
+      break;
+    }
+    case Body::JobInsertReply: {
+      value = new dotterelcove::wire::JobInsertReplyT(*reinterpret_cast<dotterelcove::wire::JobInsertReplyT *>(u.value));
+      break;
+    }
+    case Body::JobQuery: {
+      value = new dotterelcove::wire::JobQueryT(*reinterpret_cast<dotterelcove::wire::JobQueryT *>(u.value));
+      break;
+    }
+    case Body::JobQueryReply: {
+      value = new dotterelcove::wire::JobQueryReplyT(*reinterpret_cast<dotterelcove::wire::JobQueryReplyT *>(u.value));
+      break;
+    }
+    case Body::PermitAsk: {
+      value = new dotterelcove::wire::PermitAskT(*reinterpret_cast<dotterelcove::wire::PermitAskT *>(u.value));
+      break;
+    }
+    case Body::PermitReply: {
+      value = new dotterelcove::wire::PermitReplyT(*reinterpret_cast<dotterelcove::wire::PermitReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4444,6 +5943,41 @@
       delete ptr;
       break;
     }
+    case Body::JobNotice: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::JobNoticeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobInsert: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::JobInsertT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobInsertReply: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::JobInsertReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobQuery: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::JobQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobQueryReply: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::JobQueryReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PermitAsk: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::PermitAskT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::PermitReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/src/store/Leadership.cpp
@@ -0,0 +1,237 @@
+#include "store/Leadership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+
+Leadership::Leadership(Runtime runtime, RowStore store,
+                       LeadershipOptions options,
+                       LeadershipCallbacks callbacks)
+    : runtime(std::move(runtime)),
+      store(std::move(store)),
+      options(std::move(options)),
+      callbacks(std::move(callbacks)),
+      row_changed_ms(this->runtime.now()),
+      store_answer_ms(this->runtime.now()) {}
+
+void Leadership::Start() { this->Poll(); }
+
+TimeMs Leadership::store_age_ms() const {
+  if (this->log) return this->log->store_age_ms();
+  return this->runtime.now() - this->store_answer_ms;
+}
+
+void Leadership::PollIn(TimeMs delay_ms) {
+  // Only the newest timer counts, so that a faster poll replaces a slow one.
+  const uint64_t round = ++this->poll_round;
+  this->runtime.after(delay_ms, [weak = this->weak_from_this(), round] {
+    const auto self = weak.lock();
+    if (!self || round != self->poll_round) return;
+    self->Poll();
+  });
+}
+
+void Leadership::Poll() {
+  if (this->stopping || this->owner()) return;
+  const bool heard =
+      this->linked && this->runtime.now() - this->report_ms < 800;
+  const bool calm =
+      heard && this->report.store_age_ms < this->options.owner_store_age_ms;
+  this->PollIn(calm ? this->options.calm_poll_ms : this->options.poll_ms);
+  if (this->reading || this->taking) return;
+  this->reading = true;
+  this->store.read_one(
+      kOwnerTable, kOwnerKey,
+      [weak = this->weak_from_this()](const StoreAnswer& answer) {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->reading = false;
+        self->OnRow(answer);
+      });
+}
+
+void Leadership::OnRow(const StoreAnswer& answer) {
+  if (this->stopping || this->owner()) return;
+  if (answer.status != StoreStatus::kOk &&
+      answer.status != StoreStatus::kConflict) {
+    return;
+  }
+  const TimeMs now_ms = this->runtime.now();
+  this->store_answer_ms = now_ms;
+  OwnerRow seen;
+  for (const StoreRow& stored : answer.rows) {
+    if (stored.key != kOwnerKey || stored.version == 0) continue;
+    if (!OwnerRowFromJson(stored.value, seen)) {
+      Log(LogLevel::kError, "owner_row_unreadable",
+          {F("version", stored.version)});
+    }
+    seen.version = stored.version;
+  }
+  const bool other_holder = seen.incarnation != this->row.incarnation ||
+                            seen.epoch != this->row.epoch ||
+                            seen.process != this->row.process;
+  if (!this->row_known || seen.version != this->row.version) {
+    this->row_changed_ms = now_ms;
+    // The owner's last report may date the row before this first look.
+    if (this->report.epoch == seen.epoch &&
+        this->report.sequence >= seen.sequence) {
+      this->row_changed_ms = this->report_ms;
+    }
+  }
+  this->row = seen;
+  this->row_known = true;
+  if (other_holder) {
+    this->owner_gone = false;
+    this->linked = false;
+    this->callbacks.owner_changed(this->row);
+    this->PollIn(this->options.poll_ms);
+  }
+  if (!this->row.process.empty() &&
+      this->row.incarnation == this->options.incarnation &&
+      this->row.epoch == this->attempted_epoch) {
+    // The take-over whose answer was lost has taken effect.
+    this->Acquire(this->row);
+    return;
+  }
+  if (this->MayTakeOver()) this->TakeOver();
+}
+
+bool Leadership::MayTakeOver() const {
+  const TimeMs now_ms = this->runtime.now();
+  const TimeMs unchanged_ms = now_ms - this->row_changed_ms;
+  if (now_ms < this->cooldown_until_ms) return false;
+  if (this->row.version == 0 || this->row.process.empty()) return true;
+  // An earlier life of this process, which is gone for certain.
+  if (this->row.process == this->options.process) return true;
+  if (this->owner_gone) return true;
+  if (unchanged_ms < this->options.stale_ms) return false;
+  if (!this->linked) return true;
+  return now_ms - this->report_ms >= this->options.stale_ms ||
+         this->report.store_age_ms >= this->options.owner_store_age_ms;
+}
+
+void Leadership::TakeOver() {
+  if (this->taking) return;
+  this->taking = true;
+  this->runtime.after(
+      this->options.rank_delay_ms, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->stopping) return;
+        OwnerRow next;
+        next.epoch = self->row.epoch + 1;
+        next.process = self->options.process;
+        next.address = self->options.address;
+        next.incarnation = self->options.incarnation;
+        self->attempted_epoch = next.epoch;
+        RowTransaction transaction;
+        transaction.conditions.push_back(
+            {kOwnerTable, kOwnerKey, self->row.version});
+        transaction.puts.push_back(
+            {kOwnerTable, kOwnerKey, OwnerRowToJson(next)});
+        Log(LogLevel::kInfo, "takeover_attempted",
+            {F("epoch", next.epoch), F("previous", self->row.process),
+             F("row_age_ms", self->runtime.now() - self->row_changed_ms),
+             F("linked", self->linked), F("owner_gone", self->owner_gone)});
+        self->store.transact(
+            std::move(transaction), [weak, next](const StoreAnswer& answer) {
+              const auto later = weak.lock();
+              if (!later) return;
+              later->taking = false;
+              if (later->stopping || later->owner()) return;
+              if (answer.status == StoreStatus::kOk) {
+                OwnerRow held = next;
+                held.version = answer.version;
+                later->Acquire(held);
+                return;
+              }
+              if (answer.status == StoreStatus::kConflict) {
+                later->OnRow(answer);
+              }
+              later->PollIn(later->options.poll_ms);
+            });
+      });
+}
+
+void Leadership::Acquire(const OwnerRow& held) {
+  this->row = held;
+  this->owner_gone = false;
+  this->linked = false;
+  Log(LogLevel::kInfo, "ownership_acquired", {F("epoch", held.epoch)});
+  this->log = std::make_shared<OwnerLog>(
+      this->runtime, this->store, held, this->options.log,
+      [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) self->OnLost();
+      });
+  this->log->Start();
+  this->callbacks.acquired(this->log);
+}
+
+void Leadership::OnLost() {
+  if (!this->log) return;
+  this->log->Stop();
+  this->log = nullptr;
+  this->report = {};
+  this->row_known = false;
+  this->cooldown_until_ms = this->runtime.now() + this->options.cooldown_ms;
+  this->callbacks.lost();
+  this->Poll();
+}
+
+void Leadership::OnReport(const OwnerReport& heard) {
+  if (this->log) {
+    // A newer owner is proof enough.
+    if (heard.epoch > this->log->row().epoch) this->OnLost();
+    return;
+  }
+  if (heard.epoch < this->row.epoch) return;
+  if (heard.sequence != this->report.sequence ||
+      heard.epoch != this->report.epoch) {
+    this->row_changed_ms =
+        std::max(this->row_changed_ms, this->runtime.now() - heard.store_age_ms);
+  }
+  this->report = heard;
+  this->report_ms = this->runtime.now();
+  const bool troubled = heard.releasing || heard.store_age_ms >=
+                                               this->options.owner_store_age_ms;
+  if (troubled) this->Poll();
+}
+
+void Leadership::OnOwnerLink(bool up, bool process_gone) {
+  this->linked = up;
+  if (up) {
+    this->report_ms = this->runtime.now();
+    return;
+  }
+  this->owner_gone = this->owner_gone || process_gone;
+  this->Poll();
+}
+
+void Leadership::OnFenced() {
+  if (!this->log) return;
+  Log(LogLevel::kWarning, "token_refused_by_worker",
+      {F("epoch", this->log->row().epoch)});
+  this->OnLost();
+}
+
+void Leadership::Release(std::function<void()> done) {
+  this->stopping = true;
+  if (!this->log) {
+    done();
+    return;
+  }
+  this->log->Release([weak = this->weak_from_this(), done = std::move(done)] {
+    const auto self = weak.lock();
+    if (self && self->log) {
+      self->log->Stop();
+      self->log = nullptr;
+      self->callbacks.lost();
+    }
+    done();
+  });
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/store/OwnerLog.cpp
@@ -0,0 +1,261 @@
+#include "store/OwnerLog.h"
+
+#include <iterator>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+
+std::string OwnerRowToJson(const OwnerRow& row) {
+  return nlohmann::json{{"epoch", row.epoch},
+                        {"process", row.process},
+                        {"address", row.address},
+                        {"incarnation", row.incarnation},
+                        {"sequence", row.sequence}}
+      .dump();
+}
+
+bool OwnerRowFromJson(const std::string& text, OwnerRow& row) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return false;
+  for (const char* number : {"epoch", "incarnation", "sequence"}) {
+    if (!json.contains(number) || !json[number].is_number_unsigned()) {
+      return false;
+    }
+  }
+  for (const char* word : {"process", "address"}) {
+    if (!json.contains(word) || !json[word].is_string()) return false;
+  }
+  row.epoch = json["epoch"];
+  row.incarnation = json["incarnation"];
+  row.sequence = json["sequence"];
+  row.process = json["process"];
+  row.address = json["address"];
+  return true;
+}
+
+OwnerLog::OwnerLog(Runtime runtime, RowStore store, OwnerRow row,
+                   OwnerLogOptions options, std::function<void()> deposed)
+    : runtime(std::move(runtime)),
+      store(std::move(store)),
+      current(std::move(row)),
+      options(options),
+      deposed(std::move(deposed)),
+      last_write_ms(this->runtime.now()),
+      last_answer_ms(this->runtime.now()) {}
+
+void OwnerLog::Start() { this->Pump(); }
+
+TimeMs OwnerLog::store_age_ms() const {
+  return this->runtime.now() - this->last_answer_ms;
+}
+
+void OwnerLog::Commit(std::vector<RowPut> puts,
+                      std::vector<RowRemoval> removals,
+                      std::function<void()> done) {
+  if (this->stopped) return;
+  this->queue.push_back(
+      {std::move(puts), std::move(removals), std::move(done)});
+  this->Pump();
+}
+
+void OwnerLog::Release(std::function<void()> done) {
+  this->release_wanted = true;
+  this->released = std::move(done);
+  if (this->stopped) {
+    this->released();
+    return;
+  }
+  this->Pump();
+}
+
+void OwnerLog::Stop() {
+  this->stopped = true;
+  this->queue.clear();
+  this->in_flight.clear();
+}
+
+void OwnerLog::Pump() {
+  if (this->stopped || this->writing) return;
+  const TimeMs now_ms = this->runtime.now();
+  const TimeMs delay_ms =
+      this->queue.empty() ? this->options.beat_ms : this->options.interval_ms;
+  const TimeMs due_ms = this->last_write_ms + delay_ms;
+  if (now_ms >= due_ms || this->release_wanted) {
+    this->Write();
+    return;
+  }
+  if (this->armed_for_ms >= now_ms && this->armed_for_ms <= due_ms) return;
+  this->armed_for_ms = due_ms;
+  this->runtime.after(due_ms - now_ms, [weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->armed_for_ms = -1;
+    self->Pump();
+  });
+}
+
+void OwnerLog::Write() {
+  this->in_flight.clear();
+  size_t entries = 2;
+  size_t bytes = 0;
+  size_t taken = 0;
+  for (const Record& record : this->queue) {
+    const size_t size = record.puts.size() + record.removals.size();
+    if (taken > 0 && entries + size > this->options.max_entries) break;
+    if (taken > 0 && bytes > this->options.max_bytes) break;
+    entries += size;
+    for (const RowPut& put : record.puts) bytes += put.value.size();
+    ++taken;
+  }
+  const auto end = this->queue.begin() + static_cast<std::ptrdiff_t>(taken);
+  std::move(this->queue.begin(), end, std::back_inserter(this->in_flight));
+  this->queue.erase(this->queue.begin(), end);
+  this->next = this->current;
+  this->next.sequence++;
+  this->releasing = this->release_wanted && this->queue.empty();
+  if (this->releasing) this->next.process.clear();
+  this->writing = true;
+  this->Send();
+}
+
+void OwnerLog::Send() {
+  RowTransaction transaction;
+  transaction.conditions.push_back(
+      {kOwnerTable, kOwnerKey, this->current.version});
+  transaction.puts.push_back(
+      {kOwnerTable, kOwnerKey, OwnerRowToJson(this->next)});
+  // A later record for the same row replaces an earlier one.
+  std::map<std::pair<std::string, std::string>, const std::string*> rows;
+  for (const Record& record : this->in_flight) {
+    for (const RowPut& put : record.puts) {
+      rows[{put.table, put.key}] = &put.value;
+    }
+    for (const RowRemoval& removal : record.removals) {
+      rows[{removal.table, removal.key}] = nullptr;
+    }
+  }
+  for (const auto& [name, value] : rows) {
+    if (value == nullptr) {
+      transaction.removals.push_back({name.first, name.second});
+    } else {
+      transaction.puts.push_back({name.first, name.second, *value});
+    }
+  }
+  this->last_write_ms = this->runtime.now();
+  this->store.transact(
+      std::move(transaction),
+      [weak = this->weak_from_this()](const StoreAnswer& answer) {
+        const auto self = weak.lock();
+        if (!self || self->stopped) return;
+        self->OnAnswer(answer);
+      });
+}
+
+void OwnerLog::OnAnswer(const StoreAnswer& answer) {
+  if (answer.status == StoreStatus::kOk) {
+    this->OnCommitted(answer.version);
+    return;
+  }
+  if (answer.status == StoreStatus::kConflict) {
+    for (const StoreRow& row : answer.rows) {
+      if (row.key != kOwnerKey) continue;
+      OwnerRow seen;
+      if (!OwnerRowFromJson(row.value, seen)) continue;
+      seen.version = row.version;
+      this->OnRow(seen);
+      return;
+    }
+    this->ReadBack();
+    return;
+  }
+  if (this->releasing && this->released) {
+    // A stopping process does not wait for a store that does not answer.
+    std::exchange(this->released, nullptr)();
+  }
+  Log(LogLevel::kWarning, "commit_unanswered",
+      {F("status", NameOf(kStoreStatusNames, answer.status)),
+       F("epoch", this->current.epoch), F("sequence", this->next.sequence),
+       F("age_ms", this->store_age_ms())});
+  const bool refused = answer.status == StoreStatus::kRefused;
+  this->runtime.after(this->options.retry_ms,
+                      [weak = this->weak_from_this(), refused] {
+                        const auto self = weak.lock();
+                        if (!self || self->stopped) return;
+                        if (refused) {
+                          self->Send();
+                        } else {
+                          self->ReadBack();
+                        }
+                      });
+}
+
+void OwnerLog::ReadBack() {
+  this->store.read_one(
+      kOwnerTable, kOwnerKey,
+      [weak = this->weak_from_this()](const StoreAnswer& answer) {
+        const auto self = weak.lock();
+        if (!self || self->stopped) return;
+        OwnerRow seen;
+        if (answer.status == StoreStatus::kOk && !answer.rows.empty() &&
+            OwnerRowFromJson(answer.rows.front().value, seen)) {
+          seen.version = answer.rows.front().version;
+          self->OnRow(seen);
+          return;
+        }
+        self->runtime.after(self->options.retry_ms, [weak] {
+          const auto later = weak.lock();
+          if (later && !later->stopped) later->ReadBack();
+        });
+      });
+}
+
+void OwnerLog::OnRow(const OwnerRow& row) {
+  const bool ours = row.epoch == this->current.epoch &&
+                    row.incarnation == this->current.incarnation;
+  if (!ours) {
+    this->OnDeposed(row);
+    return;
+  }
+  if (row.sequence == this->next.sequence) {
+    this->OnCommitted(row.version);
+    return;
+  }
+  this->current.version = row.version;
+  this->Send();
+}
+
+void OwnerLog::OnCommitted(uint64_t version) {
+  this->last_answer_ms = this->runtime.now();
+  this->current = this->next;
+  this->current.version = version;
+  this->writing = false;
+  const std::vector<Record> committed =
+      std::exchange(this->in_flight, std::vector<Record>());
+  const bool gone = this->releasing;
+  const auto self = this->shared_from_this();
+  for (const Record& record : committed) {
+    if (record.done) record.done();
+  }
+  if (this->stopped) return;
+  if (gone) {
+    this->Stop();
+    if (this->released) std::exchange(this->released, nullptr)();
+    return;
+  }
+  this->Pump();
+}
+
+void OwnerLog::OnDeposed(const OwnerRow& row) {
+  Log(LogLevel::kWarning, "ownership_lost",
+      {F("epoch", this->current.epoch), F("new_epoch", row.epoch),
+       F("new_owner", row.process)});
+  this->Stop();
+  if (this->released) std::exchange(this->released, nullptr)();
+  this->deposed();
+}
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/store/RowStore.h
@@ -0,0 +1,102 @@
+/// The transactional table service as the owner, the standbys and the entry
+/// side use it: rows in named tables, conditions on row versions.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/NameTable.h"
+#include "dotterelcove/Types.h"
+
+namespace dotterelcove {
+
+/// A row; version 0 stands for "absent".
+struct StoreRow {
+  std::string table;
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  /// Set in changes only: the row was removed at `version`.
+  bool removed = false;
+};
+
+/// Condition of a transaction: the row has exactly this version.
+struct RowCondition {
+  std::string table;
+  std::string key;
+  uint64_t version = 0;
+};
+
+struct RowPut {
+  std::string table;
+  std::string key;
+  std::string value;
+};
+
+struct RowRemoval {
+  std::string table;
+  std::string key;
+};
+
+/// Applied as a whole or not at all.
+struct RowTransaction {
+  std::vector<RowCondition> conditions;
+  std::vector<RowPut> puts;
+  std::vector<RowRemoval> removals;
+};
+
+enum class StoreStatus : uint8_t {
+  kOk,
+  /// A condition did not hold; nothing was written.
+  kConflict,
+  /// Nothing was done, for certain.
+  kRefused,
+  /// No answer: a transaction may have taken effect, or may yet.
+  kUnknown,
+  /// Changes after the given version are no longer kept.
+  kHistoryLost,
+};
+inline constexpr auto kStoreStatusNames =
+    MakeNameTable<StoreStatus>({{StoreStatus::kOk, "ok"},
+                                {StoreStatus::kConflict, "conflict"},
+                                {StoreStatus::kRefused, "refused"},
+                                {StoreStatus::kUnknown, "unknown"},
+                                {StoreStatus::kHistoryLost, "history_lost"}});
+
+struct StoreAnswer {
+  StoreStatus status = StoreStatus::kUnknown;
+  /// For a conflict the present rows of the conditions; for reads and changes
+  /// the rows.
+  std::vector<StoreRow> rows;
+  bool more = false;
+  /// The newest version of the store, or of the rows written.
+  uint64_t version = 0;
+};
+
+using StoreCallback = std::function<void(StoreAnswer)>;
+
+/// Each function calls back exactly once, from the loop.
+struct RowStore {
+  std::function<void(RowTransaction, StoreCallback)> transact;
+  /// Rows of `table` from the key `from` on, in key order, at most `limit`.
+  std::function<void(const std::string& table, const std::string& from,
+                     uint32_t limit, StoreCallback)>
+      read;
+  /// One row; an absent one gives no rows.
+  std::function<void(const std::string& table, const std::string& key,
+                     StoreCallback)>
+      read_one;
+  /// Rows of `table` changed after `version`, waiting up to `wait_ms` for one.
+  std::function<void(const std::string& table, uint64_t version, TimeMs wait_ms,
+                     StoreCallback)>
+      changes;
+};
+
+/// Reads a whole table page by page; fails as a whole. The version given is
+/// that of the first page, so that changes after it are not missed.
+void ReadTable(const RowStore& store, const std::string& table,
+               StoreCallback done);
+
+}  // namespace dotterelcove
--- /dev/null
+++ b/src/workflow/Controller.cpp
@@ -0,0 +1,280 @@
+#include "workflow/Controller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// Timeouts, standstill and lapsed leases are checked this often.
+constexpr TimeMs kTickMs = 60;
+constexpr TimeMs kLoadRetryMs = 60;
+
+/// The stored tables while they are being read.
+struct Loading {
+  StoreAnswer jobs;
+  StoreAnswer progress;
+  StoreAnswer fleet;
+  int missing = 3;
+};
+
+void LoadTable(Controller& c, const std::shared_ptr<Loading>& loading,
+               const char* table, StoreAnswer Loading::*target);
+void RereadJobs(Controller& c);
+
+void LoadJobs(Controller& c, const Loading& loading) {
+  for (const StoreRow& row : loading.jobs.rows) AdmitRow(c, row);
+  for (const auto& [id, job] : c.jobs.jobs) job->from_predecessor = true;
+  for (const StoreRow& row : loading.progress.rows) {
+    Job* job = FindJob(c.jobs, row.key);
+    if (job == nullptr || ApplyProgress(row.value, *job)) continue;
+    Log(LogLevel::kError, "progress_row_unreadable",
+        {F("job", row.key), F("version", row.version)});
+  }
+}
+
+/// Rows that no entry process has told of come from the store's changes. The
+/// pause between two calls bounds their number.
+void FollowJobs(Controller& c, uint64_t version) {
+  constexpr TimeMs kWaitMs = 1'000;
+  constexpr TimeMs kPauseMs = 250;
+  c.store.changes(
+      kJobTable, version, kWaitMs,
+      Guard(c, [version](Controller& self, const StoreAnswer& answer) {
+        if (answer.status == StoreStatus::kHistoryLost) {
+          RereadJobs(self);
+          return;
+        }
+        uint64_t next = version;
+        if (answer.status == StoreStatus::kOk) {
+          for (const StoreRow& row : answer.rows) AdmitRow(self, row);
+          next = std::max(version, answer.version);
+        }
+        self.runtime.after(kPauseMs, Guard(self, [next](Controller& later) {
+                             FollowJobs(later, next);
+                           }));
+      }));
+}
+
+void RereadJobs(Controller& c) {
+  ReadTable(c.store, kJobTable,
+            Guard(c, [](Controller& self, const StoreAnswer& answer) {
+              if (answer.status != StoreStatus::kOk) {
+                self.runtime.after(kLoadRetryMs,
+                                   Guard(self, [](Controller& later) {
+                                     RereadJobs(later);
+                                   }));
+                return;
+              }
+              for (const StoreRow& row : answer.rows) AdmitRow(self, row);
+              FollowJobs(self, answer.version);
+            }));
+}
+
+/// A predecessor may have stored the last end of a job and not its outcome.
+void CloseCompleted(Controller& c) {
+  for (const auto& [id, job] : c.jobs.jobs) {
+    if (job->started) job->phase = JobPhase::kRunning;
+    const uint32_t wanted = std::max(job->spec.occurrences, 1U);
+    if (job->occurrences_done < wanted) {
+      bool whole = job->spec.occurrences == 0;
+      for (const auto& [number, occurrence] : job->occurrences) {
+        for (const StepState& step : occurrence.steps) {
+          whole = whole && step.done == step.tasks.size();
+        }
+      }
+      if (!whole) continue;
+    }
+    CloseJob(c, *job, JobPhase::kCompleted, "all_tasks_done");
+  }
+}
+
+void OnLoaded(Controller& c, const Loading& loading) {
+  c.loaded = true;
+  LoadJobs(c, loading);
+  std::vector<WorkerInfo> recorded;
+  for (const StoreRow& row : loading.fleet.rows) {
+    for (WorkerInfo& info : DecodeFleet(row.value)) {
+      c.unanswered.insert(info.id);
+      recorded.push_back(std::move(info));
+    }
+  }
+  c.recovery_until_ms =
+      c.runtime.now() + c.options.isolation_ms +
+      static_cast<TimeMs>(static_cast<double>(c.options.max_lease_ms) *
+                          (1 + c.options.clock_rate_error));
+  Log(LogLevel::kInfo, "records_read",
+      {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
+       F("ended_jobs", c.ended.size()), F("workers", recorded.size())});
+  for (const WorkerInfo& info : recorded) {
+    Worker& worker = c.fleet[info.id];
+    if (worker.info.id.empty()) {
+      worker.info = info;
+      worker.listed = false;
+    }
+    worker.recorded = true;
+    if (worker.synced) {
+      c.unanswered.erase(info.id);
+    } else if (worker.looks == 0) {
+      Look(c, worker, 0);
+    }
+  }
+  CloseCompleted(c);
+  for (const StoreRow& row : std::exchange(c.early_rows, {})) AdmitRow(c, row);
+  c.fleet_dirty = true;
+  if (!c.early_fleet.empty()) UpdateFleet(c, c.early_fleet);
+  FollowJobs(c, loading.jobs.version);
+  RequestSchedule(c);
+}
+
+void LoadTable(Controller& c, const std::shared_ptr<Loading>& loading,
+               const char* table, StoreAnswer Loading::*target) {
+  ReadTable(c.store, table,
+            Guard(c, [loading, table, target](Controller& self,
+                                              StoreAnswer answer) {
+              if (answer.status != StoreStatus::kOk) {
+                Log(LogLevel::kWarning, "records_unreadable",
+                    {F("table", table),
+                     F("status", NameOf(kStoreStatusNames, answer.status))});
+                self.runtime.after(
+                    kLoadRetryMs,
+                    Guard(self, [loading, table, target](Controller& later) {
+                      LoadTable(later, loading, table, target);
+                    }));
+                return;
+              }
+              (*loading).*target = std::move(answer);
+              if (--loading->missing == 0) OnLoaded(self, *loading);
+            }));
+}
+
+/// Runs on workers that have not answered until their leases lapsed.
+void CheckLapsed(Controller& c, Worker& worker) {
+  if (worker.runs.empty() || worker.reachable) return;
+  if (worker.clock_ms == 0 || c.runtime.now() < worker.lapses_ms) return;
+  LoseRuns(c, worker, "lease_lapsed");
+  worker.synced = false;
+  RequestSchedule(c);
+}
+
+bool IsForgettable(const Controller& c, const Worker& worker) {
+  return !worker.listed && worker.runs.empty() && worker.foreign.empty() &&
+         !c.unanswered.contains(worker.info.id);
+}
+
+void CheckWorkers(Controller& c) {
+  const TimeMs now_ms = c.runtime.now();
+  for (auto it = c.fleet.begin(); it != c.fleet.end();) {
+    Worker& worker = it->second;
+    CheckLapsed(c, worker);
+    if (c.loaded && IsForgettable(c, worker)) {
+      Log(LogLevel::kInfo, "worker_gone", {F("worker", it->first)});
+      c.fleet_dirty = true;
+      it = c.fleet.erase(it);
+      continue;
+    }
+    if (worker.looks == 0 && now_ms >= worker.next_look_ms) {
+      Look(c, worker, worker.runs.empty() ? 0 : c.options.look_wait_ms);
+    }
+    ++it;
+  }
+}
+
+void CheckRecovery(Controller& c) {
+  if (!c.loaded || c.unanswered.empty()) return;
+  if (c.runtime.now() < c.recovery_until_ms) return;
+  for (const std::string& id : c.unanswered) {
+    Log(LogLevel::kWarning, "worker_waited_out",
+        {F("worker", id), F("epoch", c.epoch)});
+  }
+  c.unanswered.clear();
+  RequestSchedule(c);
+}
+
+void DropOldOutcomes(Controller& c) {
+  const TimeMs now_ms = c.runtime.now();
+  std::vector<RowRemoval> removals;
+  constexpr size_t kMaxRemovals = 40;
+  for (auto it = c.ended.begin(); it != c.ended.end();) {
+    if (removals.size() >= kMaxRemovals) break;
+    if (now_ms - it->second.ended_ms < c.options.retention_ms) {
+      ++it;
+      continue;
+    }
+    removals.push_back({kJobTable, it->first});
+    it = c.ended.erase(it);
+  }
+  if (!removals.empty()) c.log->Commit({}, std::move(removals), nullptr);
+}
+
+void Tick(Controller& c) {
+  c.runtime.after(kTickMs, Guard(c, [](Controller& self) { Tick(self); }));
+  if (c.suspended) return;
+  CheckWorkers(c);
+  CheckRecovery(c);
+  DropOldOutcomes(c);
+  FlushProgress(c);
+  RequestSchedule(c);
+}
+
+}  // namespace
+
+void StartController(Controller& c) {
+  const auto loading = std::make_shared<Loading>();
+  LoadTable(c, loading, kJobTable, &Loading::jobs);
+  LoadTable(c, loading, kProgressTable, &Loading::progress);
+  LoadTable(c, loading, kFleetTable, &Loading::fleet);
+  Tick(c);
+}
+
+void StopController(Controller& c) { c.stopped = true; }
+
+void SuspendController(Controller& c, bool suspended) {
+  if (c.suspended == suspended) return;
+  c.suspended = suspended;
+  Log(LogLevel::kWarning, suspended ? "owner_isolated" : "owner_reconnected",
+      {F("epoch", c.epoch)});
+  RequestSchedule(c);
+}
+
+void RecordFleet(Controller& c) {
+  if (!c.fleet_dirty || !c.loaded) return;
+  c.fleet_dirty = false;
+  std::vector<WorkerInfo> workers;
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : c.fleet) {
+    workers.push_back(worker.info);
+    ids.push_back(id);
+  }
+  c.log->Commit({{kFleetTable, kFleetKey, EncodeFleet(workers)}}, {},
+                Guard(c, [ids](Controller& self) {
+                  for (const std::string& id : ids) {
+                    const auto found = self.fleet.find(id);
+                    if (found != self.fleet.end()) found->second.recorded = true;
+                  }
+                  RequestSchedule(self);
+                }));
+}
+
+void UpdatePolicies(Controller& c, std::map<std::string, QueuePolicy> policies) {
+  c.policies = std::move(policies);
+  for (const auto& [id, job] : c.jobs.jobs) {
+    const auto found = c.policies.find(job->spec.queue);
+    if (found != c.policies.end()) job->spec.policy = found->second;
+  }
+  RequestSchedule(c);
+}
+
+void AddAsker(Controller& c, const std::string& name, PermitPort ask) {
+  c.askers[name] = PermitAsker{std::move(ask), 0, 0, 0};
+  RequestSchedule(c);
+}
+
+void RemoveAsker(Controller& c, const std::string& name) {
+  c.askers.erase(name);
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/Controller.h
@@ -0,0 +1,134 @@
+/// The owner of a cell: turns accepted jobs into running tasks. One exists for
+/// each epoch of ownership; its state is rebuilt from the store and from what
+/// the workers report, so nothing of it needs to survive the process.
+///
+/// Starts are not recorded before they are sent. A new owner asks every worker
+/// that may hold tasks, under its higher token, what runs there; a worker that
+/// does not answer is waited out until its lease must have lapsed. So owners
+/// can start work while the store is away, and each start saves a write.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/Runtime.h"
+#include "store/OwnerLog.h"
+#include "store/RowStore.h"
+#include "workflow/Fleet.h"
+#include "workflow/JobRows.h"
+#include "workflow/PermitPlan.h"
+#include "workflow/Ports.h"
+
+namespace dotterelcove::workflow {
+
+struct ControllerOptions {
+  /// Lease of a worker's tasks, renewed at every look.
+  TimeMs lease_ms = 5'000;
+  /// The longest lease that any owner may have given.
+  TimeMs max_lease_ms = 6'000;
+  /// A look waits this long for an end.
+  TimeMs look_wait_ms = 1'500;
+  /// Looks at a worker that holds nothing.
+  TimeMs idle_look_ms = 2'500;
+  TimeMs gang_timeout_ms = 3'000;
+  TimeMs stop_timeout_ms = 900;
+  /// A worker's clock may run slow by this share.
+  double clock_rate_error = 0.025;
+  /// Time by which an owner cut off from store and peers has noticed it.
+  TimeMs isolation_ms = 1'500;
+  /// How long the outcome of an ended job is kept.
+  TimeMs retention_ms = 180'000;
+};
+
+struct EndedJob {
+  JobPhase phase = JobPhase::kCompleted;
+  TimeMs ended_ms = 0;
+};
+
+/// Counters for metrics, all since the epoch began.
+struct ControllerStats {
+  uint64_t starts = 0;
+  uint64_t ends_done = 0;
+  uint64_t ends_failed = 0;
+  uint64_t ends_other = 0;
+  uint64_t stops = 0;
+  uint64_t looks = 0;
+  uint64_t questions = 0;
+  uint64_t orders_in_doubt = 0;
+};
+
+struct Controller : std::enable_shared_from_this<Controller> {
+  Runtime runtime;
+  RowStore store;
+  WorkerPort port;
+  ControllerOptions options;
+  std::shared_ptr<OwnerLog> log;
+  uint64_t epoch = 0;
+  /// A worker has refused this owner's token.
+  std::function<void()> fenced;
+  /// Seconds of a named wait, for the histograms.
+  std::function<void(const char* name, TimeMs waited_ms)> observe;
+
+  JobTable jobs;
+  Fleet fleet;
+  PermitAskers askers;
+  std::map<std::string, EndedJob> ended;
+  std::map<std::string, QueuePolicy> policies;
+  ControllerStats stats;
+
+  /// The stored jobs have been read.
+  bool loaded = false;
+  /// Workers of the predecessor that have not answered yet; tasks of its jobs
+  /// wait for them, until `recovery_until_ms` at the latest.
+  std::set<std::string> unanswered;
+  TimeMs recovery_until_ms = 0;
+  /// Notices that came while the stored jobs were being read.
+  std::vector<StoreRow> early_rows;
+  std::vector<WorkerInfo> early_fleet;
+  std::set<std::string> cancelled_ids;
+
+  std::set<Job*> dirty;
+  bool flushing = false;
+  bool fleet_dirty = false;
+  bool schedule_wanted = false;
+  bool suspended = false;
+  bool stopped = false;
+  uint64_t next_gang = 1;
+};
+
+using ControllerPtr = std::shared_ptr<Controller>;
+
+/// Begins with reading the stored jobs.
+void StartController(Controller& controller);
+/// No callback of this controller has an effect afterwards.
+void StopController(Controller& controller);
+/// A suspended owner lets leases lapse: it may have a successor.
+void SuspendController(Controller& controller, bool suspended);
+
+/// Takes in a row of the job table, an accepted job or a cancellation. The same
+/// row may come several times, from the caller's entry process and the store.
+void AdmitRow(Controller& controller, const StoreRow& row);
+/// Takes in the platform's list of workers.
+void UpdateFleet(Controller& controller, const std::vector<WorkerInfo>& list);
+void UpdatePolicies(Controller& controller,
+                    std::map<std::string, QueuePolicy> policies);
+void AddAsker(Controller& controller, const std::string& name, PermitPort ask);
+void RemoveAsker(Controller& controller, const std::string& name);
+
+/// What may be told to callers of a job; nothing when it is not known here.
+std::optional<JobPhase> QueryJob(const Controller& controller,
+                                 const std::string& id);
+/// Accepted jobs of each queue of which no task has begun.
+std::map<std::string, uint32_t> CountPending(const Controller& controller);
+
+/// How long a worker's tasks may still run for this owner's knowledge, once no
+/// answer comes from it.
+TimeMs LapseTime(const Controller& controller, const Worker& worker);
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/ControllerJobs.cpp
@@ -0,0 +1,375 @@
+// Jobs: admission, ends of tasks, progress in the store, the end of a job.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// Changed jobs written in one transaction.
+constexpr size_t kMaxJobsPerFlush = 60;
+/// A task that failed is tried again after this, doubled by each failure.
+constexpr TimeMs kRetryBaseMs = 50;
+
+bool IsCancelRow(const std::string& key) {
+  const std::string_view suffix = kCancelSuffix;
+  return key.size() > suffix.size() &&
+         key.compare(key.size() - suffix.size(), suffix.size(), suffix) == 0;
+}
+
+void CancelJob(Controller& c, const std::string& id) {
+  Job* job = FindJob(c.jobs, id);
+  if (job == nullptr) {
+    if (!c.ended.contains(id)) c.cancelled_ids.insert(id);
+    return;
+  }
+  if (job->cancel_requested || IsFinal(job->phase)) return;
+  job->cancel_requested = true;
+  CloseJob(c, *job, JobPhase::kCancelled, "cancelled_by_caller");
+}
+
+void AdmitJob(Controller& c, const StoreRow& row) {
+  if (c.jobs.jobs.contains(row.key) || c.ended.contains(row.key)) return;
+  DecodedJob decoded = DecodeJob(row.value);
+  if (decoded.ended) {
+    c.ended[row.key] = {decoded.ended->phase, c.runtime.now()};
+    return;
+  }
+  if (!decoded.open || decoded.open->id != row.key) {
+    Log(LogLevel::kError, "job_row_unreadable",
+        {F("job", row.key), F("version", row.version)});
+    return;
+  }
+  auto job = MakeJob(std::move(*decoded.open), c.runtime.now(),
+                     c.runtime.wall_ms());
+  Log(LogLevel::kInfo, "job_admitted",
+      {F("job", row.key), F("queue", job->spec.queue),
+       F("steps", job->spec.steps.size()), F("version", row.version),
+       F("age_ms", c.runtime.now() - job->accepted_ms)});
+  Job* admitted = job.get();
+  c.jobs.jobs[row.key] = std::move(job);
+  if (c.cancelled_ids.erase(row.key) > 0) {
+    admitted->cancel_requested = true;
+    CloseJob(c, *admitted, JobPhase::kCancelled, "cancelled_by_caller");
+    return;
+  }
+  RequestSchedule(c);
+}
+
+uint32_t CountFailures(const Job& job, const TaskRef& task) {
+  const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
+  if (!job.spec.steps[task.step].gang) return step.tasks[task.index].failures;
+  uint32_t failures = 0;
+  for (const TaskState& member : step.tasks) failures += member.failures;
+  return failures;
+}
+
+/// Marks one task as done and finds out what that completes.
+void MarkDone(Controller& c, const TaskRef& ref) {
+  Job& job = *ref.job;
+  Occurrence& occurrence = job.occurrences.at(ref.occurrence);
+  StepState& step = occurrence.steps[ref.step];
+  TaskState& task = step.tasks[ref.index];
+  if (task.phase == TaskPhase::kDone) return;
+  task.phase = TaskPhase::kDone;
+  task.worker.clear();
+  task.checkpoint.clear();
+  step.done++;
+  if (step.done < step.tasks.size()) return;
+  const bool whole = std::all_of(
+      occurrence.steps.begin(), occurrence.steps.end(),
+      [](const StepState& each) { return each.done == each.tasks.size(); });
+  if (!whole) {
+    RequestSchedule(c);
+    return;
+  }
+  occurrence.complete = true;
+  job.occurrences_done++;
+  const uint32_t wanted = std::max(job.spec.occurrences, 1U);
+  if (job.occurrences_done >= wanted) {
+    CloseJob(c, job, JobPhase::kCompleted, "all_tasks_done");
+  }
+}
+
+void MarkStepDone(Controller& c, const TaskRef& ref) {
+  const size_t count = StepOf(ref).tasks.size();
+  for (uint32_t i = 0; i < count; ++i) {
+    MarkDone(c, {ref.job, ref.occurrence, ref.step, i});
+  }
+}
+
+void TakeCheckpoint(const TaskRef& ref, const std::string& checkpoint) {
+  if (checkpoint.empty()) return;
+  if (!SpecOf(ref).gang) {
+    TaskOf(ref).checkpoint = checkpoint;
+    return;
+  }
+  // Any member's checkpoint stands for the whole gang.
+  for (TaskState& member : StepOf(ref).tasks) member.checkpoint = checkpoint;
+}
+
+void ApplyFailure(Controller& c, const TaskRef& ref, const std::string& worker) {
+  TaskState& task = TaskOf(ref);
+  task.failures++;
+  task.avoid.insert(worker);
+  task.not_before_ms =
+      c.runtime.now() +
+      (kRetryBaseMs << std::min<uint32_t>(task.failures, 5));
+  const auto held = c.fleet.find(worker);
+  if (held != c.fleet.end()) {
+    WorkerRecord& record = held->second.record;
+    record.failures_in_a_row++;
+    constexpr uint32_t kFailuresBeforeDoubt = 2;
+    constexpr TimeMs kDoubtMs = 1'500;
+    if (record.failures_in_a_row >= kFailuresBeforeDoubt) {
+      SetAside(c, held->second, kDoubtMs, "tasks_fail");
+    }
+  }
+  Job& job = *ref.job;
+  if (SpecOf(ref).long_running) return;
+  if (CountFailures(job, ref) < job.spec.policy.attempts) return;
+  CloseJob(c, job, JobPhase::kFailed, "attempts_used_up");
+}
+
+void LearnDuration(Controller& c, const TaskRef& ref, const std::string& worker) {
+  const auto held = c.fleet.find(worker);
+  if (held == c.fleet.end()) return;
+  WorkerRecord& record = held->second.record;
+  record.failures_in_a_row = 0;
+  record.set_aside_count = 0;
+  const TaskState& task = TaskOf(ref);
+  const StepSpec& spec = SpecOf(ref);
+  if (spec.estimate_ms <= 0 || task.started_ms <= 0) return;
+  const double ratio =
+      static_cast<double>(c.runtime.now() - task.started_ms) /
+      static_cast<double>(spec.estimate_ms);
+  constexpr double kWeight = 0.3;
+  record.slowness += kWeight * (std::min(ratio, 20.0) - record.slowness);
+  record.samples++;
+}
+
+}  // namespace
+
+uint32_t NextRun(const Controller& c, const TaskState& task) {
+  // Numbers of different epochs never meet, although starts are not recorded.
+  constexpr uint64_t kRunsPerEpoch = 1'024;
+  const uint64_t base = (c.epoch - 1) * kRunsPerEpoch;
+  return static_cast<uint32_t>(
+      std::max<uint64_t>(task.run, base) + 1);
+}
+
+void AdmitRow(Controller& c, const StoreRow& row) {
+  if (c.stopped) return;
+  if (!c.loaded) {
+    c.early_rows.push_back(row);
+    return;
+  }
+  if (row.removed) return;
+  if (IsCancelRow(row.key)) {
+    CancelJob(c, row.key.substr(0, row.key.size() -
+                                       std::string_view(kCancelSuffix).size()));
+    return;
+  }
+  AdmitJob(c, row);
+}
+
+void ReleaseTask(Controller& c, const TaskRef& ref) {
+  TaskState& task = TaskOf(ref);
+  if (task.phase == TaskPhase::kDone) return;
+  task.phase = TaskPhase::kWaiting;
+  task.worker.clear();
+  task.percent = 0;
+  RequestSchedule(c);
+}
+
+void ApplyEnd(Controller& c, const TaskRef& ref, const ReportedEnd& end,
+              const std::string& worker) {
+  Job& job = *ref.job;
+  TaskState& task = TaskOf(ref);
+  const bool counted = end.run <= task.run && task.phase != TaskPhase::kRunning &&
+                       task.phase != TaskPhase::kStarting &&
+                       task.phase != TaskPhase::kStopping;
+  if (task.phase == TaskPhase::kDone) return;
+  const bool holds = !task.worker.empty();
+  if (holds && task.worker != worker) {
+    // An end on a worker other than the one that holds the task: only success
+    // matters, and it ends the other run too.
+    if (end.end != RunEnd::kDone) return;
+    const auto other = c.fleet.find(task.worker);
+    if (other != c.fleet.end()) {
+      StopRun(c, other->second, MakeTaskName(ref), "done_elsewhere");
+    }
+  } else if (!holds && counted && end.end != RunEnd::kDone) {
+    return;
+  }
+  task.run = std::max(task.run, end.run);
+  job.started = true;
+  Log(LogLevel::kInfo, "task_ended",
+      {F("task", end.task), F("run", end.run), F("worker", worker),
+       F("end", NameOf(kRunEndNames, end.end)),
+       F("ran_ms", c.runtime.now() - task.started_ms),
+       F("estimate_ms", SpecOf(ref).estimate_ms)});
+  if (end.end == RunEnd::kDone && !SpecOf(ref).long_running) {
+    c.stats.ends_done++;
+    LearnDuration(c, ref, worker);
+    if (SpecOf(ref).gang) {
+      MarkStepDone(c, ref);
+    } else {
+      MarkDone(c, ref);
+    }
+    MarkDirty(c, job);
+    return;
+  }
+  TakeCheckpoint(ref, end.checkpoint);
+  ReleaseTask(c, ref);
+  if (end.end == RunEnd::kFailed) {
+    c.stats.ends_failed++;
+    ApplyFailure(c, ref, worker);
+  } else {
+    c.stats.ends_other++;
+  }
+  MarkDirty(c, job);
+}
+
+void MarkDirty(Controller& c, Job& job) {
+  if (job.closing) {
+    // The outcome is stored already; what is left are acknowledgments.
+    FlushProgress(c);
+    return;
+  }
+  if (job.phase == JobPhase::kQueued && job.started) {
+    job.phase = JobPhase::kRunning;
+  }
+  c.dirty.insert(&job);
+  FlushProgress(c);
+}
+
+namespace {
+
+/// Ends reported by workers that a commit will have stored.
+using SeenEnds = std::map<std::string, std::pair<uint64_t, uint64_t>>;
+
+SeenEnds CollectSeen(const Controller& c) {
+  SeenEnds seen;
+  for (const auto& [id, worker] : c.fleet) {
+    if (worker.seen > worker.acked) {
+      seen[id] = {worker.info.incarnation, worker.seen};
+    }
+  }
+  return seen;
+}
+
+void OnFlushed(Controller& c, const SeenEnds& seen) {
+  c.flushing = false;
+  for (const auto& [id, end] : seen) {
+    const auto found = c.fleet.find(id);
+    if (found == c.fleet.end()) continue;
+    Worker& worker = found->second;
+    if (worker.info.incarnation != end.first) continue;
+    worker.acked = std::max(worker.acked, end.second);
+    // A worker without tasks is looked at seldom: tell it now.
+    if (worker.runs.empty() && worker.ack_sent < worker.acked) {
+      Look(c, worker, 0);
+    }
+  }
+  FlushProgress(c);
+}
+
+void OnClosed(Controller& c, const std::string& id) {
+  Job* job = FindJob(c.jobs, id);
+  if (job == nullptr) return;
+  job->shown = job->phase;
+  job->closed = true;
+  job->closed_ms = c.runtime.now();
+  Log(LogLevel::kInfo, "job_ended",
+      {F("job", id), F("phase", NameOf(kJobPhaseNames, job->phase)),
+       F("queue", job->spec.queue),
+       F("took_ms", c.runtime.now() - job->accepted_ms),
+       F("objective_ms", job->objective_ms)});
+  if (c.observe) c.observe("job", c.runtime.now() - job->accepted_ms);
+  ForgetIfClosed(c, *job);
+}
+
+}  // namespace
+
+void FlushProgress(Controller& c) {
+  if (c.flushing || c.stopped) return;
+  const SeenEnds seen = CollectSeen(c);
+  if (c.dirty.empty() && seen.empty()) return;
+  std::vector<RowPut> puts;
+  std::vector<RowRemoval> removals;
+  std::vector<std::string> closing;
+  size_t taken = 0;
+  while (!c.dirty.empty() && taken < kMaxJobsPerFlush) {
+    Job* job = *c.dirty.begin();
+    c.dirty.erase(c.dirty.begin());
+    ++taken;
+    if (!IsFinal(job->phase)) {
+      puts.push_back({kProgressTable, job->spec.id, EncodeProgress(*job)});
+      continue;
+    }
+    puts.push_back(
+        {kJobTable, job->spec.id,
+         EncodeJobEnd({job->phase, c.runtime.wall_ms()})});
+    removals.push_back({kProgressTable, job->spec.id});
+    if (job->cancel_requested) {
+      removals.push_back({kJobTable, job->spec.id + kCancelSuffix});
+    }
+    closing.push_back(job->spec.id);
+  }
+  c.flushing = true;
+  // Ends count as stored only when no changed job was left out.
+  const SeenEnds covered = c.dirty.empty() ? seen : SeenEnds();
+  if (puts.empty()) {
+    OnFlushed(c, covered);
+    return;
+  }
+  c.log->Commit(std::move(puts), std::move(removals),
+                Guard(c, [covered, closing](Controller& self) {
+                  for (const std::string& id : closing) OnClosed(self, id);
+                  OnFlushed(self, covered);
+                }));
+}
+
+void CloseJob(Controller& c, Job& job, JobPhase phase, const char* reason) {
+  if (IsFinal(job.phase)) return;
+  job.phase = phase;
+  Log(LogLevel::kInfo, "job_closing",
+      {F("job", job.spec.id), F("phase", NameOf(kJobPhaseNames, phase)),
+       F("reason", reason)});
+  StopJob(c, job, reason);
+  c.dirty.insert(&job);
+  job.closing = true;
+  FlushProgress(c);
+}
+
+void ForgetIfClosed(Controller& c, Job& job) {
+  if (!job.closed || job.placed > 0) return;
+  const std::string id = job.spec.id;
+  c.ended[id] = {job.phase, job.closed_ms};
+  c.dirty.erase(&job);
+  c.jobs.jobs.erase(id);
+}
+
+std::optional<JobPhase> QueryJob(const Controller& c, const std::string& id) {
+  const auto ended = c.ended.find(id);
+  if (ended != c.ended.end()) return ended->second.phase;
+  const auto found = c.jobs.jobs.find(id);
+  if (found == c.jobs.jobs.end()) return std::nullopt;
+  const Job& job = *found->second;
+  if (job.closed) return job.shown;
+  return job.started ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+std::map<std::string, uint32_t> CountPending(const Controller& c) {
+  std::map<std::string, uint32_t> pending;
+  for (const auto& [id, job] : c.jobs.jobs) {
+    if (job->started || IsFinal(job->phase)) continue;
+    pending[job->spec.queue]++;
+  }
+  return pending;
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/ControllerOrders.cpp
@@ -0,0 +1,271 @@
+// Orders to workers: starts and stops, and what their answers mean.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+constexpr TimeMs kStopRetryMs = 150;
+/// Work is kept away from a worker whose room was misjudged.
+constexpr TimeMs kNoRoomPauseMs = 250;
+constexpr TimeMs kUnhealthyPauseMs = 800;
+constexpr TimeMs kMalformedPauseMs = 5'000;
+
+/// Names one run on one life of a worker, for answers that come later.
+struct RunKey {
+  std::string worker;
+  uint64_t incarnation = 0;
+  std::string task;
+  uint32_t run = 0;
+};
+
+struct FoundRun {
+  Worker* worker = nullptr;
+  PlacedRun* run = nullptr;
+};
+
+FoundRun FindRun(Controller& c, const RunKey& key) {
+  const auto worker = c.fleet.find(key.worker);
+  if (worker == c.fleet.end()) return {};
+  if (worker->second.info.incarnation != key.incarnation) return {};
+  const auto run = worker->second.runs.find(key.task);
+  if (run == worker->second.runs.end() || run->second.run != key.run) return {};
+  return {&worker->second, &run->second};
+}
+
+/// The start was refused for certain: the task goes back to those waiting.
+void Unplace(Controller& c, const RunKey& key, FoundRun found,
+             TimeMs pause_ms) {
+  const TaskRef task = found.run->task;
+  const uint64_t gang = found.run->gang;
+  RemoveRun(*found.worker, key.task);
+  TaskState& state = TaskOf(task);
+  if (state.worker == key.worker) {
+    ReleaseTask(c, task);
+    state.not_before_ms = c.runtime.now() + pause_ms;
+  }
+  if (gang != 0) StopGang(c, gang, "gang_incomplete");
+  ForgetIfClosed(c, *task.job);
+}
+
+void OnStarted(Controller& c, const RunKey& key, FoundRun found) {
+  PlacedRun& run = *found.run;
+  run.start_in_doubt = false;
+  if (run.confirmed_ms < 0) run.confirmed_ms = c.runtime.now();
+  TaskState& task = TaskOf(run.task);
+  if (task.phase == TaskPhase::kStarting && task.worker == key.worker) {
+    task.phase = TaskPhase::kRunning;
+  }
+  Job& job = *run.task.job;
+  if (!job.started) {
+    job.started = true;
+    if (c.observe) c.observe("first_start", c.runtime.now() - job.accepted_ms);
+  }
+  if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
+}
+
+void OnStartAnswer(Controller& c, const RunKey& key,
+                   const OrderAnswer& answer) {
+  if (answer.status == OrderStatus::kFenced) {
+    c.fenced();
+    return;
+  }
+  const FoundRun found = FindRun(c, key);
+  if (found.run == nullptr) return;
+  Worker& worker = *found.worker;
+  if (c.observe) {
+    c.observe("start_order", c.runtime.now() - found.run->placed_ms);
+  }
+  if (answer.status == OrderStatus::kOk) {
+    OnStarted(c, key, found);
+    return;
+  }
+  Log(LogLevel::kWarning, "start_refused",
+      {F("task", key.task), F("run", key.run), F("worker", key.worker),
+       F("status", NameOf(kOrderStatusNames, answer.status)),
+       F("worker_clock_ms", answer.clock_ms),
+       F("clock_age_ms", c.runtime.now() - worker.clock_read_ms)});
+  const TaskRef task = found.run->task;
+  switch (answer.status) {
+    case OrderStatus::kUnknown:
+      c.stats.orders_in_doubt++;
+      found.run->start_in_doubt = true;
+      if (found.run->gang != 0) {
+        StopGang(c, found.run->gang, "start_unanswered");
+      } else {
+        StopRun(c, worker, key.task, "start_unanswered");
+      }
+      return;
+    case OrderStatus::kNoRoom:
+      worker.record.set_aside_until_ms = c.runtime.now() + kNoRoomPauseMs;
+      Unplace(c, key, found, 0);
+      return;
+    case OrderStatus::kNoTicket:
+      StepOf(task).tickets[key.worker].valid_until_ms = 0;
+      Unplace(c, key, found, 0);
+      return;
+    case OrderStatus::kUnhealthy:
+      SetAside(c, worker, kUnhealthyPauseMs, "unhealthy");
+      Unplace(c, key, found, 0);
+      return;
+    case OrderStatus::kMalformed:
+      Unplace(c, key, found, kMalformedPauseMs);
+      return;
+    case OrderStatus::kLate:
+    case OrderStatus::kOtherIncarnation:
+      worker.synced = false;
+      Unplace(c, key, found, 0);
+      Look(c, worker, 0);
+      return;
+    case OrderStatus::kNotSent:
+      worker.reachable = false;
+      Unplace(c, key, found, 0);
+      Look(c, worker, 0);
+      return;
+    default:
+      Unplace(c, key, found, 0);
+      return;
+  }
+}
+
+void SendStop(Controller& c, const RunKey& key) {
+  const FoundRun found = FindRun(c, key);
+  if (found.run == nullptr || found.run->stop_in_flight) return;
+  if (found.run->stopped_ms >= 0) return;
+  found.run->stop_in_flight = true;
+  c.stats.stops++;
+  c.port.stop(
+      {found.worker->info.id, found.worker->info.address},
+      {key.task, key.run, c.epoch},
+      Guard(c, [key](Controller& self, const OrderAnswer& answer) {
+        if (answer.status == OrderStatus::kFenced) {
+          self.fenced();
+          return;
+        }
+        const FoundRun again = FindRun(self, key);
+        if (again.run == nullptr) return;
+        again.run->stop_in_flight = false;
+        const bool answered = answer.status == OrderStatus::kOk ||
+                              answer.status == OrderStatus::kOldRun;
+        if (answered) {
+          again.run->stopped_ms = self.runtime.now();
+          // Whether the run was there at all, only a look tells; the end of
+          // one that was comes with the look under way.
+          if (again.run->start_in_doubt) Look(self, *again.worker, 0);
+          return;
+        }
+        self.runtime.after(kStopRetryMs,
+                           Guard(self, [key](Controller& later) {
+                             SendStop(later, key);
+                           }));
+      }));
+}
+
+}  // namespace
+
+void PlaceTask(Controller& c, const Placing& placing) {
+  Worker& worker = *placing.worker;
+  TaskState& task = TaskOf(placing.task);
+  const TimeMs now_ms = c.runtime.now();
+  task.phase = TaskPhase::kStarting;
+  task.run = placing.run;
+  task.worker = worker.info.id;
+  task.started_ms = now_ms;
+  task.percent = 0;
+  task.progress_ms = now_ms;
+  PlacedRun run;
+  run.task = placing.task;
+  run.run = placing.run;
+  run.size = SizeOnWorker(SpecOf(placing.task));
+  run.placed_ms = now_ms;
+  run.gang = placing.gang;
+  const std::string name = MakeTaskName(placing.task);
+  const bool was_idle = worker.runs.empty();
+  AddRun(worker, name, run);
+  c.stats.starts++;
+  const RunKey key{worker.info.id, worker.info.incarnation, name, placing.run};
+  StartOrder order;
+  order.task = name;
+  order.run = placing.run;
+  order.payload = placing.task.job->spec.payload;
+  order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
+  order.token = c.epoch;
+  order.checkpoint = placing.checkpoint;
+  order.ticket = placing.ticket;
+  Log(LogLevel::kInfo, "task_placed",
+      {F("task", name), F("run", placing.run), F("worker", worker.info.id),
+       F("free_cores", FreeOf(worker).milli_cores),
+       F("waited_ms", now_ms - StepOf(placing.task).ready_since_ms),
+       F("look_age_ms", now_ms - worker.clock_read_ms)});
+  c.port.start({worker.info.id, worker.info.address}, order,
+               Guard(c, [key](Controller& self, const OrderAnswer& answer) {
+                 OnStartAnswer(self, key, answer);
+               }));
+  // A worker with tasks is looked at all the time; an idle one was not.
+  if (was_idle && worker.looks == 0) Look(c, worker, c.options.look_wait_ms);
+}
+
+void StopRun(Controller& c, Worker& worker, const std::string& name,
+             const char* reason) {
+  const auto found = worker.runs.find(name);
+  if (found == worker.runs.end() || found->second.stop_wanted) return;
+  PlacedRun& run = found->second;
+  run.stop_wanted = true;
+  run.stop_reason = reason;
+  TaskState& task = TaskOf(run.task);
+  if (task.worker == worker.info.id && task.phase != TaskPhase::kDone) {
+    task.phase = TaskPhase::kStopping;
+  }
+  Log(LogLevel::kInfo, "task_stopping",
+      {F("task", name), F("run", run.run), F("worker", worker.info.id),
+       F("reason", reason)});
+  SendStop(c, {worker.info.id, worker.info.incarnation, name, run.run});
+}
+
+void StopJob(Controller& c, Job& job, const char* reason) {
+  if (job.placed == 0) return;
+  for (auto& [id, worker] : c.fleet) {
+    std::vector<std::string> names;
+    for (const auto& [name, run] : worker.runs) {
+      if (run.task.job == &job) names.push_back(name);
+    }
+    for (const std::string& name : names) StopRun(c, worker, name, reason);
+  }
+}
+
+void StopGang(Controller& c, uint64_t gang, const char* reason) {
+  for (auto& [id, worker] : c.fleet) {
+    std::vector<std::string> names;
+    for (const auto& [name, run] : worker.runs) {
+      if (run.gang == gang) names.push_back(name);
+    }
+    for (const std::string& name : names) StopRun(c, worker, name, reason);
+  }
+}
+
+void StopForeign(Controller& c, Worker& worker, const std::string& name) {
+  const auto found = worker.foreign.find(name);
+  if (found == worker.foreign.end()) return;
+  const std::string id = worker.info.id;
+  const uint64_t incarnation = worker.info.incarnation;
+  c.stats.stops++;
+  c.port.stop({id, worker.info.address}, {name, found->second, c.epoch},
+              Guard(c, [id, incarnation, name](Controller& self,
+                                               const OrderAnswer& answer) {
+                if (answer.status == OrderStatus::kFenced) {
+                  self.fenced();
+                  return;
+                }
+                const auto again = self.fleet.find(id);
+                if (again == self.fleet.end()) return;
+                if (again->second.info.incarnation != incarnation) return;
+                if (!again->second.foreign.contains(name)) return;
+                // The look that follows tells whether it is gone.
+                Look(self, again->second, 0);
+              }));
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/ControllerParts.h
@@ -0,0 +1,78 @@
+/// What the parts of the controller offer each other; not for other folders.
+#pragma once
+
+#include <string>
+
+#include "workflow/Controller.h"
+
+namespace dotterelcove::workflow {
+
+/// Wraps a callback so that it does nothing once the controller has stopped.
+template <class Function>
+auto Guard(Controller& controller, Function function) {
+  return [weak = controller.weak_from_this(),
+          function = std::move(function)](auto&&... arguments) {
+    const ControllerPtr self = weak.lock();
+    if (!self || self->stopped) return;
+    function(*self, std::forward<decltype(arguments)>(arguments)...);
+  };
+}
+
+// Schedule.
+/// Runs a scheduling pass soon; several wishes give one pass.
+void RequestSchedule(Controller& controller);
+
+// Orders.
+struct Placing {
+  TaskRef task;
+  Worker* worker = nullptr;
+  uint32_t run = 0;
+  std::string checkpoint;
+  std::string ticket;
+  uint64_t gang = 0;
+};
+/// Sends the start of a task and books its place.
+void PlaceTask(Controller& controller, const Placing& placing);
+/// Stops a run; it occupies its worker until its end is known.
+void StopRun(Controller& controller, Worker& worker, const std::string& name,
+             const char* reason);
+/// Stops every run of a job.
+void StopJob(Controller& controller, Job& job, const char* reason);
+/// Stops the other runs of a gang.
+void StopGang(Controller& controller, uint64_t gang, const char* reason);
+/// Stops a run that this owner does not know.
+void StopForeign(Controller& controller, Worker& worker,
+                 const std::string& name);
+/// The next number for a start of the task.
+uint32_t NextRun(const Controller& controller, const TaskState& task);
+
+// Jobs.
+/// The run left its worker without an end that counts.
+void ReleaseTask(Controller& controller, const TaskRef& task);
+/// Takes note of an end reported by a worker.
+void ApplyEnd(Controller& controller, const TaskRef& task,
+              const ReportedEnd& end, const std::string& worker);
+void MarkDirty(Controller& controller, Job& job);
+/// Stores changed progress; acknowledgments to workers follow.
+void FlushProgress(Controller& controller);
+/// Ends a job: its tasks are stopped and its outcome is stored.
+void CloseJob(Controller& controller, Job& job, JobPhase phase,
+              const char* reason);
+/// Removes a closed job once nothing refers to it.
+void ForgetIfClosed(Controller& controller, Job& job);
+
+// Workers.
+/// Asks the worker what runs on it, renewing its lease.
+void Look(Controller& controller, Worker& worker, TimeMs wait_ms);
+/// The lease end to send now, on the worker's clock; 0 if it is not known.
+int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
+/// All runs on the worker have ended without a report.
+void LoseRuns(Controller& controller, Worker& worker, const char* reason);
+/// Takes workers into or out of the stored list of those that may hold tasks.
+void RecordFleet(Controller& controller);
+/// A worker failed a task or an order: gives it no work for a while.
+void SetAside(Controller& controller, Worker& worker, TimeMs base_ms,
+              const char* reason);
+bool IsRecovering(const Controller& controller);
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/ControllerSchedule.cpp
@@ -0,0 +1,329 @@
+// One scheduling pass: which steps wait, in which order, and where they go.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+#include "workflow/Ordering.h"
+#include "workflow/Preemption.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// Passes are this far apart, so that a burst of events gives one pass.
+constexpr TimeMs kPassDelayMs = 2;
+/// A question that could not help is asked again after this.
+constexpr TimeMs kUrgentQuestionPauseMs = 60;
+constexpr TimeMs kQuestionPauseMs = 250;
+/// The next step's permits are asked for this long before it can begin.
+constexpr TimeMs kAskAheadMarginMs = 150;
+/// Work that is neither urgent nor lasting leaves this share of each worker
+/// free, so that urgent work finds room without stopping anything.
+constexpr double kUrgentReserve = 0.06;
+
+struct WaitingStep {
+  OrderKey key;
+  Job* job = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  std::vector<uint32_t> tasks;
+};
+
+bool MustWaitForRecovery(const Controller& c, const Job& job) {
+  return job.from_predecessor && IsRecovering(c);
+}
+
+/// Tasks of the step that may be placed now. A gang waits as a whole.
+std::vector<uint32_t> FindWaiting(const StepSpec& spec, const StepState& state,
+                                  TimeMs now_ms) {
+  std::vector<uint32_t> waiting;
+  if (state.done == state.tasks.size()) return waiting;
+  for (uint32_t i = 0; i < state.tasks.size(); ++i) {
+    const TaskState& task = state.tasks[i];
+    const bool ready =
+        task.phase == TaskPhase::kWaiting && now_ms >= task.not_before_ms;
+    if (ready) waiting.push_back(i);
+  }
+  if (spec.gang && waiting.size() < state.tasks.size()) waiting.clear();
+  return waiting;
+}
+
+void CollectJob(Controller& c, Job& job, std::vector<WaitingStep>& steps) {
+  const TimeMs now_ms = c.runtime.now();
+  const int64_t wall_ms = c.runtime.wall_ms();
+  if (job.spec.occurrences > 0) AddDueOccurrences(job, wall_ms);
+  for (auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.complete) continue;
+    for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      StepState& state = occurrence.steps[i];
+      if (state.done == state.tasks.size()) continue;
+      if (!IsStepReady(job, occurrence, i)) continue;
+      if (state.ready_since_ms < 0) state.ready_since_ms = now_ms;
+      WaitingStep step;
+      step.tasks = FindWaiting(job.spec.steps[i], state, now_ms);
+      if (step.tasks.empty()) continue;
+      step.job = &job;
+      step.occurrence = number;
+      step.step = i;
+      step.key = MakeOrderKey(job, number, i, now_ms, wall_ms);
+      steps.push_back(std::move(step));
+    }
+  }
+}
+
+std::map<std::string, uint32_t> CountOnWorkers(const StepState& state) {
+  std::map<std::string, uint32_t> counts;
+  for (const TaskState& task : state.tasks) {
+    if (!task.worker.empty()) counts[task.worker]++;
+  }
+  return counts;
+}
+
+void OnPermits(Controller& c, const PermitQuestion& question, TaskRef ref,
+               const std::string& job_id, const std::string& asker,
+               bool slow, TimeMs asked_ms, const PermitAnswer& answer) {
+  const auto asked = c.askers.find(asker);
+  if (asked != c.askers.end()) {
+    asked->second.outstanding--;
+    if (slow) asked->second.slow--;
+    if (asked->second.outstanding == 0) asked->second.busy_until_ms = 0;
+  }
+  RequestSchedule(c);
+  Job* job = FindJob(c.jobs, job_id);
+  if (job == nullptr || job != ref.job) return;
+  StepState& state = StepOf(ref);
+  state.questions--;
+  if (c.observe) c.observe("permit", c.runtime.now() - asked_ms);
+  Log(LogLevel::kInfo, "permits_answered",
+      {F("step", question.step),
+       F("status", NameOf(kPermitStatusNames, answer.status)),
+       F("named", question.workers.size()),
+       F("allowed", answer.grants.size()), F("asked_by", asker),
+       F("took_ms", c.runtime.now() - asked_ms)});
+  if (answer.status != PermitStatus::kOk) {
+    state.next_question_ms = c.runtime.now() + kQuestionPauseMs;
+    return;
+  }
+  std::map<std::string, std::string> granted;
+  for (const PermitGrant& grant : answer.grants) {
+    granted[grant.worker] = grant.ticket;
+  }
+  // Half a round trip may have passed since the ticket was made.
+  constexpr TimeMs kAnswerAgeMs = 20;
+  for (const std::string& id : question.workers) {
+    const auto grant = granted.find(id);
+    if (grant == granted.end()) {
+      state.denied.insert(id);
+      continue;
+    }
+    Ticket& ticket = state.tickets[id];
+    ticket.text = grant->second;
+    ticket.valid_until_ms = c.runtime.now() + answer.validity_ms - kAnswerAgeMs;
+    const auto worker = c.fleet.find(id);
+    if (worker != c.fleet.end()) {
+      ticket.incarnation = worker->second.info.incarnation;
+    }
+  }
+}
+
+/// Puts a question about the step unless one is under way or cannot help.
+void AskPermits(Controller& c, const TaskRef& ref, const PlacementNeed& need,
+                uint32_t tasks) {
+  StepState& state = StepOf(ref);
+  const TimeMs now_ms = c.runtime.now();
+  if (state.questions > 0 || now_ms < state.next_question_ms) return;
+  PermitQuestion question;
+  question.workers = WorkersToName(c.fleet, need, tasks);
+  const bool urgent = ref.job->spec.policy.priority == 0;
+  const TimeMs pause_ms = urgent ? kUrgentQuestionPauseMs : kQuestionPauseMs;
+  if (question.workers.empty()) {
+    state.next_question_ms = now_ms + pause_ms;
+    return;
+  }
+  question.step = MakeStepName(*ref.job, ref.occurrence, ref.step);
+  const TimeMs cost_ms =
+      QuestionCostMs(ref.job->spec.policy.permits, question.workers.size());
+  PermitAsker* asker = ChooseAsker(c.askers, cost_ms, now_ms);
+  if (asker == nullptr) return;
+  std::string asker_name;
+  for (const auto& [name, each] : c.askers) {
+    if (&each == asker) asker_name = name;
+  }
+  const bool slow = cost_ms > kSlowQuestionMs;
+  asker->busy_until_ms = std::max(asker->busy_until_ms, now_ms) + cost_ms;
+  asker->outstanding++;
+  if (slow) asker->slow++;
+  state.questions++;
+  state.next_question_ms = now_ms + pause_ms;
+  c.stats.questions++;
+  asker->ask(question,
+             Guard(c, [question, ref, id = ref.job->spec.id, asker_name, slow,
+                       now_ms](Controller& self, const PermitAnswer& answer) {
+               OnPermits(self, question, ref, id, asker_name, slow, now_ms,
+                         answer);
+             }));
+}
+
+std::string TicketFor(const StepState& state, const Worker& worker) {
+  const auto found = state.tickets.find(worker.info.id);
+  return found == state.tickets.end() ? std::string() : found->second.text;
+}
+
+void PlaceGang(Controller& c, const WaitingStep& step,
+               const PlacementNeed& need) {
+  StepState& state =
+      step.job->occurrences.at(step.occurrence).steps[step.step];
+  const auto workers = ChooseGang(c.fleet, need, need.step->count);
+  if (!workers) {
+    if (step.job->spec.policy.permits.required) {
+      AskPermits(c, {step.job, step.occurrence, step.step, 0}, need,
+                 need.step->count);
+    }
+    return;
+  }
+  // All members carry the same number and the same checkpoint.
+  uint32_t run = 0;
+  for (const TaskState& task : state.tasks) run = std::max(run, NextRun(c, task));
+  const std::string checkpoint = state.tasks.front().checkpoint;
+  const uint64_t gang = (c.next_gang++ << 1U);
+  for (uint32_t i = 0; i < need.step->count; ++i) {
+    Worker* worker = (*workers)[i];
+    PlaceTask(c, {{step.job, step.occurrence, step.step, i},
+                  worker,
+                  run,
+                  checkpoint,
+                  TicketFor(state, *worker),
+                  gang});
+  }
+}
+
+/// Makes room for urgent tasks that found none; returns how many runs it has
+/// asked to stop.
+void Preempt(Controller& c, const PlacementNeed& need, uint32_t tasks) {
+  for (const Victim& victim : ChooseVictims(c.fleet, need, tasks)) {
+    const auto worker = c.fleet.find(victim.worker);
+    if (worker == c.fleet.end()) continue;
+    StopRun(c, worker->second, victim.task, "preempted");
+  }
+}
+
+void PlaceStep(Controller& c, const WaitingStep& step) {
+  Job& job = *step.job;
+  StepState& state = job.occurrences.at(step.occurrence).steps[step.step];
+  const StepSpec& spec = job.spec.steps[step.step];
+  std::map<std::string, uint32_t> on_worker = CountOnWorkers(state);
+  PlacementNeed need;
+  need.job = &job.spec;
+  need.step = &spec;
+  need.state = &state;
+  need.on_worker = &on_worker;
+  need.now_ms = c.runtime.now();
+  if (job.spec.policy.priority > 1) need.reserve = kUrgentReserve;
+  if (spec.gang) {
+    PlaceGang(c, step, need);
+    return;
+  }
+  uint32_t unplaced = 0;
+  for (const uint32_t index : step.tasks) {
+    const TaskRef ref{&job, step.occurrence, step.step, index};
+    TaskState& task = state.tasks[index];
+    need.avoid = &task.avoid;
+    Worker* worker = ChooseWorker(c.fleet, need);
+    if (worker == nullptr) {
+      ++unplaced;
+      // The other tasks are of the same size: only what they avoid differs.
+      if (task.avoid.empty()) {
+        unplaced = static_cast<uint32_t>(step.tasks.size()) -
+                   (index - step.tasks.front());
+        break;
+      }
+      continue;
+    }
+    PlaceTask(c, {ref, worker, NextRun(c, task), task.checkpoint,
+                  TicketFor(state, *worker), 0});
+    on_worker[worker->info.id]++;
+  }
+  if (unplaced == 0) return;
+  need.avoid = nullptr;
+  if (job.spec.policy.permits.required) {
+    AskPermits(c, {&job, step.occurrence, step.step, step.tasks.front()}, need,
+               unplaced);
+  }
+  if (job.spec.policy.priority == 0) Preempt(c, need, unplaced);
+}
+
+/// The expected time until every task of the step has ended.
+TimeMs RemainingOfStep(const StepSpec& spec, const StepState& state) {
+  TimeMs longest_ms = 0;
+  for (const TaskState& task : state.tasks) {
+    if (task.phase == TaskPhase::kDone) continue;
+    TimeMs rest_ms = spec.estimate_ms;
+    if (task.phase == TaskPhase::kRunning) {
+      rest_ms = spec.estimate_ms * (100 - task.percent) / 100;
+    }
+    longest_ms = std::max(longest_ms, rest_ms);
+  }
+  return longest_ms;
+}
+
+/// Asks for the permits of steps that can begin soon.
+void AskAhead(Controller& c, Job& job) {
+  if (!job.spec.policy.permits.required) return;
+  for (auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.complete) continue;
+    for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      const StepSpec& spec = job.spec.steps[i];
+      StepState& state = occurrence.steps[i];
+      if (spec.after.empty() || state.ready_since_ms >= 0) continue;
+      if (!state.tickets.empty() || state.questions > 0) continue;
+      TimeMs begins_in_ms = 0;
+      bool near = true;
+      for (const uint32_t before : spec.after) {
+        const StepState& earlier = occurrence.steps[before];
+        near = near && IsStepReady(job, occurrence, before);
+        begins_in_ms = std::max(
+            begins_in_ms, RemainingOfStep(job.spec.steps[before], earlier));
+      }
+      const TimeMs cost_ms =
+          QuestionCostMs(job.spec.policy.permits, kMaxWorkersNamed);
+      if (!near || begins_in_ms > cost_ms + kAskAheadMarginMs) continue;
+      PlacementNeed need;
+      need.job = &job.spec;
+      need.step = &spec;
+      need.state = &state;
+      need.now_ms = c.runtime.now();
+      AskPermits(c, {&job, number, i, 0}, need, spec.count);
+    }
+  }
+}
+
+void RunSchedule(Controller& c) {
+  c.schedule_wanted = false;
+  if (!c.loaded || c.suspended) return;
+  RecordFleet(c);
+  std::vector<WaitingStep> steps;
+  std::vector<Job*> open;
+  for (const auto& [id, job] : c.jobs.jobs) {
+    if (IsFinal(job->phase) || MustWaitForRecovery(c, *job)) continue;
+    open.push_back(job.get());
+    CollectJob(c, *job, steps);
+  }
+  std::sort(steps.begin(), steps.end(),
+            [](const WaitingStep& a, const WaitingStep& b) {
+              if (a.key != b.key) return a.key < b.key;
+              return a.job->spec.id < b.job->spec.id;
+            });
+  for (const WaitingStep& step : steps) PlaceStep(c, step);
+  for (Job* job : open) AskAhead(c, *job);
+}
+
+}  // namespace
+
+void RequestSchedule(Controller& c) {
+  if (c.schedule_wanted || c.stopped) return;
+  c.schedule_wanted = true;
+  c.runtime.after(kPassDelayMs,
+                  Guard(c, [](Controller& self) { RunSchedule(self); }));
+}
+
+}  // namespace dotterelcove::workflow
