--- /dev/null
+++ b/src/workflow/ControllerWorkers.cpp
@@ -0,0 +1,418 @@
+// Workers: looks that renew leases and report ends, workers that are lost,
+// leave or come back, and what a predecessor left running.
+#include <algorithm>
+#include <utility>
+
+#include "base/Hash.h"
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+constexpr TimeMs kLookRetryMs = 120;
+/// A task whose reported progress stands still for this long is started
+/// elsewhere; at least this, more for long tasks.
+constexpr TimeMs kStandstillMs = 2'200;
+constexpr double kStandstillShare = 0.12;
+/// Longest time that a worker is set aside at a stretch.
+constexpr TimeMs kMaxSetAsideMs = 8'000;
+constexpr TimeMs kLapseMarginMs = 120;
+
+void UpdateClock(Controller& c, Worker& worker, int64_t clock_ms) {
+  if (clock_ms <= 0) return;
+  worker.clock_ms = clock_ms;
+  worker.clock_read_ms = c.runtime.now();
+  worker.lapses_ms = LapseTime(c, worker);
+}
+
+/// The worker has started anew: nothing of before runs on it.
+void OnReborn(Controller& c, Worker& worker, uint64_t incarnation) {
+  Log(LogLevel::kWarning, "worker_restarted",
+      {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
+       F("incarnation", incarnation)});
+  LoseRuns(c, worker, "worker_restarted");
+  worker.info.incarnation = incarnation;
+  worker.foreign.clear();
+  worker.seen = 0;
+  worker.acked = 0;
+  worker.ack_sent = 0;
+  worker.clock_ms = 0;
+  worker.lease_end_clock_ms = 0;
+  worker.synced = false;
+  worker.record = WorkerRecord();
+  c.fleet_dirty = true;
+}
+
+void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
+  if (end.number <= worker.seen) return;
+  worker.seen = end.number;
+  worker.foreign.erase(end.task);
+  TaskName name;
+  if (!ParseTaskName(end.task, name)) {
+    Log(LogLevel::kWarning, "end_of_unknown_task",
+        {F("task", end.task), F("worker", worker.info.id)});
+    return;
+  }
+  const auto held = worker.runs.find(end.task);
+  const bool is_held = held != worker.runs.end() && held->second.run == end.run;
+  // The end of an earlier run says nothing of the present one, but success.
+  if (held != worker.runs.end() && !is_held && end.end != RunEnd::kDone) return;
+  uint64_t gang = 0;
+  if (is_held) {
+    gang = held->second.gang;
+    if (end.end == RunEnd::kAlone) {
+      Log(LogLevel::kWarning, "gang_member_alone",
+          {F("task", end.task), F("run", end.run)});
+    }
+    RemoveRun(worker, end.task);
+  }
+  const TaskRef task = FindTask(c.jobs, name);
+  if (task.job == nullptr) return;
+  ApplyEnd(c, task, end, worker.info.id);
+  if (gang != 0 && end.end != RunEnd::kDone) {
+    StopGang(c, gang, "gang_member_ended");
+  }
+  ForgetIfClosed(c, *task.job);
+  RequestSchedule(c);
+}
+
+/// A run that the worker lists and this owner has not placed there: left by a
+/// predecessor, or started late after it was given up.
+void AdoptRun(Controller& c, Worker& worker, const ReportedRun& reported) {
+  TaskName name;
+  TaskRef task;
+  if (ParseTaskName(reported.task, name)) task = FindTask(c.jobs, name);
+  const bool wanted = task.job != nullptr && !IsFinal(task.job->phase) &&
+                      TaskOf(task).phase == TaskPhase::kWaiting &&
+                      reported.run > TaskOf(task).run && !IsFinal(task.job->phase);
+  if (!wanted) {
+    if (!worker.foreign.contains(reported.task)) {
+      Log(LogLevel::kWarning, "stray_run_found",
+          {F("task", reported.task), F("run", reported.run),
+           F("worker", worker.info.id), F("job_known", task.job != nullptr)});
+    }
+    worker.foreign[reported.task] = reported.run;
+    StopForeign(c, worker, reported.task);
+    return;
+  }
+  TaskState& state = TaskOf(task);
+  state.phase = TaskPhase::kRunning;
+  state.run = reported.run;
+  state.worker = worker.info.id;
+  state.started_ms = c.runtime.now();
+  state.progress_ms = c.runtime.now();
+  state.percent = reported.percent;
+  PlacedRun run;
+  run.task = task;
+  run.run = reported.run;
+  run.size = SizeOnWorker(SpecOf(task));
+  run.confirmed_ms = c.runtime.now();
+  run.placed_ms = c.runtime.now();
+  if (SpecOf(task).gang) run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
+  AddRun(worker, reported.task, run);
+  task.job->started = true;
+  Log(LogLevel::kInfo, "task_adopted",
+      {F("task", reported.task), F("run", reported.run),
+       F("worker", worker.info.id), F("percent", reported.percent)});
+}
+
+bool StandsStill(const Controller& c, const TaskRef& ref) {
+  const TaskState& task = TaskOf(ref);
+  const StepSpec& spec = SpecOf(ref);
+  if (spec.filler) return false;
+  if (spec.long_running && task.percent >= 100) return false;
+  const TimeMs limit_ms = std::max(
+      kStandstillMs, static_cast<TimeMs>(kStandstillShare *
+                                         static_cast<double>(spec.estimate_ms)));
+  return c.runtime.now() - task.progress_ms > limit_ms;
+}
+
+void ApplyReportedRun(Controller& c, Worker& worker,
+                      const ReportedRun& reported, TimeMs sent_ms) {
+  const auto held = worker.runs.find(reported.task);
+  if (held == worker.runs.end()) {
+    AdoptRun(c, worker, reported);
+    return;
+  }
+  PlacedRun& run = held->second;
+  if (run.run != reported.run) return;
+  const TaskRef ref = run.task;
+  TaskState& task = TaskOf(ref);
+  run.start_in_doubt = false;
+  if (run.confirmed_ms < 0) {
+    run.confirmed_ms = sent_ms;
+    if (task.phase == TaskPhase::kStarting) task.phase = TaskPhase::kRunning;
+    ref.job->started = true;
+  }
+  if (!reported.checkpoint.empty()) task.checkpoint = reported.checkpoint;
+  if (reported.percent != task.percent) {
+    task.percent = reported.percent;
+    task.progress_ms = c.runtime.now();
+  }
+  if (run.stop_wanted || task.phase != TaskPhase::kRunning) return;
+  if (run.gang != 0 || !StandsStill(c, ref)) return;
+  task.avoid.insert(worker.info.id);
+  constexpr TimeMs kStandstillDoubtMs = 3'000;
+  SetAside(c, worker, kStandstillDoubtMs, "task_stands_still");
+  StopRun(c, worker, reported.task, "no_progress");
+}
+
+/// Runs that should be on the worker and are not, although the look was sent
+/// after the worker had confirmed them: their ends are not known any more.
+void DropAbsentRuns(Controller& c, Worker& worker, const LookAnswer& answer,
+                    TimeMs sent_ms) {
+  std::set<std::string> listed;
+  for (const ReportedRun& run : answer.running) listed.insert(run.task);
+  std::vector<std::string> absent;
+  for (const auto& [name, run] : worker.runs) {
+    if (listed.contains(name)) continue;
+    const bool stopped = run.stopped_ms >= 0 && run.stopped_ms < sent_ms;
+    const bool confirmed = run.confirmed_ms >= 0 && run.confirmed_ms < sent_ms &&
+                           !run.start_in_doubt;
+    if (stopped || confirmed) absent.push_back(name);
+  }
+  for (const std::string& name : absent) {
+    const TaskRef task = worker.runs[name].task;
+    const uint64_t gang = worker.runs[name].gang;
+    Log(LogLevel::kInfo, "run_absent",
+        {F("task", name), F("worker", worker.info.id),
+         F("stopped", worker.runs[name].stopped_ms >= 0)});
+    RemoveRun(worker, name);
+    if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
+    if (gang != 0) StopGang(c, gang, "gang_member_absent");
+    ForgetIfClosed(c, *task.job);
+  }
+  std::erase_if(worker.foreign,
+                [&](const auto& run) { return !listed.contains(run.first); });
+}
+
+void OnSynced(Controller& c, Worker& worker) {
+  if (!worker.synced) {
+    Log(LogLevel::kInfo, "worker_regained",
+        {F("worker", worker.info.id), F("runs", worker.runs.size())});
+    RequestSchedule(c);
+  }
+  worker.synced = true;
+  worker.reachable = true;
+  worker.look_failures = 0;
+  if (c.unanswered.erase(worker.info.id) > 0 && c.unanswered.empty()) {
+    Log(LogLevel::kInfo, "recovery_complete", {F("epoch", c.epoch)});
+    RequestSchedule(c);
+  }
+}
+
+void ContinueLooking(Controller& c, Worker& worker) {
+  if (worker.looks > 0) return;
+  if (!worker.runs.empty() || !worker.foreign.empty()) {
+    Look(c, worker, c.options.look_wait_ms);
+    return;
+  }
+  worker.next_look_ms = c.runtime.now() + c.options.idle_look_ms;
+}
+
+void OnLookFailed(Controller& c, Worker& worker, OrderStatus status) {
+  worker.look_failures++;
+  if (worker.reachable) {
+    Log(LogLevel::kWarning, "worker_unreachable",
+        {F("worker", worker.info.id),
+         F("status", NameOf(kOrderStatusNames, status)),
+         F("runs", worker.runs.size()),
+         F("lapses_in_ms", worker.lapses_ms - c.runtime.now())});
+  }
+  worker.reachable = false;
+  if (status == OrderStatus::kOtherIncarnation) worker.synced = false;
+  const TimeMs delay_ms =
+      kLookRetryMs * std::min<TimeMs>(worker.look_failures, 4);
+  worker.next_look_ms = c.runtime.now() + delay_ms;
+}
+
+void OnLookAnswer(Controller& c, const std::string& id, uint64_t incarnation,
+                  TimeMs sent_ms, const LookAnswer& answer) {
+  const auto found = c.fleet.find(id);
+  if (found == c.fleet.end()) return;
+  Worker& worker = found->second;
+  worker.looks--;
+  if (answer.status == OrderStatus::kFenced) {
+    c.fenced();
+    return;
+  }
+  if (answer.status != OrderStatus::kOk) {
+    // Another look is under way: its answer counts.
+    if (worker.looks == 0) OnLookFailed(c, worker, answer.status);
+    return;
+  }
+  const bool reborn = answer.incarnation != 0 &&
+                      answer.incarnation != worker.info.incarnation;
+  if (reborn || worker.info.incarnation != incarnation) {
+    if (reborn) OnReborn(c, worker, answer.incarnation);
+    Look(c, worker, 0);
+    return;
+  }
+  // An answer that was overtaken by a newer one describes the past.
+  if (sent_ms < worker.look_answered_ms) {
+    ContinueLooking(c, worker);
+    return;
+  }
+  worker.look_answered_ms = sent_ms;
+  UpdateClock(c, worker, answer.clock_ms);
+  for (const ReportedEnd& end : answer.ended) ApplyReportedEnd(c, worker, end);
+  if (c.stopped) return;
+  for (const ReportedRun& run : answer.running) {
+    ApplyReportedRun(c, worker, run, sent_ms);
+  }
+  DropAbsentRuns(c, worker, answer, sent_ms);
+  OnSynced(c, worker);
+  FlushProgress(c);
+  ContinueLooking(c, worker);
+}
+
+/// Moves tasks off a worker that leaves before they can end there.
+void Evacuate(Controller& c, Worker& worker) {
+  constexpr TimeMs kUnstatedRemainingMs = 2'500;
+  TimeMs left_ms = worker.info.drain_remaining_ms;
+  if (left_ms < 0) left_ms = kUnstatedRemainingMs;
+  std::vector<std::string> names;
+  for (const auto& [name, run] : worker.runs) {
+    if (run.stop_wanted) continue;
+    const StepSpec& spec = SpecOf(run.task);
+    const TaskState& task = TaskOf(run.task);
+    const TimeMs rest_ms = spec.estimate_ms * (100 - task.percent) / 100;
+    const bool can_end = !spec.long_running && rest_ms < left_ms;
+    if (can_end || run.gang != 0) continue;
+    if (!spec.long_running && !spec.checkpoints) continue;
+    names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    StopRun(c, worker, name, "worker_leaves");
+  }
+}
+
+void ApplyListed(Controller& c, Worker& worker, const WorkerInfo& info) {
+  worker.listed = true;
+  if (worker.info.incarnation != 0 &&
+      info.incarnation > worker.info.incarnation) {
+    OnReborn(c, worker, info.incarnation);
+    worker.info = info;
+    Look(c, worker, 0);
+    return;
+  }
+  // A look may have told of a newer life than the list.
+  if (info.incarnation < worker.info.incarnation) return;
+  const bool drains_now = info.draining && !worker.info.draining;
+  worker.info = info;
+  if (!drains_now) return;
+  Log(LogLevel::kInfo, "worker_draining",
+      {F("worker", info.id), F("runs", worker.runs.size()),
+       F("remaining_ms", info.drain_remaining_ms)});
+  worker.drain_seen_ms = c.runtime.now();
+  Evacuate(c, worker);
+}
+
+}  // namespace
+
+TimeMs LapseTime(const Controller& c, const Worker& worker) {
+  const int64_t left_ms =
+      std::max<int64_t>(worker.lease_end_clock_ms - worker.clock_ms, 0);
+  return worker.clock_read_ms +
+         static_cast<TimeMs>(static_cast<double>(left_ms) *
+                             (1 + c.options.clock_rate_error)) +
+         kLapseMarginMs;
+}
+
+int64_t MakeLeaseEnd(Controller& c, Worker& worker) {
+  if (worker.clock_ms == 0 || c.suspended) return 0;
+  const int64_t clock_ms =
+      worker.clock_ms + (c.runtime.now() - worker.clock_read_ms);
+  worker.lease_end_clock_ms =
+      std::max(worker.lease_end_clock_ms, clock_ms + c.options.lease_ms);
+  worker.lapses_ms = LapseTime(c, worker);
+  return clock_ms + c.options.lease_ms;
+}
+
+void Look(Controller& c, Worker& worker, TimeMs wait_ms) {
+  if (c.suspended) return;
+  // Two looks sent within one millisecond could not be told apart.
+  if (worker.looks > 0 && worker.look_sent_ms == c.runtime.now()) return;
+  worker.looks++;
+  worker.look_sent_ms = c.runtime.now();
+  LookOrder order;
+  order.token = c.epoch;
+  order.acked = worker.acked;
+  order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
+  order.wait_ms = worker.synced ? wait_ms : 0;
+  worker.ack_sent = worker.acked;
+  c.stats.looks++;
+  const std::string id = worker.info.id;
+  const uint64_t incarnation = worker.info.incarnation;
+  const TimeMs sent_ms = worker.look_sent_ms;
+  c.port.look({id, worker.info.address}, order,
+              Guard(c, [id, incarnation, sent_ms](Controller& self,
+                                                  const LookAnswer& answer) {
+                OnLookAnswer(self, id, incarnation, sent_ms, answer);
+              }));
+}
+
+void LoseRuns(Controller& c, Worker& worker, const char* reason) {
+  std::vector<std::string> names;
+  for (const auto& [name, run] : worker.runs) names.push_back(name);
+  for (const std::string& name : names) {
+    const auto found = worker.runs.find(name);
+    if (found == worker.runs.end()) continue;
+    const TaskRef task = found->second.task;
+    const uint64_t gang = found->second.gang;
+    Log(LogLevel::kWarning, "task_lost",
+        {F("task", name), F("run", found->second.run),
+         F("worker", worker.info.id), F("reason", reason),
+         F("look_age_ms", c.runtime.now() - worker.clock_read_ms)});
+    RemoveRun(worker, name);
+    if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
+    if (gang != 0) StopGang(c, gang, "gang_member_lost");
+    ForgetIfClosed(c, *task.job);
+  }
+}
+
+void SetAside(Controller& c, Worker& worker, TimeMs base_ms,
+              const char* reason) {
+  const TimeMs now_ms = c.runtime.now();
+  if (now_ms < worker.record.set_aside_until_ms) return;
+  const uint32_t doublings = std::min<uint32_t>(worker.record.set_aside_count, 3);
+  const TimeMs pause_ms = std::min(base_ms << doublings, kMaxSetAsideMs);
+  worker.record.set_aside_until_ms = now_ms + pause_ms;
+  worker.record.set_aside_count++;
+  Log(LogLevel::kWarning, "worker_set_aside",
+      {F("worker", worker.info.id), F("reason", reason), F("for_ms", pause_ms),
+       F("failures", worker.record.failures_in_a_row)});
+}
+
+void UpdateFleet(Controller& c, const std::vector<WorkerInfo>& list) {
+  if (c.stopped) return;
+  if (!c.loaded) {
+    // What a worker runs can be judged only when the jobs are known.
+    c.early_fleet = list;
+    return;
+  }
+  for (auto& [id, worker] : c.fleet) worker.listed = false;
+  for (const WorkerInfo& info : list) {
+    const auto found = c.fleet.find(info.id);
+    if (found != c.fleet.end()) {
+      ApplyListed(c, found->second, info);
+      continue;
+    }
+    Worker& worker = c.fleet[info.id];
+    worker.info = info;
+    c.fleet_dirty = true;
+    Log(LogLevel::kInfo, "worker_listed",
+        {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
+         F("cores", info.capacity.milli_cores)});
+    Look(c, worker, 0);
+  }
+  RequestSchedule(c);
+}
+
+bool IsRecovering(const Controller& c) {
+  return !c.loaded || (!c.unanswered.empty() &&
+                       c.runtime.now() < c.recovery_until_ms);
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/Fleet.h
@@ -0,0 +1,115 @@
+/// The workers of a cell in the memory of its owner.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "workflow/JobTable.h"
+
+namespace dotterelcove::workflow {
+
+/// What a worker says of itself in the platform's list.
+struct WorkerInfo {
+  std::string id;
+  std::string address;
+  std::string service;
+  std::string zone;
+  std::string rack;
+  std::set<std::string> labels;
+  Resources capacity;
+  /// Changes with each start of the worker under the same id.
+  uint64_t incarnation = 0;
+  bool draining = false;
+  /// Least time until a draining worker leaves, -1 for not stated.
+  TimeMs drain_remaining_ms = -1;
+};
+
+/// One run that occupies a worker.
+struct PlacedRun {
+  TaskRef task;
+  uint32_t run = 0;
+  Resources size;
+  /// The worker has confirmed the start, at this time; -1 before.
+  TimeMs confirmed_ms = -1;
+  /// The answer to the start is missing: it may still take effect.
+  bool start_in_doubt = false;
+  bool stop_wanted = false;
+  bool stop_in_flight = false;
+  /// When the worker answered the stop, -1 before.
+  TimeMs stopped_ms = -1;
+  TimeMs placed_ms = 0;
+  /// Runs of the same gang share this number, 0 for none.
+  uint64_t gang = 0;
+  /// Why it is being stopped, for the log.
+  const char* stop_reason = "";
+};
+
+/// Outcomes of recent runs, from which trust in a worker follows.
+struct WorkerRecord {
+  uint32_t failures_in_a_row = 0;
+  /// Actual over estimated run time, smoothed; 1 for an average worker.
+  double slowness = 1.0;
+  uint32_t samples = 0;
+  /// No new work before this time.
+  TimeMs set_aside_until_ms = 0;
+  /// Times it was set aside without a success in between.
+  uint32_t set_aside_count = 0;
+};
+
+struct Worker {
+  WorkerInfo info;
+  /// Listed by the platform; others are kept until their tasks have ended.
+  bool listed = true;
+  /// This owner's fencing token was accepted and its runs are known.
+  bool synced = false;
+  /// The last look succeeded.
+  bool reachable = false;
+  /// Looks under way, when the newest was sent, and when the newest one that
+  /// was answered had been sent.
+  uint32_t looks = 0;
+  TimeMs look_sent_ms = -1;
+  TimeMs look_answered_ms = -1;
+  uint32_t look_failures = 0;
+  TimeMs next_look_ms = 0;
+  /// The worker's clock and when it was read; 0 before the first answer.
+  int64_t clock_ms = 0;
+  TimeMs clock_read_ms = 0;
+  /// Highest lease end sent, on the worker's clock.
+  int64_t lease_end_clock_ms = 0;
+  /// When every run on it must have ended although it does not answer.
+  TimeMs lapses_ms = 0;
+  /// Ends up to `seen` are known here, up to `acked` they are stored.
+  uint64_t seen = 0;
+  uint64_t acked = 0;
+  /// Last acknowledgment that the worker was sent.
+  uint64_t ack_sent = 0;
+  std::map<std::string, PlacedRun> runs;
+  /// Runs that this owner does not know, which are being stopped.
+  std::map<std::string, uint32_t> foreign;
+  Resources used;
+  WorkerRecord record;
+  /// Recorded in the store as a worker that may hold tasks.
+  bool recorded = false;
+  TimeMs drain_seen_ms = 0;
+};
+
+using Fleet = std::map<std::string, Worker>;
+
+inline Resources FreeOf(const Worker& worker) {
+  return worker.info.capacity - worker.used;
+}
+
+/// Whether new tasks may be placed on the worker at all.
+bool IsUsable(const Worker& worker, TimeMs now_ms);
+
+/// What a task takes of a worker's capacity: processors of a filler do not
+/// count.
+Resources SizeOnWorker(const StepSpec& step);
+
+void AddRun(Worker& worker, const std::string& name, PlacedRun run);
+/// Removes a run and frees its capacity.
+void RemoveRun(Worker& worker, const std::string& name);
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/JobRows.cpp
@@ -0,0 +1,262 @@
+#include "workflow/JobRows.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dotterelcove::workflow {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Writes a member unless it has the value that stands for its absence.
+template <class T>
+void PutUnless(Json& json, const char* name, const T& value, const T& absent) {
+  if (value != absent) json[name] = value;
+}
+
+template <class T>
+T Get(const Json& json, const char* name, T fallback) {
+  const auto found = json.find(name);
+  return found == json.end() ? fallback : found->template get<T>();
+}
+
+Json StepToJson(const StepSpec& step) {
+  const StepSpec plain;
+  Json json = Json::object();
+  json["count"] = step.count;
+  json["cores"] = step.size.milli_cores;
+  json["memory"] = step.size.memory_mb;
+  PutUnless(json, "accelerators", step.size.accelerators, int64_t{0});
+  PutUnless(json, "estimate", step.estimate_ms, plain.estimate_ms);
+  if (!step.after.empty()) json["after"] = step.after;
+  PutUnless(json, "checkpoints", step.checkpoints, false);
+  PutUnless(json, "gang", step.gang, false);
+  PutUnless(json, "same_rack", step.same_rack, false);
+  PutUnless(json, "speculative", step.speculative, false);
+  PutUnless(json, "long_running", step.long_running, false);
+  PutUnless(json, "filler", step.filler, false);
+  PutUnless(json, "label", step.required_label, std::string());
+  PutUnless(json, "rack", step.data_rack, std::string());
+  PutUnless(json, "spread", step.max_per_worker, 0U);
+  PutUnless(json, "image", step.image, std::string());
+  PutUnless(json, "tail_target", step.tail_target_ms, plain.tail_target_ms);
+  PutUnless(json, "allowance", step.disruption_allowance, 0U);
+  return json;
+}
+
+StepSpec StepFromJson(const Json& json) {
+  StepSpec step;
+  step.count = Get(json, "count", 1U);
+  step.size.milli_cores = Get(json, "cores", int64_t{0});
+  step.size.memory_mb = Get(json, "memory", int64_t{0});
+  step.size.accelerators = Get(json, "accelerators", int64_t{0});
+  step.estimate_ms = Get(json, "estimate", TimeMs{0});
+  step.after = Get(json, "after", std::vector<uint32_t>());
+  step.checkpoints = Get(json, "checkpoints", false);
+  step.gang = Get(json, "gang", false);
+  step.same_rack = Get(json, "same_rack", false);
+  step.speculative = Get(json, "speculative", false);
+  step.long_running = Get(json, "long_running", false);
+  step.filler = Get(json, "filler", false);
+  step.required_label = Get(json, "label", std::string());
+  step.data_rack = Get(json, "rack", std::string());
+  step.max_per_worker = Get(json, "spread", 0U);
+  step.image = Get(json, "image", std::string());
+  step.tail_target_ms = Get(json, "tail_target", TimeMs{0});
+  step.disruption_allowance = Get(json, "allowance", 0U);
+  return step;
+}
+
+Json PolicyToJson(const QueuePolicy& policy) {
+  Json json{{"priority", policy.priority},
+            {"attempts", policy.attempts},
+            {"stretch", policy.stretch},
+            {"target", policy.target_ms}};
+  if (policy.permits.required) {
+    json["permits"] = {policy.permits.decision_ms, policy.permits.per_worker_ms,
+                       policy.permits.validity_ms};
+  }
+  return json;
+}
+
+QueuePolicy PolicyFromJson(const Json& json) {
+  QueuePolicy policy;
+  policy.priority = Get(json, "priority", 0);
+  policy.attempts = Get(json, "attempts", 1U);
+  policy.stretch = Get(json, "stretch", 1.0);
+  policy.target_ms = Get(json, "target", TimeMs{0});
+  const auto permits = json.find("permits");
+  if (permits != json.end()) {
+    policy.permits.required = true;
+    policy.permits.decision_ms = permits->at(0).get<double>();
+    policy.permits.per_worker_ms = permits->at(1).get<double>();
+    policy.permits.validity_ms = permits->at(2).get<TimeMs>();
+  }
+  return policy;
+}
+
+JobSpec SpecFromJson(const Json& json) {
+  JobSpec spec;
+  spec.id = json.at("id").get<std::string>();
+  spec.queue = Get(json, "queue", std::string());
+  spec.service = Get(json, "service", std::string());
+  spec.payload = Get(json, "payload", std::string());
+  for (const Json& step : json.at("steps")) {
+    spec.steps.push_back(StepFromJson(step));
+  }
+  spec.occurrences = Get(json, "occurrences", 0U);
+  spec.first_start_wall_ms = Get(json, "first_start", int64_t{0});
+  spec.interval_ms = Get(json, "interval", int64_t{0});
+  spec.policy = PolicyFromJson(json.at("policy"));
+  spec.accepted_wall_ms = Get(json, "accepted", int64_t{0});
+  return spec;
+}
+
+Json StepProgressToJson(const StepState& step) {
+  std::string done;
+  Json others = Json::object();
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskState& task = step.tasks[i];
+    done += task.phase == TaskPhase::kDone ? '1' : '0';
+    if (task.phase == TaskPhase::kDone) continue;
+    if (task.failures == 0 && task.run <= 1 && task.checkpoint.empty()) {
+      continue;
+    }
+    others[std::to_string(i)] = {task.run, task.failures, task.checkpoint};
+  }
+  return {done, others};
+}
+
+void ApplyStepProgress(const Json& json, StepState& step) {
+  const std::string done = json.at(0).get<std::string>();
+  step.done = 0;
+  for (size_t i = 0; i < step.tasks.size() && i < done.size(); ++i) {
+    if (done[i] != '1') continue;
+    step.tasks[i].phase = TaskPhase::kDone;
+    step.done++;
+  }
+  for (const auto& [key, value] : json.at(1).items()) {
+    const size_t index = std::stoul(key);
+    if (index >= step.tasks.size()) continue;
+    TaskState& task = step.tasks[index];
+    task.run = value.at(0).get<uint32_t>();
+    task.failures = value.at(1).get<uint32_t>();
+    task.checkpoint = value.at(2).get<std::string>();
+  }
+}
+
+}  // namespace
+
+std::string EncodeJob(const JobSpec& spec) {
+  Json json{{"id", spec.id},
+            {"queue", spec.queue},
+            {"service", spec.service},
+            {"payload", spec.payload},
+            {"policy", PolicyToJson(spec.policy)},
+            {"accepted", spec.accepted_wall_ms}};
+  for (const StepSpec& step : spec.steps) {
+    json["steps"].push_back(StepToJson(step));
+  }
+  PutUnless(json, "occurrences", spec.occurrences, 0U);
+  PutUnless(json, "first_start", spec.first_start_wall_ms, int64_t{0});
+  PutUnless(json, "interval", spec.interval_ms, int64_t{0});
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string EncodeJobEnd(const JobEnd& end) {
+  return Json{{"ended", NameOf(kJobPhaseNames, end.phase)},
+              {"at", end.ended_wall_ms}}
+      .dump();
+}
+
+DecodedJob DecodeJob(const std::string& text) {
+  DecodedJob decoded;
+  try {
+    const Json json = Json::parse(text);
+    const auto ended = json.find("ended");
+    if (ended != json.end()) {
+      const auto phase = ValueOf(kJobPhaseNames, ended->get<std::string>());
+      if (phase) decoded.ended = JobEnd{*phase, Get(json, "at", int64_t{0})};
+      return decoded;
+    }
+    decoded.open = SpecFromJson(json);
+  } catch (const Json::exception&) {
+    decoded = {};
+  }
+  return decoded;
+}
+
+std::string EncodeProgress(const Job& job) {
+  Json json = Json::object();
+  if (job.started) json["started"] = true;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    Json steps = Json::array();
+    if (!occurrence.complete) {
+      for (const StepState& step : occurrence.steps) {
+        steps.push_back(StepProgressToJson(step));
+      }
+    }
+    json["occurrences"][std::to_string(number)] = std::move(steps);
+  }
+  return json.dump();
+}
+
+bool ApplyProgress(const std::string& text, Job& job) {
+  try {
+    const Json json = Json::parse(text);
+    job.started = Get(json, "started", false);
+    for (const auto& [key, steps] : json.at("occurrences").items()) {
+      const auto number = static_cast<uint32_t>(std::stoul(key));
+      Occurrence& occurrence = job.occurrences[number];
+      occurrence.steps.resize(job.spec.steps.size());
+      for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+        occurrence.steps[i].tasks.resize(job.spec.steps[i].count);
+      }
+      if (steps.empty()) {
+        occurrence.complete = true;
+        job.occurrences_done++;
+        for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+          occurrence.steps[i].done = job.spec.steps[i].count;
+          for (TaskState& task : occurrence.steps[i].tasks) {
+            task.phase = TaskPhase::kDone;
+          }
+        }
+        continue;
+      }
+      for (size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
+        ApplyStepProgress(steps.at(i), occurrence.steps[i]);
+      }
+    }
+  } catch (const std::exception&) {
+    return false;
+  }
+  return true;
+}
+
+std::string EncodeFleet(const std::vector<WorkerInfo>& workers) {
+  Json json = Json::array();
+  for (const WorkerInfo& worker : workers) {
+    json.push_back(
+        {worker.id, worker.address, worker.service, worker.incarnation});
+  }
+  return json.dump();
+}
+
+std::vector<WorkerInfo> DecodeFleet(const std::string& text) {
+  std::vector<WorkerInfo> workers;
+  try {
+    for (const Json& entry : Json::parse(text)) {
+      WorkerInfo worker;
+      worker.id = entry.at(0).get<std::string>();
+      worker.address = entry.at(1).get<std::string>();
+      worker.service = entry.at(2).get<std::string>();
+      worker.incarnation = entry.at(3).get<uint64_t>();
+      workers.push_back(std::move(worker));
+    }
+  } catch (const Json::exception&) {
+    return {};
+  }
+  return workers;
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/JobRows.h
@@ -0,0 +1,50 @@
+/// The rows in which jobs and their progress are stored.
+///
+/// Table "job": key ID holds the job as accepted, or how it ended; key ID.c
+/// exists once its cancellation was asked for. Table "progress": key ID holds
+/// what the tasks of an open job have reached. Table "fleet": one row with the
+/// workers that may hold tasks.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "workflow/Fleet.h"
+#include "workflow/JobTable.h"
+
+namespace dotterelcove::workflow {
+
+inline constexpr const char* kJobTable = "job";
+inline constexpr const char* kProgressTable = "progress";
+inline constexpr const char* kFleetTable = "fleet";
+inline constexpr const char* kFleetKey = "workers";
+inline constexpr const char* kCancelSuffix = ".c";
+
+/// How a job ended, as kept for callers that ask later.
+struct JobEnd {
+  JobPhase phase = JobPhase::kCompleted;
+  int64_t ended_wall_ms = 0;
+};
+
+std::string EncodeJob(const JobSpec& spec);
+std::string EncodeJobEnd(const JobEnd& end);
+
+/// A row of the table "job": one of both is set in a sound row.
+struct DecodedJob {
+  std::optional<JobSpec> open;
+  std::optional<JobEnd> ended;
+};
+/// Both are empty for text that is not such a row.
+DecodedJob DecodeJob(const std::string& text);
+
+std::string EncodeProgress(const Job& job);
+/// Returns false, leaving `job` partly changed, for text that does not fit it.
+bool ApplyProgress(const std::string& text, Job& job);
+
+/// The workers that may hold tasks, each with what is needed to ask it.
+std::string EncodeFleet(const std::vector<WorkerInfo>& workers);
+/// Entries that are not such a worker are left out.
+std::vector<WorkerInfo> DecodeFleet(const std::string& text);
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/PermitPlan.cpp
@@ -0,0 +1,94 @@
+#include "workflow/PermitPlan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// A quick question waits at most this long for a process to become free.
+constexpr TimeMs kMaxQuickWaitMs = 400;
+
+struct Candidate {
+  std::string id;
+  /// Known to be allowed from an earlier answer.
+  bool allowed = false;
+  int64_t room_tasks = 0;
+};
+
+int64_t TasksThatFit(const Worker& worker, const PlacementNeed& need) {
+  const Resources size = SizeOnWorker(*need.step);
+  const Resources free = FreeOf(worker);
+  int64_t fit = need.step->count;
+  if (size.milli_cores > 0) {
+    fit = std::min(fit, free.milli_cores / size.milli_cores);
+  }
+  if (size.memory_mb > 0) fit = std::min(fit, free.memory_mb / size.memory_mb);
+  if (need.step->max_per_worker > 0) {
+    fit = std::min<int64_t>(fit, need.step->max_per_worker);
+  }
+  return std::max<int64_t>(fit, 0);
+}
+
+}  // namespace
+
+TimeMs QuestionCostMs(const PermitTerms& terms, size_t workers) {
+  return static_cast<TimeMs>(terms.decision_ms +
+                             terms.per_worker_ms * static_cast<double>(workers));
+}
+
+std::vector<std::string> WorkersToName(const Fleet& fleet,
+                                       const PlacementNeed& need,
+                                       uint32_t tasks) {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, worker] : fleet) {
+    if (!IsUsable(worker, need.now_ms)) continue;
+    if (!IsEligible(worker, *need.job, *need.step)) continue;
+    if (need.state->denied.contains(id)) continue;
+    if (HasTicket(*need.state, worker, need.now_ms)) continue;
+    if (!Fits(SizeOnWorker(*need.step), worker.info.capacity)) continue;
+    if (!HasRoom(worker, need)) continue;
+    candidates.push_back({id, need.state->tickets.contains(id),
+                          TasksThatFit(worker, need)});
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     if (a.allowed != b.allowed) return a.allowed;
+                     return a.room_tasks > b.room_tasks;
+                   });
+  // Known-allowed workers count in full, others by a cautious share.
+  constexpr double kExpectedShare = 0.3;
+  constexpr double kSpareFactor = 2.0;
+  std::vector<std::string> names;
+  double expected = 0;
+  for (const Candidate& candidate : candidates) {
+    if (names.size() >= kMaxWorkersNamed) break;
+    if (expected >= kSpareFactor * tasks + 1) break;
+    names.push_back(candidate.id);
+    expected += static_cast<double>(candidate.room_tasks) *
+                (candidate.allowed ? 1.0 : kExpectedShare);
+  }
+  return names;
+}
+
+PermitAsker* ChooseAsker(PermitAskers& askers, TimeMs cost_ms, TimeMs now_ms) {
+  const bool slow = cost_ms > kSlowQuestionMs;
+  size_t slow_ones = 0;
+  PermitAsker* best = nullptr;
+  for (auto& [name, asker] : askers) {
+    if (asker.slow > 0) ++slow_ones;
+    if (slow && asker.outstanding > 0) continue;
+    if (best != nullptr && asker.busy_until_ms >= best->busy_until_ms) continue;
+    best = &asker;
+  }
+  if (best == nullptr) return nullptr;
+  const size_t kept_free =
+      std::min(kProcessesForQuick, (askers.size() + 2) / 4);
+  if (slow && slow_ones + kept_free >= askers.size() && slow_ones > 0) {
+    return nullptr;
+  }
+  if (!slow && best->busy_until_ms > now_ms + kMaxQuickWaitMs) return nullptr;
+  return best;
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/PermitPlan.h
@@ -0,0 +1,44 @@
+/// Which workers to name to the permit authority and which process asks.
+/// Answers an authority that takes one call at a time for each calling VM and
+/// half a second for a slow one.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "workflow/Placement.h"
+#include "workflow/Ports.h"
+
+namespace dotterelcove::workflow {
+
+/// Most workers named in one question.
+inline constexpr size_t kMaxWorkersNamed = 30;
+/// Questions longer than this are slow: they never wait behind one another and
+/// leave some processes free for quick ones.
+inline constexpr TimeMs kSlowQuestionMs = 150;
+/// Processes kept free of slow questions.
+inline constexpr size_t kProcessesForQuick = 2;
+
+/// A process that can put questions to the authority.
+struct PermitAsker {
+  PermitPort ask;
+  TimeMs busy_until_ms = 0;
+  uint32_t slow = 0;
+  uint32_t outstanding = 0;
+};
+using PermitAskers = std::map<std::string, PermitAsker>;
+
+TimeMs QuestionCostMs(const PermitTerms& terms, size_t workers);
+
+/// Workers worth naming for tasks of a step that cannot be placed with the
+/// tickets at hand; empty when a question could not help now.
+std::vector<std::string> WorkersToName(const Fleet& fleet,
+                                       const PlacementNeed& need,
+                                       uint32_t tasks);
+
+/// The process to ask through, or nullptr when all are too busy.
+PermitAsker* ChooseAsker(PermitAskers& askers, TimeMs cost_ms, TimeMs now_ms);
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/Ports.h
@@ -0,0 +1,177 @@
+/// What the owner needs from the outside: workers and the permit authority.
+/// The platform's adapter and the tests' fakes provide these functions.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/NameTable.h"
+#include "dotterelcove/Types.h"
+
+namespace dotterelcove::workflow {
+
+/// What became of an order to a worker.
+enum class OrderStatus : uint8_t {
+  kOk,
+  /// Another owner with a higher token has been there.
+  kFenced,
+  /// The worker has seen an end of this run or of a later one.
+  kOldRun,
+  /// The lease sent has already passed on the worker's clock.
+  kLate,
+  kNoRoom,
+  kNoTicket,
+  /// The worker is unhealthy; nothing was done.
+  kUnhealthy,
+  /// Another life of the worker answered; nothing was done.
+  kOtherIncarnation,
+  /// The worker calls the order malformed; nothing was done.
+  kMalformed,
+  /// The call never left; nothing was done.
+  kNotSent,
+  /// No answer: the order may have been carried out, or may yet be.
+  kUnknown,
+};
+inline constexpr auto kOrderStatusNames = MakeNameTable<OrderStatus>(
+    {{OrderStatus::kOk, "ok"},
+     {OrderStatus::kFenced, "fenced"},
+     {OrderStatus::kOldRun, "old_run"},
+     {OrderStatus::kLate, "late"},
+     {OrderStatus::kNoRoom, "no_room"},
+     {OrderStatus::kNoTicket, "no_ticket"},
+     {OrderStatus::kUnhealthy, "unhealthy"},
+     {OrderStatus::kOtherIncarnation, "other_incarnation"},
+     {OrderStatus::kMalformed, "malformed"},
+     {OrderStatus::kNotSent, "not_sent"},
+     {OrderStatus::kUnknown, "unknown"}});
+
+struct OrderAnswer {
+  OrderStatus status = OrderStatus::kUnknown;
+  /// The worker's clock at the answer, 0 when none was given.
+  int64_t clock_ms = 0;
+};
+using OrderCallback = std::function<void(OrderAnswer)>;
+
+/// Which worker an order is meant for.
+struct WorkerAddress {
+  std::string id;
+  std::string address;
+};
+
+struct StartOrder {
+  std::string task;
+  uint32_t run = 0;
+  std::string payload;
+  /// End of the lease, on the worker's clock.
+  int64_t lease_end_clock_ms = 0;
+  uint64_t token = 0;
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct StopOrder {
+  std::string task;
+  uint32_t run = 0;
+  uint64_t token = 0;
+};
+
+struct PaceOrder {
+  std::string task;
+  uint32_t run = 0;
+  int percent = 100;
+  uint64_t token = 0;
+};
+
+/// Renews the lease, acknowledges ends and asks for what runs.
+struct LookOrder {
+  uint64_t token = 0;
+  uint64_t acked = 0;
+  /// 0 renews nothing.
+  int64_t lease_end_clock_ms = 0;
+  /// The answer may wait so long for an end.
+  TimeMs wait_ms = 0;
+};
+
+struct ReportedRun {
+  std::string task;
+  uint32_t run = 0;
+  std::string checkpoint;
+  int percent = 0;
+  /// Tail latency in milliseconds of a serving task, processors used of any
+  /// other; -1 when not reported.
+  double usage = -1;
+};
+
+/// How a run ended, as its worker tells.
+enum class RunEnd : uint8_t {
+  kDone,
+  kFailed,
+  kStopped,
+  kLapsed,
+  /// Another member of the gang ended.
+  kBroken,
+  /// The other members of the gang did not come in time.
+  kAlone,
+};
+inline constexpr auto kRunEndNames =
+    MakeNameTable<RunEnd>({{RunEnd::kDone, "done"},
+                           {RunEnd::kFailed, "failed"},
+                           {RunEnd::kStopped, "stopped"},
+                           {RunEnd::kLapsed, "lapsed"},
+                           {RunEnd::kBroken, "broken"},
+                           {RunEnd::kAlone, "alone"}});
+
+struct ReportedEnd {
+  uint64_t number = 0;
+  std::string task;
+  uint32_t run = 0;
+  RunEnd end = RunEnd::kDone;
+  std::string checkpoint;
+};
+
+struct LookAnswer {
+  OrderStatus status = OrderStatus::kUnknown;
+  int64_t clock_ms = 0;
+  /// 0 when the worker did not tell.
+  uint64_t incarnation = 0;
+  std::vector<ReportedRun> running;
+  std::vector<ReportedEnd> ended;
+};
+using LookCallback = std::function<void(LookAnswer)>;
+
+struct WorkerPort {
+  std::function<void(const WorkerAddress&, const StartOrder&, OrderCallback)>
+      start;
+  std::function<void(const WorkerAddress&, const StopOrder&, OrderCallback)>
+      stop;
+  std::function<void(const WorkerAddress&, const PaceOrder&, OrderCallback)>
+      pace;
+  std::function<void(const WorkerAddress&, const LookOrder&, LookCallback)>
+      look;
+};
+
+/// Which workers may run the tasks of one step.
+struct PermitQuestion {
+  std::string step;
+  std::vector<std::string> workers;
+};
+struct PermitGrant {
+  std::string worker;
+  std::string ticket;
+};
+enum class PermitStatus : uint8_t { kOk, kBusy, kFailed };
+inline constexpr auto kPermitStatusNames =
+    MakeNameTable<PermitStatus>({{PermitStatus::kOk, "ok"},
+                                 {PermitStatus::kBusy, "busy"},
+                                 {PermitStatus::kFailed, "failed"}});
+struct PermitAnswer {
+  PermitStatus status = PermitStatus::kFailed;
+  std::vector<PermitGrant> grants;
+  TimeMs validity_ms = 0;
+};
+using PermitCallback = std::function<void(PermitAnswer)>;
+using PermitPort = std::function<void(const PermitQuestion&, PermitCallback)>;
+
+}  // namespace dotterelcove::workflow
