Look at a worker again only after its ends are stored; keep connections

Cause: a worker answers a look at once while it lists ends that are not acknowledged, so looks spun until the commit; libcurl closed idle connections as the number of calls in progress fell. Change: the next look waits for the commit (at most 250 ms in an outage); the connection cache holds 1,000.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -83,6 +83,10 @@
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, OnTimer);
     curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    // libcurl's own limit follows the calls in progress and closes connections
+    // that the next moment needs again.
+    constexpr long kKeptConnections = 1'000;
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
     if (max_connections_per_host > 0) {
       curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                         static_cast<long>(max_connections_per_host));
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -269,9 +269,9 @@
     Worker& worker = found->second;
     if (worker.info.incarnation != end.first) continue;
     worker.acked = std::max(worker.acked, end.second);
-    // A worker without tasks is looked at seldom: tell it now.
-    if (worker.runs.empty() && worker.ack_sent < worker.acked) {
-      Look(c, worker, 0);
+    // The worker was left alone until its ends were stored.
+    if (worker.looks == 0) {
+      Look(c, worker, worker.runs.empty() ? 0 : c.options.look_wait_ms);
     }
   }
   FlushProgress(c);
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr TimeMs kLookRetryMs = 120;
+constexpr TimeMs kUnackedLookMs = 250;
 /// A task whose reported progress stands still for this long is started
 /// elsewhere; at least this, more for long tasks.
 constexpr TimeMs kStandstillMs = 2'200;
@@ -204,6 +205,12 @@
 
 void ContinueLooking(Controller& c, Worker& worker) {
   if (worker.looks > 0) return;
+  if (worker.seen > worker.acked) {
+    // A worker answers at once while it holds ends that are not acknowledged,
+    // so the next look waits for their commit, though not for an outage's end.
+    worker.next_look_ms = c.runtime.now() + kUnackedLookMs;
+    return;
+  }
   if (!worker.runs.empty() || !worker.foreign.empty()) {
     Look(c, worker, c.options.look_wait_ms);
     return;
