--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -30,12 +30,18 @@
 
 using JobAnswerCallback = std::function<void(JobAnswer, StoreRow stored)>;
 
-/// Stores a job unless its id is stored already. After an unanswered try the
-/// same insert is tried again, so that the truth is known before an answer;
-/// kUnknown comes only when `deadline_ms` (monotonic) passes first.
+/// Stores a job unless its id is stored already, in one try.
+void InsertJobOnce(const Runtime& runtime, const RowStore& store,
+                   const std::string& key, const std::string& value,
+                   JobAnswerCallback done);
+
+/// The same until the outcome is known: after an unanswered try the insert is
+/// tried again, so that the truth is known before an answer; kUnknown comes
+/// only when `deadline_ms` (monotonic) passes first. `in_doubt` tells that an
+/// earlier try may have been carried out.
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, JobAnswerCallback done);
+               TimeMs deadline_ms, bool in_doubt, JobAnswerCallback done);
 
 /// Stores the wish to cancel a job; an ended job needs no row.
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -354,7 +354,7 @@
   if (const auto* insert = frame.body.AsJobInsert()) {
     const uint64_t call = insert->call;
     InsertJob(this->runtime, this->ports.store, insert->key, insert->value,
-              this->runtime.now() + kOwnerInsertMs,
+              this->runtime.now() + kOwnerInsertMs, false,
               [this, call, link = info.link, alive = this->alive](
                   JobAnswer answer, const StoreRow& row) {
                 if (!*alive) return;
@@ -446,21 +446,38 @@
          F("took_ms", took_ms)});
     done(answer);
   };
-  InsertJob(this->runtime, this->ports.store, key, value,
-            began_ms + timeout_ms,
-            [this, key, value, finish, alive = this->alive](
-                JobAnswer answer, const StoreRow& row) {
-              if (!*alive) return;
-              if (answer == JobAnswer::kStored) this->NotifyOwner(row);
-              if (answer != JobAnswer::kRefused) {
+  const TimeMs deadline_ms = began_ms + timeout_ms;
+  // The last resort: this process alone, until the truth is known.
+  const auto insist = [this, key, value, finish, deadline_ms,
+                       alive = this->alive](bool in_doubt) {
+    InsertJob(this->runtime, this->ports.store, key, value, deadline_ms,
+              in_doubt,
+              [this, finish, alive](JobAnswer answer, const StoreRow& row) {
+                if (!*alive) return;
+                if (answer == JobAnswer::kStored) this->NotifyOwner(row);
                 finish(answer, "store");
+              });
+  };
+  InsertJobOnce(
+      this->runtime, this->ports.store, key, value,
+      [this, key, value, finish, insist, alive = this->alive](
+          JobAnswer answer, const StoreRow& row) {
+        if (!*alive) return;
+        if (answer == JobAnswer::kStored) {
+          this->NotifyOwner(row);
+          finish(answer, "store");
+          return;
+        }
+        const bool in_doubt = answer == JobAnswer::kUnknown;
+        this->InsertThroughOwner(
+            key, value, [finish, insist, in_doubt](JobAnswer by_owner) {
+              if (by_owner == JobAnswer::kStored) {
+                finish(by_owner, "owner");
                 return;
               }
-              this->InsertThroughOwner(key, value,
-                                       [finish](JobAnswer through_owner) {
-                                         finish(through_owner, "owner");
-                                       });
+              insist(in_doubt || by_owner == JobAnswer::kUnknown);
             });
+      });
 }
 
 void Node::Cancel(const std::string& id, TimeMs timeout_ms,
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -69,6 +69,10 @@
 
 void SetLogLevel(LogLevel level) { State().level = level; }
 
+void SetLogLinesPerSecond(int64_t lines) {
+  State().limiter.lines_per_second = lines;
+}
+
 void SetLogOutput(std::function<void(const std::string&)> output) {
   State().output = std::move(output);
 }
@@ -85,7 +89,7 @@
     window.start_ms = now_ms;
     window.written = 0;
   }
-  if (window.written >= kMaxLinesPerSecond) {
+  if (window.written >= limiter.lines_per_second) {
     window.left_out++;
     return {};
   }
--- a/src/telemetry/Log.h
+++ b/src/telemetry/Log.h
@@ -57,6 +57,9 @@
 /// would otherwise cost more than the request itself.
 inline constexpr int64_t kMaxLinesPerSecond = 20;
 
+/// Replaces the limit above, for examining a fault.
+void SetLogLinesPerSecond(int64_t lines);
+
 /// Counts the lines of each event name in the present second. Event names are
 /// literals in the code, so the table stays small.
 struct LogLimiter {
@@ -66,6 +69,7 @@
     int64_t left_out = 0;
   };
   std::map<std::string, Window, std::less<>> windows;
+  int64_t lines_per_second = kMaxLinesPerSecond;
 };
 
 /// Whether a line may be written, and how many were left out before it.
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -77,7 +77,9 @@
 /// A predecessor may have stored the last end of a job and not its outcome.
 void CloseCompleted(Controller& c) {
   for (const auto& [id, job] : c.jobs.jobs) {
-    if (job->started) job->phase = JobPhase::kRunning;
+    if (job->started && job->phase == JobPhase::kQueued) {
+      job->phase = JobPhase::kRunning;
+    }
     const uint32_t wanted = std::max(job->spec.occurrences, 1U);
     if (job->occurrences_done < wanted) {
       bool whole = job->spec.occurrences == 0;
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -188,9 +188,7 @@
               const std::string& worker) {
   Job& job = *ref.job;
   TaskState& task = TaskOf(ref);
-  const bool counted = end.run <= task.run && task.phase != TaskPhase::kRunning &&
-                       task.phase != TaskPhase::kStarting &&
-                       task.phase != TaskPhase::kStopping;
+  const bool counted = end.run <= task.ended_run;
   if (task.phase == TaskPhase::kDone) return;
   const bool holds = !task.worker.empty();
   if (holds && task.worker != worker) {
@@ -205,6 +203,7 @@
     return;
   }
   task.run = std::max(task.run, end.run);
+  task.ended_run = std::max(task.ended_run, end.run);
   job.started = true;
   Log(LogLevel::kInfo, "task_ended",
       {F("task", end.task), F("run", end.run), F("worker", worker),
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -54,7 +54,10 @@
 void OnStarted(Controller& c, const RunKey& key, FoundRun found) {
   PlacedRun& run = *found.run;
   run.start_in_doubt = false;
-  if (run.confirmed_ms < 0) run.confirmed_ms = c.runtime.now();
+  if (!run.confirmed) {
+    run.confirmed = true;
+    run.looks_before_confirmed = found.worker->looks_sent;
+  }
   TaskState& task = TaskOf(run.task);
   if (task.phase == TaskPhase::kStarting && task.worker == key.worker) {
     task.phase = TaskPhase::kRunning;
@@ -134,7 +137,7 @@
 void SendStop(Controller& c, const RunKey& key) {
   const FoundRun found = FindRun(c, key);
   if (found.run == nullptr || found.run->stop_in_flight) return;
-  if (found.run->stopped_ms >= 0) return;
+  if (found.run->stop_answered) return;
   found.run->stop_in_flight = true;
   c.stats.stops++;
   c.port.stop(
@@ -151,12 +154,16 @@
         const bool answered = answer.status == OrderStatus::kOk ||
                               answer.status == OrderStatus::kOldRun;
         if (answered) {
-          again.run->stopped_ms = self.runtime.now();
+          again.run->stop_answered = true;
+          again.run->looks_before_stopped = again.worker->looks_sent;
           // Whether the run was there at all, only a look tells; the end of
           // one that was comes with the look under way.
           if (again.run->start_in_doubt) Look(self, *again.worker, 0);
           return;
         }
+        Log(LogLevel::kWarning, "stop_unanswered",
+            {F("task", key.task), F("run", key.run), F("worker", key.worker),
+             F("status", NameOf(kOrderStatusNames, answer.status))});
         self.runtime.after(kStopRetryMs,
                            Guard(self, [key](Controller& later) {
                              SendStop(later, key);
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -108,7 +108,8 @@
   run.task = task;
   run.run = reported.run;
   run.size = SizeOnWorker(SpecOf(task));
-  run.confirmed_ms = c.runtime.now();
+  run.confirmed = true;
+  run.looks_before_confirmed = worker.looks_sent;
   run.placed_ms = c.runtime.now();
   if (SpecOf(task).gang) run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
   AddRun(worker, reported.task, run);
@@ -130,7 +131,7 @@
 }
 
 void ApplyReportedRun(Controller& c, Worker& worker,
-                      const ReportedRun& reported, TimeMs sent_ms) {
+                      const ReportedRun& reported) {
   const auto held = worker.runs.find(reported.task);
   if (held == worker.runs.end()) {
     AdoptRun(c, worker, reported);
@@ -141,8 +142,9 @@
   const TaskRef ref = run.task;
   TaskState& task = TaskOf(ref);
   run.start_in_doubt = false;
-  if (run.confirmed_ms < 0) {
-    run.confirmed_ms = sent_ms;
+  if (!run.confirmed) {
+    run.confirmed = true;
+    run.looks_before_confirmed = 0;
     if (task.phase == TaskPhase::kStarting) task.phase = TaskPhase::kRunning;
     ref.job->started = true;
   }
@@ -162,14 +164,14 @@
 /// Runs that should be on the worker and are not, although the look was sent
 /// after the worker had confirmed them: their ends are not known any more.
 void DropAbsentRuns(Controller& c, Worker& worker, const LookAnswer& answer,
-                    TimeMs sent_ms) {
+                    uint64_t look) {
   std::set<std::string> listed;
   for (const ReportedRun& run : answer.running) listed.insert(run.task);
   std::vector<std::string> absent;
   for (const auto& [name, run] : worker.runs) {
     if (listed.contains(name)) continue;
-    const bool stopped = run.stopped_ms >= 0 && run.stopped_ms < sent_ms;
-    const bool confirmed = run.confirmed_ms >= 0 && run.confirmed_ms < sent_ms &&
+    const bool stopped = run.stop_answered && run.looks_before_stopped < look;
+    const bool confirmed = run.confirmed && run.looks_before_confirmed < look &&
                            !run.start_in_doubt;
     if (stopped || confirmed) absent.push_back(name);
   }
@@ -178,7 +180,7 @@
     const uint64_t gang = worker.runs[name].gang;
     Log(LogLevel::kInfo, "run_absent",
         {F("task", name), F("worker", worker.info.id),
-         F("stopped", worker.runs[name].stopped_ms >= 0)});
+         F("stopped", worker.runs[name].stop_answered)});
     RemoveRun(worker, name);
     if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
     if (gang != 0) StopGang(c, gang, "gang_member_absent");
@@ -235,7 +237,7 @@
 }
 
 void OnLookAnswer(Controller& c, const std::string& id, uint64_t incarnation,
-                  TimeMs sent_ms, const LookAnswer& answer) {
+                  uint64_t look, const LookAnswer& answer) {
   const auto found = c.fleet.find(id);
   if (found == c.fleet.end()) return;
   Worker& worker = found->second;
@@ -257,18 +259,18 @@
     return;
   }
   // An answer that was overtaken by a newer one describes the past.
-  if (sent_ms < worker.look_answered_ms) {
+  if (look < worker.look_answered) {
     ContinueLooking(c, worker);
     return;
   }
-  worker.look_answered_ms = sent_ms;
+  worker.look_answered = look;
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ApplyReportedEnd(c, worker, end);
   if (c.stopped) return;
   for (const ReportedRun& run : answer.running) {
-    ApplyReportedRun(c, worker, run, sent_ms);
+    ApplyReportedRun(c, worker, run);
   }
-  DropAbsentRuns(c, worker, answer, sent_ms);
+  DropAbsentRuns(c, worker, answer, look);
   OnSynced(c, worker);
   FlushProgress(c);
   ContinueLooking(c, worker);
@@ -339,10 +341,8 @@
 
 void Look(Controller& c, Worker& worker, TimeMs wait_ms) {
   if (c.suspended) return;
-  // Two looks sent within one millisecond could not be told apart.
-  if (worker.looks > 0 && worker.look_sent_ms == c.runtime.now()) return;
   worker.looks++;
-  worker.look_sent_ms = c.runtime.now();
+  worker.looks_sent++;
   LookOrder order;
   order.token = c.epoch;
   order.acked = worker.acked;
@@ -352,11 +352,11 @@
   c.stats.looks++;
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
-  const TimeMs sent_ms = worker.look_sent_ms;
+  const uint64_t look = worker.looks_sent;
   c.port.look({id, worker.info.address}, order,
-              Guard(c, [id, incarnation, sent_ms](Controller& self,
-                                                  const LookAnswer& answer) {
-                OnLookAnswer(self, id, incarnation, sent_ms, answer);
+              Guard(c, [id, incarnation, look](Controller& self,
+                                               const LookAnswer& answer) {
+                OnLookAnswer(self, id, incarnation, look, answer);
               }));
 }
 
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -31,14 +31,16 @@
   TaskRef task;
   uint32_t run = 0;
   Resources size;
-  /// The worker has confirmed the start, at this time; -1 before.
-  TimeMs confirmed_ms = -1;
+  bool confirmed = false;
+  /// Looks sent to the worker before the start was confirmed or the stop was
+  /// answered: only the answer to a later look must show it.
+  uint64_t looks_before_confirmed = 0;
   /// The answer to the start is missing: it may still take effect.
   bool start_in_doubt = false;
   bool stop_wanted = false;
   bool stop_in_flight = false;
-  /// When the worker answered the stop, -1 before.
-  TimeMs stopped_ms = -1;
+  bool stop_answered = false;
+  uint64_t looks_before_stopped = 0;
   TimeMs placed_ms = 0;
   /// Runs of the same gang share this number, 0 for none.
   uint64_t gang = 0;
@@ -66,11 +68,11 @@
   bool synced = false;
   /// The last look succeeded.
   bool reachable = false;
-  /// Looks under way, when the newest was sent, and when the newest one that
-  /// was answered had been sent.
+  /// Looks under way, the number of the last one sent, and of the newest one
+  /// that was answered.
   uint32_t looks = 0;
-  TimeMs look_sent_ms = -1;
-  TimeMs look_answered_ms = -1;
+  uint64_t looks_sent = 0;
+  uint64_t look_answered = 0;
   uint32_t look_failures = 0;
   TimeMs next_look_ms = 0;
   /// The worker's clock and when it was read; 0 before the first answer.
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -119,10 +119,10 @@
     const TaskState& task = step.tasks[i];
     done += task.phase == TaskPhase::kDone ? '1' : '0';
     if (task.phase == TaskPhase::kDone) continue;
-    if (task.failures == 0 && task.run <= 1 && task.checkpoint.empty()) {
-      continue;
-    }
-    others[std::to_string(i)] = {task.run, task.failures, task.checkpoint};
+    if (task.ended_run == 0 && task.checkpoint.empty()) continue;
+    // Only runs that have ended: the next owner adopts those that still run.
+    others[std::to_string(i)] = {task.ended_run, task.failures,
+                                 task.checkpoint};
   }
   return {done, others};
 }
@@ -139,7 +139,8 @@
     const size_t index = std::stoul(key);
     if (index >= step.tasks.size()) continue;
     TaskState& task = step.tasks[index];
-    task.run = value.at(0).get<uint32_t>();
+    task.ended_run = value.at(0).get<uint32_t>();
+    task.run = task.ended_run;
     task.failures = value.at(1).get<uint32_t>();
     task.checkpoint = value.at(2).get<std::string>();
   }
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -55,6 +55,8 @@
   TaskPhase phase = TaskPhase::kWaiting;
   /// Number of the last start, 0 before the first.
   uint32_t run = 0;
+  /// Number of the last run whose end has been taken into account.
+  uint32_t ended_run = 0;
   uint32_t failures = 0;
   /// Worker that holds it, empty while waiting or done.
   std::string worker;
