--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -259,7 +259,7 @@
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
   c.stats.stops++;
-  c.port.stop({id, worker.info.address}, {name, found->second, c.epoch},
+  c.port.stop({id, worker.info.address}, {name, found->second.run, c.epoch},
               Guard(c, [id, incarnation, name](Controller& self,
                                                const OrderAnswer& answer) {
                 if (answer.status == OrderStatus::kFenced) {
@@ -270,8 +270,8 @@
                 if (again == self.fleet.end()) return;
                 if (again->second.info.incarnation != incarnation) return;
                 if (!again->second.foreign.contains(name)) return;
-                // The look that follows tells whether it is gone.
-                Look(self, again->second, 0);
+                // A look tells when it is gone; one may be under way.
+                if (again->second.looks == 0) Look(self, again->second, 0);
               }));
 }
 
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -12,6 +12,7 @@
 
 constexpr TimeMs kLookRetryMs = 120;
 constexpr TimeMs kUnackedLookMs = 250;
+constexpr TimeMs kStrayStopRetryMs = 500;
 /// A task whose reported progress stands still for this long is started
 /// elsewhere; at least this, more for long tasks.
 constexpr TimeMs kStandstillMs = 2'200;
@@ -88,12 +89,17 @@
                       TaskOf(task).phase == TaskPhase::kWaiting &&
                       reported.run > TaskOf(task).run && !IsFinal(task.job->phase);
   if (!wanted) {
-    if (!worker.foreign.contains(reported.task)) {
+    const bool is_new = !worker.foreign.contains(reported.task);
+    ForeignRun& stray = worker.foreign[reported.task];
+    stray.run = reported.run;
+    const TimeMs since_ms = c.runtime.now() - stray.stop_sent_ms;
+    if (!is_new && since_ms < kStrayStopRetryMs) return;
+    if (is_new) {
       Log(LogLevel::kWarning, "stray_run_found",
           {F("task", reported.task), F("run", reported.run),
            F("worker", worker.info.id), F("job_known", task.job != nullptr)});
     }
-    worker.foreign[reported.task] = reported.run;
+    stray.stop_sent_ms = c.runtime.now();
     StopForeign(c, worker, reported.task);
     return;
   }
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -48,6 +48,13 @@
   const char* stop_reason = "";
 };
 
+/// A run that the owner does not know and is stopping.
+struct ForeignRun {
+  uint32_t run = 0;
+  /// When its stop was last sent.
+  TimeMs stop_sent_ms = 0;
+};
+
 /// Outcomes of recent runs, from which trust in a worker follows.
 struct WorkerRecord {
   uint32_t failures_in_a_row = 0;
@@ -89,7 +96,7 @@
   uint64_t ack_sent = 0;
   std::map<std::string, PlacedRun> runs;
   /// Runs that this owner does not know, which are being stopped.
-  std::map<std::string, uint32_t> foreign;
+  std::map<std::string, ForeignRun> foreign;
   Resources used;
   WorkerRecord record;
   /// Recorded in the store as a worker that may hold tasks.
