Shard the job table; count failed runs by number; outcomes first in the commit

Change: 16 shards for the job table; how a job ends is stored in the owner's own part and compacted into the job's row later; failures are a set of runs.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -158,11 +158,34 @@
   TryCancel(MakeAttempt(runtime, store, id, deadline_ms, std::move(done)));
 }
 
+namespace {
+
+/// The job's own row says that it is open; its outcome may be stored already.
+void LookUpProgress(const RowStore& store, const std::string& id,
+                    const std::function<void(JobLookup)>& done) {
+  store.read_one(workflow::kProgressTable, id,
+                 [done](const StoreAnswer& answer) {
+                   JobLookup lookup;
+                   lookup.status = answer.status;
+                   lookup.found = true;
+                   lookup.phase = workflow::JobPhase::kQueued;
+                   if (!answer.rows.empty()) {
+                     const auto end =
+                         workflow::DecodeEnd(answer.rows.front().value);
+                     lookup.phase =
+                         end ? end->phase : workflow::JobPhase::kRunning;
+                   }
+                   done(lookup);
+                 });
+}
+
+}  // namespace
+
 void LookUpJob(const RowStore& store, const std::string& id,
                std::function<void(JobLookup)> done) {
   store.read_one(
       workflow::kJobTable, id,
-      [done = std::move(done)](const StoreAnswer& answer) {
+      [store, id, done = std::move(done)](const StoreAnswer& answer) {
         JobLookup lookup;
         lookup.status = answer.status;
         lookup.found = !answer.rows.empty();
@@ -172,9 +195,12 @@
         }
         const workflow::DecodedJob job =
             workflow::DecodeJob(answer.rows.front().value);
-        lookup.phase =
-            job.ended ? job.ended->phase : workflow::JobPhase::kRunning;
-        done(lookup);
+        if (job.ended) {
+          lookup.phase = job.ended->phase;
+          done(lookup);
+          return;
+        }
+        LookUpProgress(store, id, done);
       });
 }
 
--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -53,8 +53,7 @@
   bool found = false;
   workflow::JobPhase phase = workflow::JobPhase::kQueued;
 };
-/// What the store tells of a job. Whether an open job has begun is not looked
-/// up: it counts as running.
+/// What the store tells of a job.
 void LookUpJob(const RowStore& store, const std::string& id,
                std::function<void(JobLookup)> done);
 
--- a/src/store/RowStore.cpp
+++ b/src/store/RowStore.cpp
@@ -3,45 +3,81 @@
 #include <memory>
 #include <utility>
 
+#include "base/Hash.h"
+
 namespace dotterelcove {
 namespace {
 
 constexpr uint32_t kPageRows = 500;
 
+constexpr uint32_t kJobShards = 16;
+/// Rows of one job share a shard: keys that begin with its id.
+constexpr size_t kJobIdLength = 16;
+constexpr const char* kShardedTable = "job";
+
+/// The shards of a table while they are being read.
 struct TableRead {
   RowStore store;
   std::string table;
   StoreCallback done;
   StoreAnswer whole;
+  uint32_t missing = 0;
 };
+using TableReadPtr = std::shared_ptr<TableRead>;
+
+void FinishShard(const TableReadPtr& read, StoreStatus status) {
+  if (status != StoreStatus::kOk) read->whole.status = status;
+  if (--read->missing == 0) read->done(std::move(read->whole));
+}
 
-void ReadPage(const std::shared_ptr<TableRead>& read, const std::string& from) {
-  read->store.read(read->table, from, kPageRows, [read](StoreAnswer page) {
-    if (page.status != StoreStatus::kOk) {
-      read->done(std::move(page));
-      return;
-    }
-    if (read->whole.version == 0) read->whole.version = page.version;
-    for (StoreRow& row : page.rows) {
-      read->whole.rows.push_back(std::move(row));
-    }
-    if (page.more && !read->whole.rows.empty()) {
-      // The smallest key after the last one read.
-      ReadPage(read, read->whole.rows.back().key + '\x01');
-      return;
-    }
-    read->whole.status = StoreStatus::kOk;
-    read->done(std::move(read->whole));
-  });
+void ReadPage(const TableReadPtr& read, uint32_t shard,
+              const std::string& from) {
+  read->store.read(
+      read->table, shard, from, kPageRows,
+      [read, shard, from](StoreAnswer page) {
+        StoreAnswer& whole = read->whole;
+        if (page.status != StoreStatus::kOk) {
+          FinishShard(read, page.status);
+          return;
+        }
+        const bool first = from.empty();
+        const bool lower = whole.version == 0 || page.version < whole.version;
+        if (first && lower) whole.version = page.version;
+        // The smallest key after the last one read.
+        const std::string next =
+            page.rows.empty() ? std::string() : page.rows.back().key + '\x01';
+        for (StoreRow& row : page.rows) whole.rows.push_back(std::move(row));
+        if (page.more && !next.empty()) {
+          ReadPage(read, shard, next);
+          return;
+        }
+        FinishShard(read, StoreStatus::kOk);
+      });
 }
 
 }  // namespace
 
+uint32_t ShardCount(const std::string& table) {
+  return table == kShardedTable ? kJobShards : 1;
+}
+
+uint32_t ShardOf(const std::string& table, const std::string& key) {
+  if (table != kShardedTable) return 0;
+  return static_cast<uint32_t>(Hash64(key.substr(0, kJobIdLength)) %
+                               kJobShards);
+}
+
 void ReadTable(const RowStore& store, const std::string& table,
                StoreCallback done) {
-  ReadPage(std::make_shared<TableRead>(
-               TableRead{store, table, std::move(done), StoreAnswer{}}),
-           "");
+  const auto read = std::make_shared<TableRead>();
+  read->store = store;
+  read->table = table;
+  read->done = std::move(done);
+  read->whole.status = StoreStatus::kOk;
+  read->missing = ShardCount(table);
+  for (uint32_t shard = 0; shard < ShardCount(table); ++shard) {
+    ReadPage(read, shard, "");
+  }
 }
 
 }  // namespace dotterelcove
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -75,14 +75,21 @@
   uint64_t version = 0;
 };
 
+/// Parts of a table that the store writes one transaction at a time. The job
+/// table has many, so that accepted jobs do not queue behind one another nor
+/// behind the owner's commits when the store is slow.
+uint32_t ShardCount(const std::string& table);
+uint32_t ShardOf(const std::string& table, const std::string& key);
+
 using StoreCallback = std::function<void(StoreAnswer)>;
 
 /// Each function calls back exactly once, from the loop.
 struct RowStore {
   std::function<void(RowTransaction, StoreCallback)> transact;
-  /// Rows of `table` from the key `from` on, in key order, at most `limit`.
-  std::function<void(const std::string& table, const std::string& from,
-                     uint32_t limit, StoreCallback)>
+  /// Rows of one shard of `table` from the key `from` on, in key order, at most
+  /// `limit`.
+  std::function<void(const std::string& table, uint32_t shard,
+                     const std::string& from, uint32_t limit, StoreCallback)>
       read;
   /// One row; an absent one gives no rows.
   std::function<void(const std::string& table, const std::string& key,
@@ -94,8 +101,8 @@
       changes;
 };
 
-/// Reads a whole table page by page; fails as a whole. The version given is
-/// that of the first page, so that changes after it are not missed.
+/// Reads all shards of a table page by page; fails as a whole. The version
+/// given is the lowest of the first pages, so that no later change is missed.
 void ReadTable(const RowStore& store, const std::string& table,
                StoreCallback done);
 
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -26,6 +26,12 @@
 void RereadJobs(Controller& c);
 
 void LoadJobs(Controller& c, const Loading& loading) {
+  for (const StoreRow& row : loading.progress.rows) {
+    const std::optional<JobEnd> end = DecodeEnd(row.value);
+    if (!end) continue;
+    c.ended[row.key] = {end->phase, c.runtime.now()};
+    c.to_compact[row.key] = end->phase;
+  }
   for (const StoreRow& row : loading.jobs.rows) AdmitRow(c, row);
   for (const auto& [id, job] : c.jobs.jobs) job->from_predecessor = true;
   for (const StoreRow& row : loading.progress.rows) {
@@ -196,28 +202,12 @@
   RequestSchedule(c);
 }
 
-void DropOldOutcomes(Controller& c) {
-  const TimeMs now_ms = c.runtime.now();
-  std::vector<RowRemoval> removals;
-  constexpr size_t kMaxRemovals = 40;
-  for (auto it = c.ended.begin(); it != c.ended.end();) {
-    if (removals.size() >= kMaxRemovals) break;
-    if (now_ms - it->second.ended_ms < c.options.retention_ms) {
-      ++it;
-      continue;
-    }
-    removals.push_back({kJobTable, it->first});
-    it = c.ended.erase(it);
-  }
-  if (!removals.empty()) c.log->Commit({}, std::move(removals), nullptr);
-}
-
 void Tick(Controller& c) {
   c.runtime.after(kTickMs, Guard(c, [](Controller& self) { Tick(self); }));
   if (c.suspended) return;
   CheckWorkers(c);
   CheckRecovery(c);
-  DropOldOutcomes(c);
+  CompactOutcomes(c);
   FlushProgress(c);
   RequestSchedule(c);
 }
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -79,6 +79,9 @@
   Fleet fleet;
   PermitAskers askers;
   std::map<std::string, EndedJob> ended;
+  /// Ended jobs whose outcome has to be moved into their own rows.
+  std::map<std::string, JobPhase> to_compact;
+  TimeMs next_compaction_ms = 0;
   std::map<std::string, QueuePolicy> policies;
   ControllerStats stats;
 
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -60,10 +60,15 @@
 
 uint32_t CountFailures(const Job& job, const TaskRef& task) {
   const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
-  if (!job.spec.steps[task.step].gang) return step.tasks[task.index].failures;
-  uint32_t failures = 0;
-  for (const TaskState& member : step.tasks) failures += member.failures;
-  return failures;
+  if (!job.spec.steps[task.step].gang) {
+    return static_cast<uint32_t>(step.tasks[task.index].failed_runs.size());
+  }
+  // The first member that fails ends its gang's run.
+  std::set<uint32_t> runs;
+  for (const TaskState& member : step.tasks) {
+    runs.insert(member.failed_runs.begin(), member.failed_runs.end());
+  }
+  return static_cast<uint32_t>(runs.size());
 }
 
 /// Marks one task as done and finds out what that completes.
@@ -110,13 +115,17 @@
   for (TaskState& member : StepOf(ref).tasks) member.checkpoint = checkpoint;
 }
 
-void ApplyFailure(Controller& c, const TaskRef& ref, const std::string& worker) {
+void ApplyFailure(Controller& c, const TaskRef& ref, uint32_t run,
+                  const std::string& worker) {
   TaskState& task = TaskOf(ref);
-  task.failures++;
+  // The number of failures of a lasting task has no limit and no meaning.
+  if (SpecOf(ref).long_running) task.failed_runs.clear();
+  if (!task.failed_runs.insert(run).second) return;
+  c.stats.ends_failed++;
   AvoidWorker(c, task, worker);
   task.not_before_ms =
       c.runtime.now() +
-      (kRetryBaseMs << std::min<uint32_t>(task.failures, 5));
+      (kRetryBaseMs << std::min<size_t>(task.failed_runs.size(), 5));
   const auto held = c.fleet.find(worker);
   if (held != c.fleet.end()) {
     WorkerRecord& record = held->second.record;
@@ -175,6 +184,23 @@
   AdmitJob(c, row);
 }
 
+namespace {
+
+/// A task that was done while another of its runs is still placed: success
+/// ends that one too.
+void StopOtherRun(Controller& c, const TaskRef& ref, const std::string& worker,
+                  bool held) {
+  const TaskState& task = TaskOf(ref);
+  if (held || task.worker.empty()) return;
+  const auto other = c.fleet.find(task.worker);
+  if (other == c.fleet.end()) return;
+  Log(LogLevel::kInfo, "task_done_elsewhere",
+      {F("task", MakeTaskName(ref)), F("worker", worker)});
+  StopRun(c, other->second, MakeTaskName(ref), "done_elsewhere");
+}
+
+}  // namespace
+
 void AvoidWorker(Controller& c, TaskState& task, const std::string& worker) {
   constexpr TimeMs kAvoidMs = 2'000;
   task.avoid.insert(worker);
@@ -191,34 +217,20 @@
 }
 
 void ApplyEnd(Controller& c, const TaskRef& ref, const ReportedEnd& end,
-              const std::string& worker) {
+              const std::string& worker, bool held) {
   Job& job = *ref.job;
   TaskState& task = TaskOf(ref);
-  const bool counted = end.run <= task.ended_run;
   if (task.phase == TaskPhase::kDone) return;
-  const bool holds = !task.worker.empty();
-  if (holds && task.worker != worker) {
-    // An end on a worker other than the one that holds the task: only success
-    // matters, and it ends the other run too.
-    if (end.end != RunEnd::kDone) return;
-    const auto other = c.fleet.find(task.worker);
-    if (other != c.fleet.end()) {
-      StopRun(c, other->second, MakeTaskName(ref), "done_elsewhere");
-    }
-  } else if (!holds && counted && end.end != RunEnd::kDone) {
-    return;
-  }
-  task.run = std::max(task.run, end.run);
-  task.ended_run = std::max(task.ended_run, end.run);
   job.started = true;
   Log(LogLevel::kInfo, "task_ended",
       {F("task", end.task), F("run", end.run), F("worker", worker),
-       F("end", NameOf(kRunEndNames, end.end)),
-       F("ran_ms", c.runtime.now() - task.started_ms),
+       F("end", NameOf(kRunEndNames, end.end)), F("held", held),
+       F("ran_ms", held ? c.runtime.now() - task.started_ms : -1),
        F("estimate_ms", SpecOf(ref).estimate_ms)});
   if (end.end == RunEnd::kDone && !SpecOf(ref).long_running) {
+    StopOtherRun(c, ref, worker, held);
     c.stats.ends_done++;
-    LearnDuration(c, ref, worker);
+    if (held) LearnDuration(c, ref, worker);
     if (SpecOf(ref).gang) {
       MarkStepDone(c, ref);
     } else {
@@ -227,11 +239,12 @@
     MarkDirty(c, job);
     return;
   }
-  TakeCheckpoint(ref, end.checkpoint);
-  ReleaseTask(c, ref);
+  if (end.run >= task.ended_run) TakeCheckpoint(ref, end.checkpoint);
+  task.run = std::max(task.run, end.run);
+  task.ended_run = std::max(task.ended_run, end.run);
+  if (held) ReleaseTask(c, ref);
   if (end.end == RunEnd::kFailed) {
-    c.stats.ends_failed++;
-    ApplyFailure(c, ref, worker);
+    ApplyFailure(c, ref, end.run, worker);
   } else {
     c.stats.ends_other++;
   }
@@ -294,6 +307,7 @@
        F("took_ms", c.runtime.now() - job->accepted_ms),
        F("objective_ms", job->objective_ms)});
   if (c.observe) c.observe("job", c.runtime.now() - job->accepted_ms);
+  c.to_compact[id] = job->phase;
   ForgetIfClosed(c, *job);
 }
 
@@ -304,7 +318,6 @@
   const SeenEnds seen = CollectSeen(c);
   if (c.dirty.empty() && seen.empty()) return;
   std::vector<RowPut> puts;
-  std::vector<RowRemoval> removals;
   std::vector<std::string> closing;
   size_t taken = 0;
   while (!c.dirty.empty() && taken < kMaxJobsPerFlush) {
@@ -316,12 +329,8 @@
       continue;
     }
     puts.push_back(
-        {kJobTable, job->spec.id,
+        {kProgressTable, job->spec.id,
          EncodeJobEnd({job->phase, c.runtime.wall_ms()})});
-    removals.push_back({kProgressTable, job->spec.id});
-    if (job->cancel_requested) {
-      removals.push_back({kJobTable, job->spec.id + kCancelSuffix});
-    }
     closing.push_back(job->spec.id);
   }
   c.flushing = true;
@@ -331,7 +340,7 @@
     OnFlushed(c, covered);
     return;
   }
-  c.log->Commit(std::move(puts), std::move(removals),
+  c.log->Commit(std::move(puts), {},
                 Guard(c, [covered, closing](Controller& self) {
                   for (const std::string& id : closing) OnClosed(self, id);
                   OnFlushed(self, covered);
--- /dev/null
+++ b/src/workflow/ControllerOutcomes.cpp
@@ -0,0 +1,94 @@
+// Outcomes of ended jobs after they are stored: compaction and retention.
+//
+// An outcome never changes, so these writes need no check of the owner row: one
+// that is carried out late by a former owner does no harm.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+constexpr TimeMs kCompactionMs = 3'000;
+/// Jobs in one transaction; each takes two entries.
+constexpr size_t kMaxJobsPerCompaction = 40;
+
+using Batch = std::vector<std::pair<std::string, JobPhase>>;
+
+void RemoveProgress(Controller& c, const Batch& batch) {
+  std::vector<RowRemoval> removals;
+  for (const auto& [id, phase] : batch) {
+    removals.push_back({kProgressTable, id});
+  }
+  c.log->Commit({}, std::move(removals), nullptr);
+}
+
+void CompactBatch(Controller& c, const Batch& batch) {
+  RowTransaction transaction;
+  for (const auto& [id, phase] : batch) {
+    transaction.puts.push_back(
+        {kJobTable, id, EncodeJobEnd({phase, c.runtime.wall_ms()})});
+    transaction.removals.push_back({kJobTable, id + kCancelSuffix});
+  }
+  c.store.transact(std::move(transaction),
+                   Guard(c, [batch](Controller& self,
+                                    const StoreAnswer& answer) {
+                     if (answer.status == StoreStatus::kOk) {
+                       RemoveProgress(self, batch);
+                       return;
+                     }
+                     Log(LogLevel::kWarning, "outcomes_not_compacted",
+                         {F("jobs", batch.size()),
+                          F("status", NameOf(kStoreStatusNames,
+                                             answer.status))});
+                     self.to_compact.insert(batch.begin(), batch.end());
+                   }));
+}
+
+/// Jobs of one shard make one batch, so that each transaction is of one part.
+void CompactAll(Controller& c) {
+  std::map<uint32_t, Batch> batches;
+  for (const auto& [id, phase] : std::exchange(c.to_compact, {})) {
+    Batch& batch = batches[ShardOf(kJobTable, id)];
+    if (batch.size() >= kMaxJobsPerCompaction) {
+      c.to_compact[id] = phase;
+      continue;
+    }
+    batch.emplace_back(id, phase);
+  }
+  for (const auto& [shard, batch] : batches) CompactBatch(c, batch);
+}
+
+void DropOld(Controller& c) {
+  std::map<uint32_t, RowTransaction> transactions;
+  const TimeMs now_ms = c.runtime.now();
+  std::erase_if(c.ended, [&](const auto& job) {
+    if (now_ms - job.second.ended_ms < c.options.retention_ms) return false;
+    RowTransaction& transaction =
+        transactions[ShardOf(kJobTable, job.first)];
+    if (transaction.removals.size() >= kMaxJobsPerCompaction) return false;
+    transaction.removals.push_back({kJobTable, job.first});
+    return true;
+  });
+  for (auto& [shard, transaction] : transactions) {
+    c.store.transact(std::move(transaction), [](const StoreAnswer& answer) {
+      if (answer.status == StoreStatus::kOk) return;
+      // The rows are dropped when the next owner has kept them long enough.
+      Log(LogLevel::kWarning, "outcomes_not_dropped",
+          {F("status", NameOf(kStoreStatusNames, answer.status))});
+    });
+  }
+}
+
+}  // namespace
+
+void CompactOutcomes(Controller& c) {
+  if (!c.loaded || c.runtime.now() < c.next_compaction_ms) return;
+  c.next_compaction_ms = c.runtime.now() + kCompactionMs;
+  CompactAll(c);
+  DropOld(c);
+}
+
+}  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -52,15 +52,19 @@
 /// Prefers other workers for the next run of the task.
 void AvoidWorker(Controller& controller, TaskState& task,
                  const std::string& worker);
-/// Takes note of an end reported by a worker.
+/// Takes note of an end reported by a worker. `held` tells that it ends the run
+/// by which the worker held the task.
 void ApplyEnd(Controller& controller, const TaskRef& task,
-              const ReportedEnd& end, const std::string& worker);
+              const ReportedEnd& end, const std::string& worker, bool held);
 void MarkDirty(Controller& controller, Job& job);
 /// Stores changed progress; acknowledgments to workers follow.
 void FlushProgress(Controller& controller);
 /// Ends a job: its tasks are stopped and its outcome is stored.
 void CloseJob(Controller& controller, Job& job, JobPhase phase,
               const char* reason);
+/// Moves outcomes from the progress table into the jobs' own rows, where the
+/// job's text is no longer needed, and drops those that are old.
+void CompactOutcomes(Controller& controller);
 /// Removes a closed job once nothing refers to it.
 void ForgetIfClosed(Controller& controller, Job& job);
 
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -58,8 +58,6 @@
   }
   const auto held = worker.runs.find(end.task);
   const bool is_held = held != worker.runs.end() && held->second.run == end.run;
-  // The end of an earlier run says nothing of the present one, but success.
-  if (held != worker.runs.end() && !is_held && end.end != RunEnd::kDone) return;
   uint64_t gang = 0;
   if (is_held) {
     gang = held->second.gang;
@@ -71,7 +69,8 @@
   }
   const TaskRef task = FindTask(c.jobs, name);
   if (task.job == nullptr) return;
-  ApplyEnd(c, task, end, worker.info.id);
+  const bool holds = is_held && TaskOf(task).worker == worker.info.id;
+  ApplyEnd(c, task, end, worker.info.id, holds);
   if (gang != 0 && end.end != RunEnd::kDone) {
     StopGang(c, gang, "gang_member_ended");
   }
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -119,9 +119,11 @@
     const TaskState& task = step.tasks[i];
     done += task.phase == TaskPhase::kDone ? '1' : '0';
     if (task.phase == TaskPhase::kDone) continue;
-    if (task.ended_run == 0 && task.checkpoint.empty()) continue;
+    const bool untouched = task.ended_run == 0 && task.checkpoint.empty() &&
+                           task.failed_runs.empty();
+    if (untouched) continue;
     // Only runs that have ended: the next owner adopts those that still run.
-    others[std::to_string(i)] = {task.ended_run, task.failures,
+    others[std::to_string(i)] = {task.ended_run, task.failed_runs,
                                  task.checkpoint};
   }
   return {done, others};
@@ -141,7 +143,7 @@
     TaskState& task = step.tasks[index];
     task.ended_run = value.at(0).get<uint32_t>();
     task.run = task.ended_run;
-    task.failures = value.at(1).get<uint32_t>();
+    task.failed_runs = value.at(1).get<std::set<uint32_t>>();
     task.checkpoint = value.at(2).get<std::string>();
   }
 }
@@ -187,6 +189,12 @@
   return decoded;
 }
 
+std::optional<JobEnd> DecodeEnd(const std::string& text) {
+  // Most progress rows are of open jobs; the word is enough to tell.
+  if (text.find("\"ended\"") == std::string::npos) return std::nullopt;
+  return DecodeJob(text).ended;
+}
+
 std::string EncodeProgress(const Job& job) {
   Json json = Json::object();
   if (job.started) json["started"] = true;
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -1,9 +1,10 @@
 /// The rows in which jobs and their progress are stored.
 ///
-/// Table "job": key ID holds the job as accepted, or how it ended; key ID.c
+/// Table "job": key ID holds the job as accepted, later how it ended; key ID.c
 /// exists once its cancellation was asked for. Table "progress": key ID holds
-/// what the tasks of an open job have reached. Table "fleet": one row with the
-/// workers that may hold tasks.
+/// what the tasks of an open job have reached; how a job ended is stored here
+/// first, in the owner's commit, and moved to the job's row afterwards. Table
+/// "fleet": one row with the workers that may hold tasks.
 #pragma once
 
 #include <optional>
@@ -30,7 +31,8 @@
 std::string EncodeJob(const JobSpec& spec);
 std::string EncodeJobEnd(const JobEnd& end);
 
-/// A row of the table "job": one of both is set in a sound row.
+/// A row of the table "job", or of "progress" when the job has ended: one of
+/// both is set in a sound row.
 struct DecodedJob {
   std::optional<JobSpec> open;
   std::optional<JobEnd> ended;
@@ -38,6 +40,9 @@
 /// Both are empty for text that is not such a row.
 DecodedJob DecodeJob(const std::string& text);
 
+/// How the job ended if the row of the table "progress" says that it has.
+std::optional<JobEnd> DecodeEnd(const std::string& text);
+
 std::string EncodeProgress(const Job& job);
 /// Returns false, leaving `job` partly changed, for text that does not fit it.
 bool ApplyProgress(const std::string& text, Job& job);
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -57,7 +57,9 @@
   uint32_t run = 0;
   /// Number of the last run whose end has been taken into account.
   uint32_t ended_run = 0;
-  uint32_t failures = 0;
+  /// Numbers of the runs that failed. Counting by number takes each end once,
+  /// in whatever order owners learn of them.
+  std::set<uint32_t> failed_runs;
   /// Worker that holds it, empty while waiting or done.
   std::string worker;
   /// Newest checkpoint, empty for none.
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -96,8 +96,8 @@
 }
 
 void Read(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
-          const std::string& table, const std::string& from, uint32_t limit,
-          const StoreCallback& done) {
+          const std::string& table, uint32_t shard, const std::string& from,
+          uint32_t limit, const StoreCallback& done) {
   StoreAnswer answer;
   if (IsRefused(cell, daemon)) {
     answer.status = StoreStatus::kRefused;
@@ -106,6 +106,7 @@
     answer.version = cell.store.version;
     for (auto it = cell.store.rows.lower_bound({table, from});
          it != cell.store.rows.end() && it->first.first == table; ++it) {
+      if (ShardOf(table, it->first.second) != shard) continue;
       if (answer.rows.size() >= limit) {
         answer.more = true;
         break;
@@ -155,14 +156,15 @@
     Transact(cell, daemon, alive, transaction, done);
   };
   store.read = [&cell, daemon, alive](
-                   const std::string& table, const std::string& from,
-                   uint32_t limit, const StoreCallback& done) {
-    Read(cell, daemon, alive, table, from, limit, done);
+                   const std::string& table, uint32_t shard,
+                   const std::string& from, uint32_t limit,
+                   const StoreCallback& done) {
+    Read(cell, daemon, alive, table, shard, from, limit, done);
   };
   store.read_one = [&cell, daemon, alive](const std::string& table,
                                           const std::string& key,
                                           const StoreCallback& done) {
-    Read(cell, daemon, alive, table, key, 1,
+    Read(cell, daemon, alive, table, ShardOf(table, key), key, 1,
          [key, done](StoreAnswer answer) {
            std::erase_if(answer.rows,
                          [&](const StoreRow& row) { return row.key != key; });
@@ -777,12 +779,14 @@
 
 /// The state that the store tells of a job, empty for an open or unknown one.
 std::string StoredState(const Cell& cell, const std::string& id) {
-  const auto row = cell.store.rows.find({workflow::kJobTable, id});
-  if (row == cell.store.rows.end()) return {};
-  const auto decoded = workflow::DecodeJob(row->second.value);
-  if (!decoded.ended) return {};
-  return std::string(
-      NameOf(workflow::kJobPhaseNames, decoded.ended->phase));
+  for (const char* table : {workflow::kJobTable, workflow::kProgressTable}) {
+    const auto row = cell.store.rows.find({table, id});
+    if (row == cell.store.rows.end()) continue;
+    const auto end = workflow::DecodeEnd(row->second.value);
+    if (!end) continue;
+    return std::string(NameOf(workflow::kJobPhaseNames, end->phase));
+  }
+  return {};
 }
 
 void JudgeOverlaps(const Cell& cell, Breaches& breaches) {
