Refuse at once while the store is away; tests of decisions and adapter

Ruled out: a queue of jobs in memory (an accepted job must be stored). Change: a daemon whose store has not answered for 250 ms passes the job to an owner that reaches the store, else refuses it at once with Retry-After.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -18,6 +18,10 @@
 constexpr TimeMs kOwnerAnswerMs = 250;
 constexpr TimeMs kOwnerInsertMs = 1'000;
 constexpr TimeMs kIsolationCheckMs = 200;
+/// A store that has not answered for this long is away; callers are told at
+/// once.
+constexpr TimeMs kStoreAwayMs = 250;
+constexpr TimeMs kOwnerStoreAgeMs = 900;
 /// Spreads the take-overs of the standbys.
 constexpr uint64_t kRankSteps = 12;
 constexpr TimeMs kRankStepMs = 6;
@@ -320,6 +324,7 @@
   report.releasing = beat.draining;
   this->leadership->OnReport(report);
   if (info.link != this->owner_link) return;
+  this->owner_store_age_ms = beat.store_age_ms;
   this->pending.clear();
   this->pending_known = true;
   for (const auto& count : beat.pending) {
@@ -446,7 +451,28 @@
          F("took_ms", took_ms)});
     done(answer);
   };
-  const TimeMs deadline_ms = began_ms + timeout_ms;
+  if (this->ports.store_away_ms() < kStoreAwayMs) {
+    this->InsertHere(key, value, began_ms + timeout_ms, finish);
+    return;
+  }
+  // A store known to be away is not tried: the job would wait in vain, and
+  // after an unanswered try it could not even be refused.
+  if (!this->OwnerReachesStore()) {
+    finish(JobAnswer::kRefused, "store_away");
+    return;
+  }
+  this->InsertThroughOwner(key, value, [finish](JobAnswer answer) {
+    finish(answer, "owner");
+  });
+}
+
+bool Node::OwnerReachesStore() const {
+  return this->owner_link != 0 && this->owner_store_age_ms < kOwnerStoreAgeMs;
+}
+
+void Node::InsertHere(const std::string& key, const std::string& value,
+                      TimeMs deadline_ms,
+                      std::function<void(JobAnswer, const char*)> finish) {
   // The last resort: this process alone, until the truth is known.
   const auto insist = [this, key, value, finish, deadline_ms,
                        alive = this->alive](bool in_doubt) {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -38,6 +38,8 @@
   RowStore store;
   workflow::WorkerPort workers;
   workflow::PermitPort permits;
+  /// For how long the store has not answered this daemon, 0 while it does.
+  std::function<TimeMs()> store_away_ms;
   /// Reads the platform's list of workers; nothing when it cannot be read.
   std::function<void(
       std::function<void(std::optional<std::vector<workflow::WorkerInfo>>)>)>
@@ -96,6 +98,10 @@
   void OnHeartbeat(const PeerInfo& info, const wire::HeartbeatT& beat);
   wire::HeartbeatT MakeHeartbeat() const;
   void NotifyOwner(const StoreRow& row);
+  bool OwnerReachesStore() const;
+  void InsertHere(const std::string& key, const std::string& value,
+                  TimeMs deadline_ms,
+                  std::function<void(JobAnswer, const char*)> finish);
   void InsertThroughOwner(const std::string& key, const std::string& value,
                           std::function<void(JobAnswer)> done);
 
@@ -116,6 +122,8 @@
   PeerCalls calls;
   std::map<std::string, uint32_t> pending;
   bool pending_known = false;
+  /// Age of the store's last answer to the owner, as it last reported.
+  TimeMs owner_store_age_ms = 0;
   TimeMs peer_heard_ms = 0;
   bool had_peers = false;
   bool stopping = false;
--- /dev/null
+++ b/tests/DecisionTest.cpp
@@ -0,0 +1,307 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "workflow/JobRows.h"
+#include "workflow/Ordering.h"
+#include "workflow/PermitPlan.h"
+#include "workflow/Preemption.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+constexpr TimeMs kNow = 100'000;
+
+/// A fleet of usable workers and one job whose only step is `step`.
+struct Scene {
+  Fleet fleet;
+  std::unique_ptr<Job> job;
+  std::map<std::string, uint32_t> on_worker;
+  PlacementNeed need;
+};
+
+void AddWorker(Scene& scene, const std::string& id, int64_t cores,
+               const std::string& rack = "r0") {
+  Worker& worker = scene.fleet[id];
+  worker.info.id = id;
+  worker.info.service = "service";
+  worker.info.rack = rack;
+  worker.info.capacity = {cores, 32'000, 0};
+  worker.info.incarnation = 1;
+  worker.synced = true;
+  worker.reachable = true;
+  worker.recorded = true;
+}
+
+std::unique_ptr<Job> MakeOneStep(StepSpec step, int priority = 0) {
+  JobSpec spec;
+  spec.id = "0123456789abcdef";
+  spec.service = "service";
+  spec.steps = {step};
+  spec.policy.priority = priority;
+  spec.policy.stretch = 2;
+  spec.policy.target_ms = 250;
+  spec.accepted_wall_ms = kNow;
+  return MakeJob(spec, kNow, kNow);
+}
+
+Scene MakeScene(StepSpec step, int priority = 0) {
+  Scene scene;
+  scene.job = MakeOneStep(step, priority);
+  return scene;
+}
+
+PlacementNeed NeedOf(Scene& scene) {
+  PlacementNeed need;
+  need.job = &scene.job->spec;
+  need.step = &scene.job->spec.steps.front();
+  need.state = &scene.job->occurrences.at(0).steps.front();
+  need.on_worker = &scene.on_worker;
+  need.now_ms = kNow;
+  return need;
+}
+
+StepSpec MakeStep(uint32_t count, int64_t cores) {
+  StepSpec step;
+  step.count = count;
+  step.size = {cores, 100, 0};
+  step.estimate_ms = 1'000;
+  return step;
+}
+
+/// Books a running task of another job on a worker.
+void Occupy(Scene& scene, Job& job, const std::string& worker, uint32_t index,
+            int percent) {
+  const TaskRef ref{&job, 0, 0, index};
+  TaskState& task = TaskOf(ref);
+  task.phase = TaskPhase::kRunning;
+  task.worker = worker;
+  task.percent = percent;
+  task.started_ms = kNow - 1'000;
+  PlacedRun run;
+  run.task = ref;
+  run.run = 1;
+  run.size = SizeOnWorker(SpecOf(ref));
+  run.confirmed = true;
+  AddRun(scene.fleet.at(worker), MakeTaskName(ref), run);
+}
+
+}  // namespace
+
+// Guards against audits that are started before urgent work, and against jobs
+// that can no longer earn which hold up those that can.
+Test(Ordering, urgent_first_and_hopelessly_late_last) {
+  const auto urgent = MakeOneStep(MakeStep(1, 1'000), 0);
+  const auto audit = MakeOneStep(MakeStep(1, 1'000), 2);
+  const auto key = [](const Job& job, TimeMs now_ms) {
+    return MakeOrderKey(job, 0, 0, now_ms, now_ms);
+  };
+  cr_expect(key(*urgent, kNow) < key(*audit, kNow));
+  cr_expect(key(*audit, kNow) < key(*urgent, kNow + 60'000));
+}
+
+// Guards against a chain whose later steps are left out of its slack.
+Test(Ordering, slack_counts_the_longest_rest) {
+  StepSpec first = MakeStep(1, 1);
+  StepSpec second = MakeStep(1, 1);
+  second.estimate_ms = 3'000;
+  second.after = {0};
+  StepSpec other = MakeStep(1, 1);
+  other.after = {0};
+  JobSpec spec;
+  spec.steps = {first, second, other};
+  cr_expect_eq(RemainingChainMs(spec, 0), 4'000);
+  cr_expect_eq(RemainingChainMs(spec, 1), 3'000);
+  cr_expect_eq(LongestChainMs(spec), 4'000);
+}
+
+// Guards against a worker that is given more than it has.
+Test(Placement, full_workers_are_passed_over) {
+  Scene scene = MakeScene(MakeStep(2, 3'000));
+  AddWorker(scene, "small", 2'000);
+  AddWorker(scene, "large", 8'000);
+  AddWorker(scene, "fitting", 4'000);
+  Worker* chosen = ChooseWorker(scene.fleet, NeedOf(scene));
+  cr_assert_not_null(chosen);
+  cr_expect_str_eq(chosen->info.id.c_str(), "fitting");
+  scene.fleet.at("fitting").used = {2'000, 0, 0};
+  scene.fleet.at("large").used = {6'000, 0, 0};
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+}
+
+// Guards against work for a worker that leaves, is away, or is set aside.
+Test(Placement, unusable_workers_are_passed_over) {
+  Scene scene = MakeScene(MakeStep(1, 1'000));
+  AddWorker(scene, "w", 8'000);
+  Worker& worker = scene.fleet.at("w");
+  cr_expect_not_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  worker.info.draining = true;
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  worker.info.draining = false;
+  worker.reachable = false;
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  worker.reachable = true;
+  worker.record.set_aside_until_ms = kNow + 1;
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  worker.record.set_aside_until_ms = 0;
+  worker.foreign["stray"] = {1, 0};
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+}
+
+// Guards against tasks beyond a step's spread limit or on a wrong label.
+Test(Placement, spread_and_label_are_kept) {
+  StepSpec step = MakeStep(2, 1'000);
+  step.max_per_worker = 1;
+  step.required_label = "b";
+  Scene scene = MakeScene(step);
+  AddWorker(scene, "w", 8'000);
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  scene.fleet.at("w").info.labels = {"b"};
+  cr_expect_not_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  scene.on_worker["w"] = 1;
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+}
+
+// Guards against a gang that is placed in part or on two racks.
+Test(Placement, gang_is_placed_whole_on_one_rack) {
+  StepSpec step = MakeStep(4, 4'000);
+  step.gang = true;
+  step.same_rack = true;
+  Scene scene = MakeScene(step);
+  AddWorker(scene, "a1", 8'000, "r1");
+  AddWorker(scene, "b1", 8'000, "r2");
+  cr_expect_not(ChooseGang(scene.fleet, NeedOf(scene), 4).has_value());
+  AddWorker(scene, "b2", 8'000, "r2");
+  const auto gang = ChooseGang(scene.fleet, NeedOf(scene), 4);
+  cr_assert(gang.has_value());
+  for (const Worker* worker : *gang) {
+    cr_expect_str_eq(worker->info.rack.c_str(), "r2");
+    cr_expect_eq(worker->used.milli_cores, 0);
+  }
+}
+
+// Guards against a ticket that is used after it expired or for another life.
+Test(Placement, tickets_expire_and_belong_to_one_incarnation) {
+  Scene scene = MakeScene(MakeStep(1, 1'000));
+  scene.job->spec.policy.permits.required = true;
+  AddWorker(scene, "w", 8'000);
+  StepState& state = scene.job->occurrences.at(0).steps.front();
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  state.tickets["w"] = {"t", kNow + 1'000, 1};
+  cr_expect_not_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  state.tickets["w"].incarnation = 2;
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+  state.tickets["w"] = {"t", kNow, 1};
+  cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
+}
+
+// Guards against questions that name workers which cannot help: each costs
+// milliseconds of an authority that takes one call at a time.
+Test(PermitPlan, names_only_workers_that_can_help) {
+  Scene scene = MakeScene(MakeStep(1, 1'000));
+  scene.job->spec.policy.permits.required = true;
+  StepState& state = scene.job->occurrences.at(0).steps.front();
+  for (int i = 0; i < 20; ++i) AddWorker(scene, "w" + std::to_string(i), 4'000);
+  state.denied.insert("w0");
+  scene.fleet.at("w1").used = {4'000, 0, 0};
+  state.tickets["w2"] = {"old", kNow - 1, 1};
+  const auto names = WorkersToName(scene.fleet, NeedOf(scene), 1);
+  cr_assert_not(names.empty());
+  cr_expect_lt(names.size(), 12U);
+  // A worker known to be allowed is asked for first.
+  cr_expect_str_eq(names.front().c_str(), "w2");
+  for (const std::string& name : names) {
+    cr_expect(name != "w0" && name != "w1", "%s", name.c_str());
+  }
+}
+
+// Guards against slow questions that hold up quick ones in a burst of audits.
+Test(PermitPlan, some_processes_stay_free_of_slow_questions) {
+  PermitAskers askers;
+  for (int i = 0; i < 9; ++i) askers["d" + std::to_string(i)];
+  int slow = 0;
+  while (PermitAsker* asker = ChooseAsker(askers, 600, kNow)) {
+    asker->slow++;
+    asker->outstanding++;
+    asker->busy_until_ms = kNow + 600;
+    ++slow;
+  }
+  cr_expect_eq(slow, 7);
+  const PermitAsker* quick = ChooseAsker(askers, 34, kNow);
+  cr_assert_not_null(quick);
+  cr_expect_eq(quick->slow, 0U);
+}
+
+// Guards against lost work: the run with a checkpoint goes first, lasting and
+// urgent ones never, and nothing is stopped where room is coming free.
+Test(Preemption, stops_what_loses_least) {
+  Scene scene = MakeScene(MakeStep(1, 4'000));
+  AddWorker(scene, "w", 8'000);
+  StepSpec plain = MakeStep(1, 4'000);
+  plain.estimate_ms = 10'000;
+  StepSpec saving = plain;
+  saving.checkpoints = true;
+  const auto plain_job = MakeOneStep(plain, 2);
+  const auto saving_job = MakeOneStep(saving, 2);
+  saving_job->spec.id = "fedcba9876543210";
+  Occupy(scene, *plain_job, "w", 0, 10);
+  Occupy(scene, *saving_job, "w", 0, 10);
+  const auto victims = ChooseVictims(scene.fleet, NeedOf(scene), 1);
+  cr_assert_eq(victims.size(), 1U);
+  cr_expect_str_eq(victims.front().task.c_str(), "fedcba9876543210.0.0.0");
+  scene.fleet.at("w").runs.at(victims.front().task).stop_wanted = true;
+  cr_expect(ChooseVictims(scene.fleet, NeedOf(scene), 1).empty());
+}
+
+Test(Preemption, urgent_and_lasting_runs_stay) {
+  Scene scene = MakeScene(MakeStep(1, 4'000));
+  AddWorker(scene, "w", 4'000);
+  StepSpec lasting = MakeStep(1, 4'000);
+  lasting.long_running = true;
+  const auto job = MakeOneStep(lasting, 2);
+  Occupy(scene, *job, "w", 0, 10);
+  cr_expect(ChooseVictims(scene.fleet, NeedOf(scene), 1).empty());
+}
+
+// Guards against progress that a new owner reads otherwise than it was stored.
+Test(JobRows, progress_survives_a_round_trip) {
+  const auto job = MakeOneStep(MakeStep(3, 1'000));
+  job->started = true;
+  StepState& step = job->occurrences.at(0).steps.front();
+  step.tasks[0].phase = TaskPhase::kDone;
+  step.done = 1;
+  // A run that goes on is not stored: the next owner adopts it.
+  step.tasks[1].run = 5;
+  step.tasks[2].run = 4;
+  step.tasks[2].ended_run = 3;
+  step.tasks[2].failed_runs = {1, 3};
+  step.tasks[2].checkpoint = "save";
+  const auto copy = MakeOneStep(MakeStep(3, 1'000));
+  cr_assert(ApplyProgress(EncodeProgress(*job), *copy));
+  const StepState& read = copy->occurrences.at(0).steps.front();
+  cr_expect(copy->started);
+  cr_expect_eq(read.done, 1U);
+  cr_expect(read.tasks[0].phase == TaskPhase::kDone);
+  cr_expect_eq(read.tasks[1].run, 0U);
+  cr_expect_eq(read.tasks[2].run, 3U);
+  cr_expect_eq(read.tasks[2].failed_runs.size(), 2U);
+  cr_expect_str_eq(read.tasks[2].checkpoint.c_str(), "save");
+  cr_expect_not(ApplyProgress("{\"occurrences\": 3}", *copy));
+}
+
+// Guards against rows of a job that are taken for the other kind.
+Test(JobRows, open_and_ended_rows_are_told_apart) {
+  const auto job = MakeOneStep(MakeStep(1, 1'000));
+  const DecodedJob open = DecodeJob(EncodeJob(job->spec));
+  cr_assert(open.open.has_value());
+  cr_expect_not(open.ended.has_value());
+  cr_expect_eq(open.open->steps.front().estimate_ms, 1'000);
+  const DecodedJob ended = DecodeJob(EncodeJobEnd({JobPhase::kFailed, 9}));
+  cr_assert(ended.ended.has_value());
+  cr_expect(ended.ended->phase == JobPhase::kFailed);
+  const DecodedJob neither = DecodeJob("{\"id\": 7}");
+  cr_expect(!neither.open.has_value() && !neither.ended.has_value());
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/tests/platform/AdapterTest.cpp
@@ -0,0 +1,226 @@
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "base/Base64.h"
+#include "base/Clock.h"
+#include "platform/StoreAdapter.h"
+#include "platform/WorkerAdapter.h"
+#include "telemetry/Log.h"
+
+namespace dotterelcove::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+/// A server that answers each call as the test says and keeps the last one.
+struct Peer {
+  Peer() : http(loop) {
+    SetLogOutput([](const std::string&) {});
+    auto started = HttpServer::Start(
+        this->loop, {}, [this](const HttpRequest& request, HttpReply reply) {
+          this->last = request;
+          HttpResponse response;
+          response.status = this->status;
+          response.body = this->body;
+          if (!this->silent) reply.Send(response);
+          this->held.push_back(reply);
+        });
+    cr_assert(started);
+    this->server = std::move(*started);
+    this->store = std::make_shared<StoreAdapter>(
+        StoreAdapter{this->http, [this] { return this->address(); },
+                     MonotonicMs, nullptr, {}});
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(this->server->port());
+  }
+
+  EventLoop loop;
+  HttpClient http;
+  std::unique_ptr<HttpServer> server;
+  std::shared_ptr<StoreAdapter> store;
+  HttpRequest last;
+  std::vector<HttpReply> held;
+  int status = 200;
+  std::string body = "{}";
+  bool silent = false;
+};
+
+StoreAnswer TransactOnce(Peer& peer, RowTransaction transaction) {
+  StoreAnswer got;
+  bool done = false;
+  MakeRowStore(peer.store)
+      .transact(std::move(transaction), [&](StoreAnswer answer) {
+        got = std::move(answer);
+        done = true;
+      });
+  cr_assert(peer.loop.RunUntil([&] { return done; }, 3'000));
+  return got;
+}
+
+workflow::OrderStatus StartOnce(Peer& peer) {
+  workflow::OrderAnswer got;
+  bool done = false;
+  workflow::StartOrder order;
+  order.task = "0123456789abcdef.0.0.1";
+  order.run = 2;
+  order.payload = "text";
+  order.lease_end_clock_ms = 9'000;
+  order.token = 7;
+  order.ticket = "t";
+  MakeWorkerPort(peer.http).start({"i-1", peer.address()}, order,
+                                  [&](workflow::OrderAnswer answer) {
+                                    got = answer;
+                                    done = true;
+                                  });
+  cr_assert(peer.loop.RunUntil([&] { return done; }, 3'000));
+  return got.status;
+}
+
+}  // namespace
+
+// Guards against a status of the store that is taken for another: only some
+// prove that nothing was done.
+Test(PlatformStore, each_status_has_its_meaning) {
+  const std::pair<int, StoreStatus> cases[] = {
+      {200, StoreStatus::kOk},      {412, StoreStatus::kConflict},
+      {410, StoreStatus::kHistoryLost}, {429, StoreStatus::kRefused},
+      {503, StoreStatus::kRefused}, {403, StoreStatus::kRefused}};
+  Peer peer;
+  for (const auto& [status, meaning] : cases) {
+    peer.status = status;
+    cr_expect(TransactOnce(peer, {}).status == meaning, "%d", status);
+  }
+  peer.status = 200;
+  peer.body = "no JSON";
+  cr_expect(TransactOnce(peer, {}).status == StoreStatus::kUnknown);
+}
+
+// Guards against an unanswered write that is taken for one that was refused.
+Test(PlatformStore, silence_leaves_the_outcome_unknown) {
+  Peer peer;
+  peer.silent = true;
+  cr_expect(TransactOnce(peer, {}).status == StoreStatus::kUnknown);
+  cr_expect_geq(peer.store->health.failing_since_ms, 0);
+}
+
+// Guards against rows spelt otherwise than the platform has them.
+Test(PlatformStore, transaction_is_spelt_as_the_platform_has_it) {
+  Peer peer;
+  peer.body = R"({"row_version": 412})";
+  RowTransaction transaction;
+  transaction.conditions.push_back({"owner", "cell", 5});
+  transaction.puts.push_back({"owner", "cell", "value"});
+  cr_expect_eq(TransactOnce(peer, transaction).version, 412U);
+  const Json sent = Json::parse(peer.last.body);
+  cr_expect_str_eq(peer.last.path.c_str(), "/rows-tx");
+  cr_expect_eq(sent.at("expected_rev").at(0).at("row_version"), 5);
+  cr_expect_eq(sent.at("puts").at(0).at("value"), EncodeBase64("value"));
+  cr_expect_not(sent.contains("cross_shard"));
+  transaction.puts.push_back({"job", "0123456789abcdef", "x"});
+  TransactOnce(peer, transaction);
+  cr_expect(Json::parse(peer.last.body).at("cross_shard").get<bool>());
+}
+
+// Guards against a worker's refusal that is taken for another.
+Test(PlatformWorkers, each_refusal_has_its_meaning) {
+  struct Case {
+    int status;
+    const char* body;
+    workflow::OrderStatus meaning;
+  };
+  const Case cases[] = {
+      {200, R"({"clock_ms": 5})", workflow::OrderStatus::kOk},
+      {409, R"({"reason": "fence"})", workflow::OrderStatus::kFenced},
+      {409, R"({"reason": "old"})", workflow::OrderStatus::kOldRun},
+      {409, R"({"reason": "late"})", workflow::OrderStatus::kLate},
+      {409, R"({"reason": "room"})", workflow::OrderStatus::kNoRoom},
+      {409, R"({"reason": "ticket"})", workflow::OrderStatus::kNoTicket},
+      {409, R"({"reason": "new"})", workflow::OrderStatus::kMalformed},
+      {421, "", workflow::OrderStatus::kOtherIncarnation},
+      {429, "", workflow::OrderStatus::kUnhealthy},
+      {503, "", workflow::OrderStatus::kUnhealthy},
+      {400, "", workflow::OrderStatus::kMalformed}};
+  Peer peer;
+  for (const Case& each : cases) {
+    peer.status = each.status;
+    peer.body = each.body;
+    cr_expect(StartOnce(peer) == each.meaning, "%d %s", each.status, each.body);
+  }
+  cr_expect_str_eq(peer.last.headers.at("x-expect-instance").c_str(), "i-1");
+  const Json sent = Json::parse(peer.last.body);
+  cr_expect_eq(sent.at("deadline_ms"), 9'000);
+  cr_expect_eq(sent.at("fencing_token"), 7);
+  cr_expect_eq(sent.at("ticket"), "t");
+  cr_expect_not(sent.contains("checkpoint"));
+}
+
+// Guards against an unanswered start that is taken for one that did not happen.
+Test(PlatformWorkers, silence_leaves_a_start_in_doubt) {
+  Peer peer;
+  peer.silent = true;
+  cr_expect(StartOnce(peer) == workflow::OrderStatus::kUnknown);
+}
+
+// Guards against runs and ends that are read wrongly from a worker's lists.
+Test(PlatformWorkers, lists_of_runs_are_decoded) {
+  Peer peer;
+  peer.body = R"({"clock_ms": 482113, "born": 99,
+    "running": [["a.0.0.1", 2, "save", 41], ["a.0.0.2", 1, "", 7.5, 12.5]],
+    "finished": [[58, "a.0.0.3", 1, "done", ""],
+                 [59, "a.0.0.4", 3, "alone", "s"], [60, "b", 1, "odd", ""]]})";
+  workflow::LookAnswer got;
+  bool done = false;
+  MakeWorkerPort(peer.http).look({"i-1", peer.address()}, {7, 57, 0, 0},
+                                 [&](workflow::LookAnswer answer) {
+                                   got = std::move(answer);
+                                   done = true;
+                                 });
+  cr_assert(peer.loop.RunUntil([&] { return done; }, 3'000));
+  cr_assert(got.status == workflow::OrderStatus::kOk);
+  cr_expect_eq(got.incarnation, 99U);
+  cr_assert_eq(got.running.size(), 2U);
+  cr_expect_eq(got.running[0].percent, 41);
+  cr_expect_float_eq(got.running[1].usage, 12.5, 0.01);
+  cr_assert_eq(got.ended.size(), 3U);
+  cr_expect(got.ended[0].end == workflow::RunEnd::kDone);
+  cr_expect(got.ended[1].end == workflow::RunEnd::kAlone);
+  // What is not known here is certainly not a success.
+  cr_expect(got.ended[2].end == workflow::RunEnd::kStopped);
+  const Json sent = Json::parse(peer.last.body);
+  cr_expect_eq(sent.at("ack_cursor"), 57);
+  cr_expect_not(sent.contains("deadline_ms"));
+}
+
+// Guards against permits that are read wrongly, and a busy authority that is
+// taken for a refusal of all workers.
+Test(PlatformPermits, answers_are_decoded) {
+  Peer peer;
+  workflow::PermitAnswer got;
+  const auto ask = [&] {
+    bool done = false;
+    MakePermitPort(peer.http, [&] { return peer.address(); })(
+        {"a.0.1", {"i-1", "i-2"}}, [&](workflow::PermitAnswer answer) {
+          got = std::move(answer);
+          done = true;
+        });
+    cr_assert(peer.loop.RunUntil([&] { return done; }, 3'000));
+  };
+  peer.body = R"({"allowed": [["i-1", "ticket"]], "validity_ms": 3000})";
+  ask();
+  cr_assert(got.status == workflow::PermitStatus::kOk);
+  cr_expect_str_eq(got.grants.at(0).ticket.c_str(), "ticket");
+  cr_expect_eq(got.validity_ms, 3'000);
+  peer.status = 429;
+  ask();
+  cr_expect(got.status == workflow::PermitStatus::kBusy);
+  peer.status = 200;
+  peer.body = "{}";
+  ask();
+  cr_expect(got.status == workflow::PermitStatus::kFailed);
+}
+
+}  // namespace dotterelcove::platform
