--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -81,8 +81,8 @@
   RowTransaction transaction;
   transaction.conditions.push_back(
       {workflow::kJobTable, attempt->key, job_version});
-  transaction.puts.push_back({workflow::kJobTable,
-                              attempt->key + workflow::kCancelSuffix, "1"});
+  transaction.puts.push_back(
+      {workflow::kJobTable, attempt->key + workflow::kCancelSuffix, "1"});
   attempt->store.transact(
       std::move(transaction), [attempt](const StoreAnswer& answer) {
         if (answer.status == StoreStatus::kOk) {
@@ -163,20 +163,18 @@
 /// The job's own row says that it is open; its outcome may be stored already.
 void LookUpProgress(const RowStore& store, const std::string& id,
                     const std::function<void(JobLookup)>& done) {
-  store.read_one(workflow::kProgressTable, id,
-                 [done](const StoreAnswer& answer) {
-                   JobLookup lookup;
-                   lookup.status = answer.status;
-                   lookup.found = true;
-                   lookup.phase = workflow::JobPhase::kQueued;
-                   if (!answer.rows.empty()) {
-                     const auto end =
-                         workflow::DecodeEnd(answer.rows.front().value);
-                     lookup.phase =
-                         end ? end->phase : workflow::JobPhase::kRunning;
-                   }
-                   done(lookup);
-                 });
+  store.read_one(
+      workflow::kProgressTable, id, [done](const StoreAnswer& answer) {
+        JobLookup lookup;
+        lookup.status = answer.status;
+        lookup.found = true;
+        lookup.phase = workflow::JobPhase::kQueued;
+        if (!answer.rows.empty()) {
+          const auto end = workflow::DecodeEnd(answer.rows.front().value);
+          lookup.phase = end ? end->phase : workflow::JobPhase::kRunning;
+        }
+        done(lookup);
+      });
 }
 
 }  // namespace
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -134,9 +134,8 @@
     });
   };
   c.observe = [this](const char* name, TimeMs waited_ms) {
-    this->metrics.ObserveSeconds("wait_seconds",
-                                 static_cast<double>(waited_ms) / 1'000,
-                                 {{"of", name}});
+    this->metrics.ObserveSeconds(
+        "wait_seconds", static_cast<double>(waited_ms) / 1'000, {{"of", name}});
   };
   this->metrics.Count("takeovers_total");
   workflow::AddAsker(c, this->options.process, this->ports.permits);
@@ -187,7 +186,8 @@
         if (list) workflow::UpdateFleet(*current, *list);
         this->runtime.after(this->options.list_interval_ms,
                             [this, current, alive] {
-                              if (!*alive || this->controller != current) return;
+                              if (!*alive || this->controller != current)
+                                return;
                               this->PollWorkers();
                             });
       });
@@ -211,11 +211,10 @@
              const workflow::PermitQuestion& question,
              workflow::PermitCallback done) {
     if (!*alive) return;
-    const uint64_t call = AddCall(this->calls, link,
-                                  [done = std::move(done)](
-                                      const wire::FrameT* frame) {
-                                    done(ReadPermitReply(frame));
-                                  });
+    const uint64_t call = AddCall(
+        this->calls, link, [done = std::move(done)](const wire::FrameT* frame) {
+          done(ReadPermitReply(frame));
+        });
     wire::PermitAskT ask;
     ask.call = call;
     ask.step = question.step;
@@ -230,9 +229,8 @@
 void Node::AskPermitsHere(LinkId link, const wire::PermitAskT& ask) {
   const uint64_t call = ask.call;
   this->ports.permits(
-      {ask.step, ask.workers},
-      [this, link, call, alive = this->alive](
-          const workflow::PermitAnswer& answer) {
+      {ask.step, ask.workers}, [this, link, call, alive = this->alive](
+                                   const workflow::PermitAnswer& answer) {
         if (!*alive) return;
         wire::PermitReplyT reply;
         reply.call = call;
@@ -353,7 +351,7 @@
       reply.known = phase.has_value();
       if (phase) reply.phase = static_cast<uint8_t>(*phase);
     }
-    this->peers->Send(info.link, std::move(reply));
+    this->peers->Send(info.link, reply);
     return;
   }
   if (const auto* insert = frame.body.AsJobInsert()) {
@@ -367,7 +365,7 @@
                 wire::JobInsertReplyT reply;
                 reply.call = call;
                 reply.status = static_cast<uint8_t>(answer);
-                this->peers->Send(link, std::move(reply));
+                this->peers->Send(link, reply);
               });
     return;
   }
@@ -408,15 +406,15 @@
     done(JobAnswer::kRefused);
     return;
   }
-  const uint64_t call = AddCall(
-      this->calls, this->owner_link,
-      [done = std::move(done)](const wire::FrameT* frame) {
-        const auto* reply =
-            frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
-        // Without an answer the owner may have stored the job.
-        done(reply == nullptr ? JobAnswer::kUnknown
-                              : static_cast<JobAnswer>(reply->status));
-      });
+  const uint64_t call =
+      AddCall(this->calls, this->owner_link,
+              [done = std::move(done)](const wire::FrameT* frame) {
+                const auto* reply =
+                    frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
+                // Without an answer the owner may have stored the job.
+                done(reply == nullptr ? JobAnswer::kUnknown
+                                      : static_cast<JobAnswer>(reply->status));
+              });
   wire::JobInsertT insert;
   insert.call = call;
   insert.key = key;
@@ -441,8 +439,9 @@
     this->metrics.ObserveSeconds("wait_seconds",
                                  static_cast<double>(took_ms) / 1'000,
                                  {{"of", "accept"}});
-    this->metrics.Count("submissions_total",
-                        {{"answer", std::string(NameOf(kJobAnswerNames, answer))}});
+    this->metrics.Count(
+        "submissions_total",
+        {{"answer", std::string(NameOf(kJobAnswerNames, answer))}});
     const bool stored = answer == JobAnswer::kStored;
     Log(stored ? LogLevel::kInfo : LogLevel::kWarning,
         stored ? "job_accepted" : "job_not_accepted",
@@ -461,18 +460,17 @@
     finish(JobAnswer::kRefused, "store_away");
     return;
   }
-  this->InsertThroughOwner(key, value, [finish](JobAnswer answer) {
-    finish(answer, "owner");
-  });
+  this->InsertThroughOwner(
+      key, value, [finish](JobAnswer answer) { finish(answer, "owner"); });
 }
 
 bool Node::OwnerReachesStore() const {
   return this->owner_link != 0 && this->owner_store_age_ms < kOwnerStoreAgeMs;
 }
 
-void Node::InsertHere(const std::string& key, const std::string& value,
-                      TimeMs deadline_ms,
-                      std::function<void(JobAnswer, const char*)> finish) {
+void Node::InsertHere(
+    const std::string& key, const std::string& value, TimeMs deadline_ms,
+    const std::function<void(JobAnswer, const char*)>& finish) {
   // The last resort: this process alone, until the truth is known.
   const auto insist = [this, key, value, finish, deadline_ms,
                        alive = this->alive](bool in_doubt) {
@@ -484,26 +482,26 @@
                 finish(answer, "store");
               });
   };
-  InsertJobOnce(
-      this->runtime, this->ports.store, key, value,
-      [this, key, value, finish, insist, alive = this->alive](
-          JobAnswer answer, const StoreRow& row) {
-        if (!*alive) return;
-        if (answer == JobAnswer::kStored) {
-          this->NotifyOwner(row);
-          finish(answer, "store");
-          return;
-        }
-        const bool in_doubt = answer == JobAnswer::kUnknown;
-        this->InsertThroughOwner(
-            key, value, [finish, insist, in_doubt](JobAnswer by_owner) {
-              if (by_owner == JobAnswer::kStored) {
-                finish(by_owner, "owner");
-                return;
-              }
-              insist(in_doubt || by_owner == JobAnswer::kUnknown);
-            });
-      });
+  InsertJobOnce(this->runtime, this->ports.store, key, value,
+                [this, key, value, finish, insist, alive = this->alive](
+                    JobAnswer answer, const StoreRow& row) {
+                  if (!*alive) return;
+                  if (answer == JobAnswer::kStored) {
+                    this->NotifyOwner(row);
+                    finish(answer, "store");
+                    return;
+                  }
+                  const bool in_doubt = answer == JobAnswer::kUnknown;
+                  this->InsertThroughOwner(
+                      key, value,
+                      [finish, insist, in_doubt](JobAnswer by_owner) {
+                        if (by_owner == JobAnswer::kStored) {
+                          finish(by_owner, "owner");
+                          return;
+                        }
+                        insist(in_doubt || by_owner == JobAnswer::kUnknown);
+                      });
+                });
 }
 
 void Node::Cancel(const std::string& id, TimeMs timeout_ms,
@@ -520,7 +518,8 @@
       });
 }
 
-void Node::Query(const std::string& id, std::function<void(JobStatus)> done) {
+void Node::Query(const std::string& id,
+                 const std::function<void(JobStatus)>& done) {
   const auto from_store = [this, id, done] {
     LookUpJob(this->ports.store, id, [done](const JobLookup& lookup) {
       JobStatus status;
@@ -544,18 +543,18 @@
     from_store();
     return;
   }
-  const uint64_t call = AddCall(
-      this->calls, this->owner_link,
-      [done, from_store](const wire::FrameT* frame) {
-        const auto* reply =
-            frame == nullptr ? nullptr : frame->body.AsJobQueryReply();
-        if (reply == nullptr || !reply->known) {
-          from_store();
-          return;
-        }
-        done({true, true, static_cast<workflow::JobPhase>(reply->phase),
-              "owner"});
-      });
+  const uint64_t call =
+      AddCall(this->calls, this->owner_link,
+              [done, from_store](const wire::FrameT* frame) {
+                const auto* reply =
+                    frame == nullptr ? nullptr : frame->body.AsJobQueryReply();
+                if (reply == nullptr || !reply->known) {
+                  from_store();
+                  return;
+                }
+                done({true, true, static_cast<workflow::JobPhase>(reply->phase),
+                      "owner"});
+              });
   wire::JobQueryT query;
   query.call = call;
   query.job = id;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -70,7 +70,7 @@
               std::function<void(JobAnswer)> done);
   void Cancel(const std::string& id, TimeMs timeout_ms,
               std::function<void(JobAnswer)> done);
-  void Query(const std::string& id, std::function<void(JobStatus)> done);
+  void Query(const std::string& id, const std::function<void(JobStatus)>& done);
   /// Jobs of a queue of which no task has begun, as the owner last told;
   /// nothing when no owner has been heard yet.
   std::optional<uint32_t> Pending(const std::string& queue) const;
@@ -101,7 +101,7 @@
   bool OwnerReachesStore() const;
   void InsertHere(const std::string& key, const std::string& value,
                   TimeMs deadline_ms,
-                  std::function<void(JobAnswer, const char*)> finish);
+                  const std::function<void(JobAnswer, const char*)>& finish);
   void InsertThroughOwner(const std::string& key, const std::string& value,
                           std::function<void(JobAnswer)> done);
 
--- a/src/store/Leadership.cpp
+++ b/src/store/Leadership.cpp
@@ -8,8 +8,7 @@
 namespace dotterelcove {
 
 Leadership::Leadership(Runtime runtime, RowStore store,
-                       LeadershipOptions options,
-                       LeadershipCallbacks callbacks)
+                       LeadershipOptions options, LeadershipCallbacks callbacks)
     : runtime(std::move(runtime)),
       store(std::move(store)),
       options(std::move(options)),
@@ -135,23 +134,23 @@
             {F("epoch", next.epoch), F("previous", self->row.process),
              F("row_age_ms", self->runtime.now() - self->row_changed_ms),
              F("linked", self->linked), F("owner_gone", self->owner_gone)});
-        self->store.transact(
-            std::move(transaction), [weak, next](const StoreAnswer& answer) {
-              const auto later = weak.lock();
-              if (!later) return;
-              later->taking = false;
-              if (later->stopping || later->owner()) return;
-              if (answer.status == StoreStatus::kOk) {
-                OwnerRow held = next;
-                held.version = answer.version;
-                later->Acquire(held);
-                return;
-              }
-              if (answer.status == StoreStatus::kConflict) {
-                later->OnRow(answer);
-              }
-              later->PollIn(later->options.poll_ms);
-            });
+        self->store.transact(std::move(transaction),
+                             [weak, next](const StoreAnswer& answer) {
+                               const auto later = weak.lock();
+                               if (!later) return;
+                               later->taking = false;
+                               if (later->stopping || later->owner()) return;
+                               if (answer.status == StoreStatus::kOk) {
+                                 OwnerRow held = next;
+                                 held.version = answer.version;
+                                 later->Acquire(held);
+                                 return;
+                               }
+                               if (answer.status == StoreStatus::kConflict) {
+                                 later->OnRow(answer);
+                               }
+                               later->PollIn(later->options.poll_ms);
+                             });
       });
 }
 
@@ -160,12 +159,12 @@
   this->owner_gone = false;
   this->linked = false;
   Log(LogLevel::kInfo, "ownership_acquired", {F("epoch", held.epoch)});
-  this->log = std::make_shared<OwnerLog>(
-      this->runtime, this->store, held, this->options.log,
-      [weak = this->weak_from_this()] {
-        const auto self = weak.lock();
-        if (self) self->OnLost();
-      });
+  this->log = std::make_shared<OwnerLog>(this->runtime, this->store, held,
+                                         this->options.log,
+                                         [weak = this->weak_from_this()] {
+                                           const auto self = weak.lock();
+                                           if (self) self->OnLost();
+                                         });
   this->log->Start();
   this->callbacks.acquired(this->log);
 }
@@ -190,13 +189,13 @@
   if (heard.epoch < this->row.epoch) return;
   if (heard.sequence != this->report.sequence ||
       heard.epoch != this->report.epoch) {
-    this->row_changed_ms =
-        std::max(this->row_changed_ms, this->runtime.now() - heard.store_age_ms);
+    this->row_changed_ms = std::max(this->row_changed_ms,
+                                    this->runtime.now() - heard.store_age_ms);
   }
   this->report = heard;
   this->report_ms = this->runtime.now();
-  const bool troubled = heard.releasing || heard.store_age_ms >=
-                                               this->options.owner_store_age_ms;
+  const bool troubled =
+      heard.releasing || heard.store_age_ms >= this->options.owner_store_age_ms;
   if (troubled) this->Poll();
 }
 
--- a/src/store/OwnerLog.cpp
+++ b/src/store/OwnerLog.cpp
@@ -146,13 +146,12 @@
     }
   }
   this->last_write_ms = this->runtime.now();
-  this->store.transact(
-      std::move(transaction),
-      [weak = this->weak_from_this()](const StoreAnswer& answer) {
-        const auto self = weak.lock();
-        if (!self || self->stopped) return;
-        self->OnAnswer(answer);
-      });
+  this->store.transact(std::move(transaction), [weak = this->weak_from_this()](
+                                                   const StoreAnswer& answer) {
+    const auto self = weak.lock();
+    if (!self || self->stopped) return;
+    self->OnAnswer(answer);
+  });
 }
 
 void OwnerLog::OnAnswer(const StoreAnswer& answer) {
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -69,10 +69,9 @@
   ReadTable(c.store, kJobTable,
             Guard(c, [](Controller& self, const StoreAnswer& answer) {
               if (answer.status != StoreStatus::kOk) {
-                self.runtime.after(kLoadRetryMs,
-                                   Guard(self, [](Controller& later) {
-                                     RereadJobs(later);
-                                   }));
+                self.runtime.after(
+                    kLoadRetryMs,
+                    Guard(self, [](Controller& later) { RereadJobs(later); }));
                 return;
               }
               for (const StoreRow& row : answer.rows) AdmitRow(self, row);
@@ -140,23 +139,23 @@
 
 void LoadTable(Controller& c, const std::shared_ptr<Loading>& loading,
                const char* table, StoreAnswer Loading::*target) {
-  ReadTable(c.store, table,
-            Guard(c, [loading, table, target](Controller& self,
-                                              StoreAnswer answer) {
-              if (answer.status != StoreStatus::kOk) {
-                Log(LogLevel::kWarning, "records_unreadable",
-                    {F("table", table),
-                     F("status", NameOf(kStoreStatusNames, answer.status))});
-                self.runtime.after(
-                    kLoadRetryMs,
-                    Guard(self, [loading, table, target](Controller& later) {
-                      LoadTable(later, loading, table, target);
-                    }));
-                return;
-              }
-              (*loading).*target = std::move(answer);
-              if (--loading->missing == 0) OnLoaded(self, *loading);
-            }));
+  ReadTable(
+      c.store, table,
+      Guard(c, [loading, table, target](Controller& self, StoreAnswer answer) {
+        if (answer.status != StoreStatus::kOk) {
+          Log(LogLevel::kWarning, "records_unreadable",
+              {F("table", table),
+               F("status", NameOf(kStoreStatusNames, answer.status))});
+          self.runtime.after(
+              kLoadRetryMs,
+              Guard(self, [loading, table, target](Controller& later) {
+                LoadTable(later, loading, table, target);
+              }));
+          return;
+        }
+        (*loading).*target = std::move(answer);
+        if (--loading->missing == 0) OnLoaded(self, *loading);
+      }));
 }
 
 /// Runs on workers that have not answered until their leases lapsed.
@@ -245,13 +244,15 @@
                 Guard(c, [ids](Controller& self) {
                   for (const std::string& id : ids) {
                     const auto found = self.fleet.find(id);
-                    if (found != self.fleet.end()) found->second.recorded = true;
+                    if (found != self.fleet.end())
+                      found->second.recorded = true;
                   }
                   RequestSchedule(self);
                 }));
 }
 
-void UpdatePolicies(Controller& c, std::map<std::string, QueuePolicy> policies) {
+void UpdatePolicies(Controller& c,
+                    std::map<std::string, QueuePolicy> policies) {
   c.policies = std::move(policies);
   for (const auto& [id, job] : c.jobs.jobs) {
     const auto found = c.policies.find(job->spec.queue);
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -42,8 +42,8 @@
         {F("job", row.key), F("version", row.version)});
     return;
   }
-  auto job = MakeJob(std::move(*decoded.open), c.runtime.now(),
-                     c.runtime.wall_ms());
+  auto job =
+      MakeJob(std::move(*decoded.open), c.runtime.now(), c.runtime.wall_ms());
   Log(LogLevel::kInfo, "job_admitted",
       {F("job", row.key), F("queue", job->spec.queue),
        F("steps", job->spec.steps.size()), F("version", row.version),
@@ -123,9 +123,8 @@
   if (!task.failed_runs.insert(run).second) return;
   c.stats.ends_failed++;
   AvoidWorker(c, task, worker);
-  task.not_before_ms =
-      c.runtime.now() +
-      (kRetryBaseMs << std::min<size_t>(task.failed_runs.size(), 5));
+  task.not_before_ms = c.runtime.now() + (kRetryBaseMs << std::min<size_t>(
+                                              task.failed_runs.size(), 5));
   const auto held = c.fleet.find(worker);
   if (held != c.fleet.end()) {
     WorkerRecord& record = held->second.record;
@@ -142,7 +141,8 @@
   CloseJob(c, job, JobPhase::kFailed, "attempts_used_up");
 }
 
-void LearnDuration(Controller& c, const TaskRef& ref, const std::string& worker) {
+void LearnDuration(Controller& c, const TaskRef& ref,
+                   const std::string& worker) {
   const auto held = c.fleet.find(worker);
   if (held == c.fleet.end()) return;
   WorkerRecord& record = held->second.record;
@@ -151,9 +151,8 @@
   const TaskState& task = TaskOf(ref);
   const StepSpec& spec = SpecOf(ref);
   if (spec.estimate_ms <= 0 || task.started_ms <= 0) return;
-  const double ratio =
-      static_cast<double>(c.runtime.now() - task.started_ms) /
-      static_cast<double>(spec.estimate_ms);
+  const double ratio = static_cast<double>(c.runtime.now() - task.started_ms) /
+                       static_cast<double>(spec.estimate_ms);
   constexpr double kWeight = 0.3;
   record.slowness += kWeight * (std::min(ratio, 20.0) - record.slowness);
   record.samples++;
@@ -165,8 +164,7 @@
   // Numbers of different epochs never meet, although starts are not recorded.
   constexpr uint64_t kRunsPerEpoch = 1'024;
   const uint64_t base = (c.epoch - 1) * kRunsPerEpoch;
-  return static_cast<uint32_t>(
-      std::max<uint64_t>(task.run, base) + 1);
+  return static_cast<uint32_t>(std::max<uint64_t>(task.run, base) + 1);
 }
 
 void AdmitRow(Controller& c, const StoreRow& row) {
@@ -328,9 +326,8 @@
       puts.push_back({kProgressTable, job->spec.id, EncodeProgress(*job)});
       continue;
     }
-    puts.push_back(
-        {kProgressTable, job->spec.id,
-         EncodeJobEnd({job->phase, c.runtime.wall_ms()})});
+    puts.push_back({kProgressTable, job->spec.id,
+                    EncodeJobEnd({job->phase, c.runtime.wall_ms()})});
     closing.push_back(job->spec.id);
   }
   c.flushing = true;
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -164,8 +164,7 @@
         Log(LogLevel::kWarning, "stop_unanswered",
             {F("task", key.task), F("run", key.run), F("worker", key.worker),
              F("status", NameOf(kOrderStatusNames, answer.status))});
-        self.runtime.after(kStopRetryMs,
-                           Guard(self, [key](Controller& later) {
+        self.runtime.after(kStopRetryMs, Guard(self, [key](Controller& later) {
                              SendStop(later, key);
                            }));
       }));
--- a/src/workflow/ControllerOutcomes.cpp
+++ b/src/workflow/ControllerOutcomes.cpp
@@ -32,19 +32,18 @@
         {kJobTable, id, EncodeJobEnd({phase, c.runtime.wall_ms()})});
     transaction.removals.push_back({kJobTable, id + kCancelSuffix});
   }
-  c.store.transact(std::move(transaction),
-                   Guard(c, [batch](Controller& self,
-                                    const StoreAnswer& answer) {
-                     if (answer.status == StoreStatus::kOk) {
-                       RemoveProgress(self, batch);
-                       return;
-                     }
-                     Log(LogLevel::kWarning, "outcomes_not_compacted",
-                         {F("jobs", batch.size()),
-                          F("status", NameOf(kStoreStatusNames,
-                                             answer.status))});
-                     self.to_compact.insert(batch.begin(), batch.end());
-                   }));
+  c.store.transact(
+      std::move(transaction),
+      Guard(c, [batch](Controller& self, const StoreAnswer& answer) {
+        if (answer.status == StoreStatus::kOk) {
+          RemoveProgress(self, batch);
+          return;
+        }
+        Log(LogLevel::kWarning, "outcomes_not_compacted",
+            {F("jobs", batch.size()),
+             F("status", NameOf(kStoreStatusNames, answer.status))});
+        self.to_compact.insert(batch.begin(), batch.end());
+      }));
 }
 
 /// Jobs of one shard make one batch, so that each transaction is of one part.
@@ -66,8 +65,7 @@
   const TimeMs now_ms = c.runtime.now();
   std::erase_if(c.ended, [&](const auto& job) {
     if (now_ms - job.second.ended_ms < c.options.retention_ms) return false;
-    RowTransaction& transaction =
-        transactions[ShardOf(kJobTable, job.first)];
+    RowTransaction& transaction = transactions[ShardOf(kJobTable, job.first)];
     if (transaction.removals.size() >= kMaxJobsPerCompaction) return false;
     transaction.removals.push_back({kJobTable, job.first});
     return true;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -80,8 +80,8 @@
 }
 
 void OnPermits(Controller& c, const PermitQuestion& question, TaskRef ref,
-               const std::string& job_id, const std::string& asker,
-               bool slow, TimeMs asked_ms, const PermitAnswer& answer) {
+               const std::string& job_id, const std::string& asker, bool slow,
+               TimeMs asked_ms, const PermitAnswer& answer) {
   const auto asked = c.askers.find(asker);
   if (asked != c.askers.end()) {
     asked->second.outstanding--;
@@ -97,9 +97,8 @@
   Log(LogLevel::kInfo, "permits_answered",
       {F("step", question.step),
        F("status", NameOf(kPermitStatusNames, answer.status)),
-       F("named", question.workers.size()),
-       F("allowed", answer.grants.size()), F("asked_by", asker),
-       F("took_ms", c.runtime.now() - asked_ms)});
+       F("named", question.workers.size()), F("allowed", answer.grants.size()),
+       F("asked_by", asker), F("took_ms", c.runtime.now() - asked_ms)});
   if (answer.status != PermitStatus::kOk) {
     state.next_question_ms = c.runtime.now() + kQuestionPauseMs;
     return;
@@ -171,8 +170,7 @@
 
 void PlaceGang(Controller& c, const WaitingStep& step,
                const PlacementNeed& need) {
-  StepState& state =
-      step.job->occurrences.at(step.occurrence).steps[step.step];
+  StepState& state = step.job->occurrences.at(step.occurrence).steps[step.step];
   const auto workers = ChooseGang(c.fleet, need, need.step->count);
   if (!workers) {
     if (step.job->spec.policy.permits.required) {
@@ -183,7 +181,8 @@
   }
   // All members carry the same number and the same checkpoint.
   uint32_t run = 0;
-  for (const TaskState& task : state.tasks) run = std::max(run, NextRun(c, task));
+  for (const TaskState& task : state.tasks)
+    run = std::max(run, NextRun(c, task));
   const std::string checkpoint = state.tasks.front().checkpoint;
   const uint64_t gang = (c.next_gang++ << 1U);
   for (uint32_t i = 0; i < need.step->count; ++i) {
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -86,7 +86,8 @@
   if (ParseTaskName(reported.task, name)) task = FindTask(c.jobs, name);
   const bool wanted = task.job != nullptr && !IsFinal(task.job->phase) &&
                       TaskOf(task).phase == TaskPhase::kWaiting &&
-                      reported.run > TaskOf(task).run && !IsFinal(task.job->phase);
+                      reported.run > TaskOf(task).run &&
+                      !IsFinal(task.job->phase);
   if (!wanted) {
     const bool is_new = !worker.foreign.contains(reported.task);
     ForeignRun& stray = worker.foreign[reported.task];
@@ -116,7 +117,8 @@
   run.confirmed = true;
   run.looks_before_confirmed = worker.looks_sent;
   run.placed_ms = c.runtime.now();
-  if (SpecOf(task).gang) run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
+  if (SpecOf(task).gang)
+    run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
   AddRun(worker, reported.task, run);
   task.job->started = true;
   Log(LogLevel::kInfo, "task_adopted",
@@ -129,9 +131,10 @@
   const StepSpec& spec = SpecOf(ref);
   if (spec.filler) return false;
   if (spec.long_running && task.percent >= 100) return false;
-  const TimeMs limit_ms = std::max(
-      kStandstillMs, static_cast<TimeMs>(kStandstillShare *
-                                         static_cast<double>(spec.estimate_ms)));
+  const TimeMs limit_ms =
+      std::max(kStandstillMs,
+               static_cast<TimeMs>(kStandstillShare *
+                                   static_cast<double>(spec.estimate_ms)));
   return c.runtime.now() - task.progress_ms > limit_ms;
 }
 
@@ -256,8 +259,8 @@
     if (worker.looks == 0) OnLookFailed(c, worker, answer.status);
     return;
   }
-  const bool reborn = answer.incarnation != 0 &&
-                      answer.incarnation != worker.info.incarnation;
+  const bool reborn =
+      answer.incarnation != 0 && answer.incarnation != worker.info.incarnation;
   if (reborn || worker.info.incarnation != incarnation) {
     if (reborn) OnReborn(c, worker, answer.incarnation);
     Look(c, worker, 0);
@@ -392,7 +395,8 @@
               const char* reason) {
   const TimeMs now_ms = c.runtime.now();
   if (now_ms < worker.record.set_aside_until_ms) return;
-  const uint32_t doublings = std::min<uint32_t>(worker.record.set_aside_count, 3);
+  const uint32_t doublings =
+      std::min<uint32_t>(worker.record.set_aside_count, 3);
   const TimeMs pause_ms = std::min(base_ms << doublings, kMaxSetAsideMs);
   worker.record.set_aside_until_ms = now_ms + pause_ms;
   worker.record.set_aside_count++;
@@ -427,8 +431,8 @@
 }
 
 bool IsRecovering(const Controller& c) {
-  return !c.loaded || (!c.unanswered.empty() &&
-                       c.runtime.now() < c.recovery_until_ms);
+  return !c.loaded ||
+         (!c.unanswered.empty() && c.runtime.now() < c.recovery_until_ms);
 }
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/JobTable.cpp
+++ b/src/workflow/JobTable.cpp
@@ -72,10 +72,9 @@
   const TimeMs age_ms =
       std::max<int64_t>(wall_ms - job->spec.accepted_wall_ms, 0);
   job->accepted_ms = now_ms - age_ms;
-  job->objective_ms =
-      static_cast<TimeMs>(job->spec.policy.stretch *
-                          static_cast<double>(job->chain_ms)) +
-      job->spec.policy.target_ms;
+  job->objective_ms = static_cast<TimeMs>(job->spec.policy.stretch *
+                                          static_cast<double>(job->chain_ms)) +
+                      job->spec.policy.target_ms;
   AddDueOccurrences(*job, wall_ms);
   return job;
 }
--- a/src/workflow/Ordering.h
+++ b/src/workflow/Ordering.h
@@ -3,8 +3,8 @@
 /// still be on time, and what can no longer earn anything last.
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "workflow/JobTable.h"
 
@@ -22,7 +22,11 @@
   TimeMs latest_start_ms = 0;
   TimeMs accepted_ms = 0;
 
-  friend auto operator<=>(const OrderKey&, const OrderKey&) = default;
+  friend bool operator==(const OrderKey&, const OrderKey&) = default;
+  friend bool operator<(const OrderKey& a, const OrderKey& b) {
+    return std::tie(a.tier, a.priority, a.latest_start_ms, a.accepted_ms) <
+           std::tie(b.tier, b.priority, b.latest_start_ms, b.accepted_ms);
+  }
 };
 
 /// The estimated time from the start of `step` to the end of the job.
--- a/src/workflow/PermitPlan.cpp
+++ b/src/workflow/PermitPlan.cpp
@@ -33,8 +33,8 @@
 }  // namespace
 
 TimeMs QuestionCostMs(const PermitTerms& terms, size_t workers) {
-  return static_cast<TimeMs>(terms.decision_ms +
-                             terms.per_worker_ms * static_cast<double>(workers));
+  return static_cast<TimeMs>(
+      terms.decision_ms + terms.per_worker_ms * static_cast<double>(workers));
 }
 
 std::vector<std::string> WorkersToName(const Fleet& fleet,
@@ -48,8 +48,8 @@
     if (HasTicket(*need.state, worker, need.now_ms)) continue;
     if (!Fits(SizeOnWorker(*need.step), worker.info.capacity)) continue;
     if (!HasRoom(worker, need)) continue;
-    candidates.push_back({id, need.state->tickets.contains(id),
-                          TasksThatFit(worker, need)});
+    candidates.push_back(
+        {id, need.state->tickets.contains(id), TasksThatFit(worker, need)});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -16,10 +16,12 @@
 double Score(const Worker& worker, const PlacementNeed& need) {
   const Resources rest = FreeOf(worker) - SizeOnWorker(*need.step);
   const Resources& all = worker.info.capacity;
-  const double cores = static_cast<double>(rest.milli_cores) /
-                       static_cast<double>(std::max<int64_t>(all.milli_cores, 1));
-  const double memory = static_cast<double>(rest.memory_mb) /
-                        static_cast<double>(std::max<int64_t>(all.memory_mb, 1));
+  const double cores =
+      static_cast<double>(rest.milli_cores) /
+      static_cast<double>(std::max<int64_t>(all.milli_cores, 1));
+  const double memory =
+      static_cast<double>(rest.memory_mb) /
+      static_cast<double>(std::max<int64_t>(all.memory_mb, 1));
   constexpr double kSkewWeight = 0.3;
   double score = cores + kSkewWeight * std::abs(cores - memory);
   if (need.step->long_running || need.step->filler) score = -score;
--- a/src/workflow/Preemption.cpp
+++ b/src/workflow/Preemption.cpp
@@ -20,8 +20,9 @@
 
 int64_t LostWork(const PlacedRun& run, TimeMs now_ms) {
   const StepSpec& spec = SpecOf(run.task);
-  const TimeMs lost_ms = spec.checkpoints ? kCheckpointAgeMs
-                                          : now_ms - TaskOf(run.task).started_ms;
+  const TimeMs lost_ms = spec.checkpoints
+                             ? kCheckpointAgeMs
+                             : now_ms - TaskOf(run.task).started_ms;
   return lost_ms * std::max<int64_t>(spec.size.milli_cores, 1);
 }
 
--- a/src/workflow/Workflow.cpp
+++ b/src/workflow/Workflow.cpp
@@ -29,9 +29,9 @@
     TimeMs length = step.estimate_ms;
     if (spec.policy.permits.required) {
       constexpr double kTypicalQuestion = 30;
-      length +=
-          static_cast<TimeMs>(spec.policy.permits.decision_ms +
-                              kTypicalQuestion * spec.policy.permits.per_worker_ms);
+      length += static_cast<TimeMs>(spec.policy.permits.decision_ms +
+                                    kTypicalQuestion *
+                                        spec.policy.permits.per_worker_ms);
     }
     ends.push_back(begin + length);
     longest = std::max(longest, ends.back());
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -23,17 +23,17 @@
 /// Runs a daemon's callback when it lives and is not frozen.
 void Deliver(Cell& cell, int index, const std::shared_ptr<bool>& alive,
              TimeMs delay_ms, std::function<void()> callback) {
-  cell.time.After(delay_ms, [&cell, index, alive,
-                             callback = std::move(callback)] {
-    if (!*alive) return;
-    const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
-    if (cell.time.now_ms < daemon.frozen_until_ms) {
-      Deliver(cell, index, alive, daemon.frozen_until_ms - cell.time.now_ms,
-              callback);
-      return;
-    }
-    callback();
-  });
+  cell.time.After(
+      delay_ms, [&cell, index, alive, callback = std::move(callback)] {
+        if (!*alive) return;
+        const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+        if (cell.time.now_ms < daemon.frozen_until_ms) {
+          Deliver(cell, index, alive, daemon.frozen_until_ms - cell.time.now_ms,
+                  callback);
+          return;
+        }
+        callback();
+      });
 }
 
 // The store.
@@ -87,12 +87,12 @@
     });
     return;
   }
-  cell.time.After(faults.answer_ms / 2, [&cell, daemon, alive, transaction,
-                                         done, faults] {
-    const StoreAnswer answer = Apply(cell.store, transaction);
-    Deliver(cell, daemon, alive, (faults.answer_ms + 1) / 2,
-            [done, answer] { done(answer); });
-  });
+  cell.time.After(faults.answer_ms / 2,
+                  [&cell, daemon, alive, transaction, done, faults] {
+                    const StoreAnswer answer = Apply(cell.store, transaction);
+                    Deliver(cell, daemon, alive, (faults.answer_ms + 1) / 2,
+                            [done, answer] { done(answer); });
+                  });
 }
 
 void Read(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
@@ -135,8 +135,7 @@
     }
   }
   constexpr TimeMs kPollMs = 20;
-  const bool nothing =
-      answer.status == StoreStatus::kOk && answer.rows.empty();
+  const bool nothing = answer.status == StoreStatus::kOk && answer.rows.empty();
   if (nothing && wait_ms > 0) {
     Deliver(cell, daemon, alive, kPollMs,
             [&cell, daemon, alive, table, version, wait_ms, done] {
@@ -155,10 +154,9 @@
                                           const StoreCallback& done) {
     Transact(cell, daemon, alive, transaction, done);
   };
-  store.read = [&cell, daemon, alive](
-                   const std::string& table, uint32_t shard,
-                   const std::string& from, uint32_t limit,
-                   const StoreCallback& done) {
+  store.read = [&cell, daemon, alive](const std::string& table, uint32_t shard,
+                                      const std::string& from, uint32_t limit,
+                                      const StoreCallback& done) {
     Read(cell, daemon, alive, table, shard, from, limit, done);
   };
   store.read_one = [&cell, daemon, alive](const std::string& table,
@@ -192,8 +190,8 @@
   Journal& entry = cell.journal[found->second.journal];
   entry.end_ms = at_ms;
   entry.how = std::string(NameOf(workflow::kRunEndNames, end));
-  worker.ends.push_back({worker.next_end++, task, found->second.run, end,
-                         found->second.journal});
+  worker.ends.push_back(
+      {worker.next_end++, task, found->second.run, end, found->second.journal});
   worker.tombstones[task] =
       std::max(worker.tombstones[task], found->second.run);
   worker.running.erase(found);
@@ -230,9 +228,8 @@
 
 void RenewLease(const Cell& cell, ModelWorker& worker, int64_t end_clock_ms) {
   if (end_clock_ms <= 0) return;
-  const TimeMs end_ms =
-      std::min(end_clock_ms - worker.clock_offset_ms,
-               cell.time.now_ms + kMaxLeaseMs);
+  const TimeMs end_ms = std::min(end_clock_ms - worker.clock_offset_ms,
+                                 cell.time.now_ms + kMaxLeaseMs);
   worker.lease_end_ms = std::max(worker.lease_end_ms, end_ms);
 }
 
@@ -283,9 +280,8 @@
   }
   const auto running = worker.running.find(order.task);
   if (running != worker.running.end()) {
-    return {running->second.run == order.run
-                ? workflow::OrderStatus::kOk
-                : workflow::OrderStatus::kOldRun,
+    return {running->second.run == order.run ? workflow::OrderStatus::kOk
+                                             : workflow::OrderStatus::kOldRun,
             clock_ms};
   }
   ModelWorker::Run run = MakeRun(cell, worker, order);
@@ -394,8 +390,8 @@
     unanswered();
     return;
   }
-  cell.time.After(kHopMs, [&cell, daemon, alive, worker, order, done,
-                           carry_out, unanswered] {
+  cell.time.After(kHopMs, [&cell, daemon, alive, worker, order, done, carry_out,
+                           unanswered] {
     ModelWorker* there = FindReachable(cell, daemon, worker);
     if (there == nullptr) {
       unanswered();
@@ -440,11 +436,11 @@
   port.start = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
                                       const workflow::StartOrder& order,
                                       const workflow::OrderCallback& done) {
-    SendOrder(cell, daemon, alive, worker.id, order, done,
-              [&cell, daemon](ModelWorker& there,
-                              const workflow::StartOrder& sent) {
-                return StartOn(cell, daemon, there, sent);
-              });
+    SendOrder(
+        cell, daemon, alive, worker.id, order, done,
+        [&cell, daemon](ModelWorker& there, const workflow::StartOrder& sent) {
+          return StartOn(cell, daemon, there, sent);
+        });
   };
   port.stop = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
                                      const workflow::StopOrder& order,
@@ -478,9 +474,9 @@
     for (const std::string& worker : question.workers) {
       const uint64_t bucket = Hash64(question.step + worker) % kBuckets;
       // Some may run every step, so that no job is hopeless by chance.
-      const bool allowed = worker == "w0" || worker == "w1" ||
-                           static_cast<double>(bucket) <
-                               cell.options.allowed_share * kBuckets;
+      const bool allowed =
+          worker == "w0" || worker == "w1" ||
+          static_cast<double>(bucket) < cell.options.allowed_share * kBuckets;
       if (allowed) answer.grants.push_back({worker, "ticket"});
     }
     constexpr TimeMs kDecisionMs = 30;
@@ -745,8 +741,8 @@
   if (!daemon.up) return;
   constexpr TimeMs kWaitMs = 2'800;
   InsertJob(MakeModelRuntime(cell, index, daemon.alive),
-            MakeStore(cell, index, daemon.alive), id,
-            workflow::EncodeJob(spec), cell.time.now_ms + kWaitMs, false,
+            MakeStore(cell, index, daemon.alive), id, workflow::EncodeJob(spec),
+            cell.time.now_ms + kWaitMs, false,
             [&cell, id](JobAnswer answer, const StoreRow& row) {
               CallerJob& told = cell.jobs.at(id);
               told.refused = answer == JobAnswer::kRefused;
@@ -797,8 +793,8 @@
   for (const auto& [task, runs] : by_task) {
     for (size_t i = 0; i < runs.size(); ++i) {
       for (size_t j = i + 1; j < runs.size(); ++j) {
-        const bool overlap = runs[i]->end_ms < 0 ||
-                             runs[j]->begin_ms < runs[i]->end_ms;
+        const bool overlap =
+            runs[i]->end_ms < 0 || runs[j]->begin_ms < runs[i]->end_ms;
         if (overlap) breaches.push_back("TWICE: two runs of " + task);
         if (runs[i]->how == "done" && runs[i]->noted) {
           breaches.push_back("TWICE: " + task + " starts after it was done");
@@ -832,8 +828,7 @@
 bool IsStepDone(const Cell& cell, const CallerJob& job, uint32_t step,
                 TimeMs at_ms) {
   std::set<std::string> done;
-  const std::string prefix =
-      job.spec.id + ".0." + std::to_string(step) + ".";
+  const std::string prefix = job.spec.id + ".0." + std::to_string(step) + ".";
   for (const Journal& entry : cell.journal) {
     if (entry.how != "done" || entry.end_ms > at_ms) continue;
     if (entry.task.compare(0, prefix.size(), prefix) == 0) {
@@ -879,7 +874,8 @@
     const std::string state = StoredState(cell, id);
     const bool lasting = job.spec.steps.front().long_running;
     if (job.cancelled_ms >= 0) {
-      if (state.empty()) breaches.push_back("LOST: cancelled " + id + " is open");
+      if (state.empty())
+        breaches.push_back("LOST: cancelled " + id + " is open");
       continue;
     }
     if (lasting) {
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -32,10 +32,8 @@
     cell.time.After(i * kSecond / jobs, [&cell] {
       const int daemon = static_cast<int>(UniformInt(
           cell.random, 0, static_cast<int64_t>(cell.daemons.size()) - 1));
-      const auto steps =
-          static_cast<uint32_t>(UniformInt(cell.random, 1, 3));
-      const auto count =
-          static_cast<uint32_t>(UniformInt(cell.random, 1, 6));
+      const auto steps = static_cast<uint32_t>(UniformInt(cell.random, 1, 3));
+      const auto count = static_cast<uint32_t>(UniformInt(cell.random, 1, 6));
       Submit(cell, daemon,
              MakeChain(cell, steps, count, {1'500, 1'000, 0},
                        UniformInt(cell.random, 100, 2'000)));
@@ -157,9 +155,9 @@
   };
   const auto any_worker = [&cell]() -> ModelWorker& {
     return cell.workers.at(
-        "w" + std::to_string(UniformInt(
-                  cell.random, 0,
-                  static_cast<int64_t>(cell.workers.size()) - 1)));
+        "w" +
+        std::to_string(UniformInt(
+            cell.random, 0, static_cast<int64_t>(cell.workers.size()) - 1)));
   };
   const auto later = [&cell, at_ms](TimeMs delay_ms,
                                     std::function<void()> callback) {
--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -31,8 +31,11 @@
     cr_assert(started);
     this->server = std::move(*started);
     this->store = std::make_shared<StoreAdapter>(
-        StoreAdapter{this->http, [this] { return this->address(); },
-                     MonotonicMs, nullptr, {}});
+        StoreAdapter{this->http,
+                     [this] { return this->address(); },
+                     MonotonicMs,
+                     nullptr,
+                     {}});
   }
   std::string address() const {
     return "127.0.0.1:" + std::to_string(this->server->port());
@@ -86,9 +89,9 @@
 // prove that nothing was done.
 Test(PlatformStore, each_status_has_its_meaning) {
   const std::pair<int, StoreStatus> cases[] = {
-      {200, StoreStatus::kOk},      {412, StoreStatus::kConflict},
+      {200, StoreStatus::kOk},          {412, StoreStatus::kConflict},
       {410, StoreStatus::kHistoryLost}, {429, StoreStatus::kRefused},
-      {503, StoreStatus::kRefused}, {403, StoreStatus::kRefused}};
+      {503, StoreStatus::kRefused},     {403, StoreStatus::kRefused}};
   Peer peer;
   for (const auto& [status, meaning] : cases) {
     peer.status = status;
--- a/tests/platform/DecodingTest.cpp
+++ b/tests/platform/DecodingTest.cpp
@@ -50,7 +50,8 @@
 // Guards against a daemon that starts with settings it cannot use.
 Test(PlatformSettings, faults_name_the_key) {
   cr_expect(ProblemOf("{").find("JSON") != std::string::npos);
-  cr_expect(ProblemOf(Replace(kSettings, "\"front-1\"", "7")).find("node") == 0);
+  cr_expect(ProblemOf(Replace(kSettings, "\"front-1\"", "7")).find("node") ==
+            0);
   cr_expect(ProblemOf(Replace(kSettings, "10.1.0.13:8161", "10.1.0.13"))
                 .find("listen.front") == 0);
   cr_expect(ProblemOf(Replace(kSettings, "[7720, 7735]", "[7735, 7720]"))
@@ -141,8 +142,7 @@
   cr_expect_not(worker->draining);
   cr_expect(DecodeWorker("i", Replace(good, "ready", "draining"))->draining);
   cr_expect_not(DecodeWorker("i", Replace(good, "ready", "odd")).has_value());
-  cr_expect_not(
-      DecodeWorker("i", Replace(good, "16000", "\"x\"")).has_value());
+  cr_expect_not(DecodeWorker("i", Replace(good, "16000", "\"x\"")).has_value());
   cr_expect_not(DecodeWorker("i", "\xff\xfe").has_value());
   cr_expect_not(DecodeWorker("i", "[]").has_value());
 }
