Store time limits follow its answers; sooner take-over from an owner turned away

Ruled out: a fixed short limit (a store 64 times slower would count as away). Change: the limit is eight times the smoothed answer, 250 to 900 ms, doubled after each unanswered call; take-over after 800 ms.

--- a/src/store/Leadership.h
+++ b/src/store/Leadership.h
@@ -24,10 +24,10 @@
   /// Keeps standbys from competing at the same moment.
   TimeMs rank_delay_ms = 0;
   /// A row that has not changed for this long has no live owner.
-  TimeMs stale_ms = 900;
+  TimeMs stale_ms = 800;
   /// An owner that cannot reach the store for this long, while this process
   /// can, has to give way.
-  TimeMs owner_store_age_ms = 1'300;
+  TimeMs owner_store_age_ms = 800;
   TimeMs poll_ms = 150;
   /// Polling while the owner is heard.
   TimeMs calm_poll_ms = 4'000;
--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -110,6 +110,19 @@
   cr_expect_geq(peer.store->health.failing_since_ms, 0);
 }
 
+// Guards against a lost answer that stalls the owner for long, and against a
+// slow store that is taken for one that is away.
+Test(PlatformStore, timeout_follows_the_answers) {
+  StoreHealth health;
+  const TimeMs usual_ms = StoreTimeoutMs(health);
+  cr_expect_leq(usual_ms, 300);
+  health.unanswered = 1;
+  cr_expect_geq(StoreTimeoutMs(health), 2 * usual_ms);
+  health.unanswered = 0;
+  health.answer_ms = 250;
+  cr_expect_geq(StoreTimeoutMs(health), 900);
+}
+
 // Guards against rows spelt otherwise than the platform has them.
 Test(PlatformStore, transaction_is_spelt_as_the_platform_has_it) {
   Peer peer;
