--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -104,6 +104,7 @@
   LoadJobs(c, loading);
   std::vector<WorkerInfo> recorded;
   for (const StoreRow& row : loading.fleet.rows) {
+    c.fleet_rows[row.key] = row.value;
     for (WorkerInfo& info : DecodeFleet(row.value)) {
       c.unanswered.insert(info.id);
       recorded.push_back(std::move(info));
@@ -234,14 +235,22 @@
 void RecordFleet(Controller& c) {
   if (!c.fleet_dirty || !c.loaded) return;
   c.fleet_dirty = false;
-  std::vector<WorkerInfo> workers;
+  std::map<std::string, std::vector<WorkerInfo>> by_row;
   std::vector<std::string> ids;
+  for (const auto& [key, text] : c.fleet_rows) by_row[key];
   for (const auto& [id, worker] : c.fleet) {
-    workers.push_back(worker.info);
+    by_row[FleetKeyOf(id)].push_back(worker.info);
     ids.push_back(id);
   }
-  c.log->Commit({{kFleetTable, kFleetKey, EncodeFleet(workers)}}, {},
-                Guard(c, [ids](Controller& self) {
+  std::vector<RowPut> puts;
+  for (const auto& [key, workers] : by_row) {
+    std::string text = EncodeFleet(workers);
+    std::string& written = c.fleet_rows[key];
+    if (text == written) continue;
+    written = text;
+    puts.push_back({kFleetTable, key, std::move(text)});
+  }
+  c.log->Commit(std::move(puts), {}, Guard(c, [ids](Controller& self) {
                   for (const std::string& id : ids) {
                     const auto found = self.fleet.find(id);
                     if (found != self.fleet.end())
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -99,6 +99,8 @@
   std::set<Job*> dirty;
   bool flushing = false;
   bool fleet_dirty = false;
+  /// Fleet rows by key, as last written.
+  std::map<std::string, std::string> fleet_rows;
   bool schedule_wanted = false;
   bool suspended = false;
   bool stopped = false;
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/Hash.h"
+
 namespace dotterelcove::workflow {
 namespace {
 
@@ -242,6 +244,10 @@
   return true;
 }
 
+std::string FleetKeyOf(const std::string& worker) {
+  return "workers." + std::to_string(Hash64(worker) % kFleetRows);
+}
+
 std::string EncodeFleet(const std::vector<WorkerInfo>& workers) {
   Json json = Json::array();
   for (const WorkerInfo& worker : workers) {
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -4,7 +4,8 @@
 /// exists once its cancellation was asked for. Table "progress": key ID holds
 /// what the tasks of an open job have reached; how a job ended is stored here
 /// first, in the owner's commit, and moved to the job's row afterwards. Table
-/// "fleet": one row with the workers that may hold tasks.
+/// "fleet": the workers that may hold tasks, spread over a fixed number of
+/// rows.
 #pragma once
 
 #include <optional>
@@ -19,7 +20,8 @@
 inline constexpr const char* kJobTable = "job";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kFleetTable = "fleet";
-inline constexpr const char* kFleetKey = "workers";
+/// Rows of the fleet table. One row would be too long from 1,000 workers on.
+inline constexpr uint32_t kFleetRows = 32;
 inline constexpr const char* kCancelSuffix = ".c";
 
 /// How a job ended, as kept for callers that ask later.
@@ -47,7 +49,10 @@
 /// Returns false, leaving `job` partly changed, for text that does not fit it.
 bool ApplyProgress(const std::string& text, Job& job);
 
-/// The workers that may hold tasks, each with what is needed to ask it.
+/// Key of the fleet row that names the worker.
+std::string FleetKeyOf(const std::string& worker);
+
+/// The workers of one fleet row, each with what is needed to ask it.
 std::string EncodeFleet(const std::vector<WorkerInfo>& workers);
 /// Entries that are not such a worker are left out.
 std::vector<WorkerInfo> DecodeFleet(const std::string& text);
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -290,6 +290,29 @@
   cr_expect_not(ApplyProgress("{\"occurrences\": 3}", *copy));
 }
 
+// Guards against a fleet row longer than the store takes: with one row for all
+// workers no commit went through at 3,000 of them.
+Test(JobRows, fleet_rows_stay_short) {
+  constexpr int kWorkers = 3'000;
+  constexpr size_t kMaxRowBytes = 65'536;
+  std::map<std::string, std::vector<WorkerInfo>> rows;
+  for (int i = 0; i < kWorkers; ++i) {
+    WorkerInfo worker;
+    worker.id = "i-" + std::to_string(100'000'000 + i);
+    worker.address = "10.128.100.100:" + std::to_string(10'000 + i);
+    worker.service = "service";
+    worker.incarnation = 1'700'000'000'000;
+    rows[FleetKeyOf(worker.id)].push_back(worker);
+  }
+  size_t read = 0;
+  for (const auto& [key, workers] : rows) {
+    const std::string text = EncodeFleet(workers);
+    cr_expect_lt(text.size(), kMaxRowBytes);
+    read += DecodeFleet(text).size();
+  }
+  cr_expect_eq(read, kWorkers);
+}
+
 // Guards against rows of a job that are taken for the other kind.
 Test(JobRows, open_and_ended_rows_are_told_apart) {
   const auto job = MakeOneStep(MakeStep(1, 1'000));
