--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -22,6 +22,9 @@
 
 namespace dotterelcove {
 
+/// How long an owner tries to store a job for another daemon.
+inline constexpr TimeMs kOwnerInsertMs = 1'000;
+
 struct NodeOptions {
   std::string process;
   std::string zone;
--- /dev/null
+++ b/src/node/NodeCallers.cpp
@@ -0,0 +1,209 @@
+// What callers ask of a node: accepting, cancelling and looking up jobs.
+#include <utility>
+
+#include "node/Node.h"
+#include "telemetry/Log.h"
+
+namespace dotterelcove {
+namespace {
+
+/// The owner's answer about a job is waited for this long before the store is
+/// asked.
+constexpr TimeMs kOwnerAnswerMs = 250;
+/// A store that has not answered for this long is away; callers are told at
+/// once.
+constexpr TimeMs kStoreAwayMs = 250;
+constexpr TimeMs kOwnerStoreAgeMs = 900;
+
+}  // namespace
+
+void Node::NotifyOwner(const StoreRow& row) {
+  if (row.version == 0) return;
+  if (this->controller) {
+    workflow::AdmitRow(*this->controller, row);
+    return;
+  }
+  if (this->owner_link == 0) return;
+  wire::JobNoticeT notice;
+  notice.key = row.key;
+  notice.value = row.value;
+  notice.version = row.version;
+  this->peers->Send(this->owner_link, std::move(notice));
+}
+
+void Node::InsertThroughOwner(const std::string& key, const std::string& value,
+                              std::function<void(JobAnswer)> done) {
+  if (this->owner_link == 0) {
+    done(JobAnswer::kRefused);
+    return;
+  }
+  const uint64_t call =
+      AddCall(this->calls, this->owner_link,
+              [done = std::move(done)](const wire::FrameT* frame) {
+                const auto* reply =
+                    frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
+                // Without an answer the owner may have stored the job.
+                done(reply == nullptr ? JobAnswer::kUnknown
+                                      : static_cast<JobAnswer>(reply->status));
+              });
+  wire::JobInsertT insert;
+  insert.call = call;
+  insert.key = key;
+  insert.value = value;
+  this->peers->Send(this->owner_link, std::move(insert));
+  constexpr TimeMs kSlackMs = 200;
+  this->runtime.after(kOwnerInsertMs + kSlackMs,
+                      [this, call, alive = this->alive] {
+                        if (*alive) EndCall(this->calls, call, nullptr);
+                      });
+}
+
+void Node::Submit(const workflow::JobSpec& spec, TimeMs timeout_ms,
+                  std::function<void(JobAnswer)> done) {
+  const std::string key = spec.id;
+  const std::string value = workflow::EncodeJob(spec);
+  const TimeMs began_ms = this->runtime.now();
+  const auto finish = [this, key, began_ms, queue = spec.queue,
+                       done = std::move(done)](JobAnswer answer,
+                                               const char* through) {
+    const TimeMs took_ms = this->runtime.now() - began_ms;
+    this->metrics.ObserveSeconds("wait_seconds",
+                                 static_cast<double>(took_ms) / 1'000,
+                                 {{"of", "accept"}});
+    this->metrics.Count(
+        "submissions_total",
+        {{"answer", std::string(NameOf(kJobAnswerNames, answer))}});
+    const bool stored = answer == JobAnswer::kStored;
+    Log(stored ? LogLevel::kInfo : LogLevel::kWarning,
+        stored ? "job_accepted" : "job_not_accepted",
+        {F("job", key), F("queue", queue),
+         F("answer", NameOf(kJobAnswerNames, answer)), F("through", through),
+         F("took_ms", took_ms)});
+    done(answer);
+  };
+  if (this->ports.store_away_ms() < kStoreAwayMs) {
+    this->InsertHere(key, value, began_ms + timeout_ms, finish);
+    return;
+  }
+  // A store known to be away is not tried: the job would wait in vain, and
+  // after an unanswered try it could not even be refused.
+  if (!this->OwnerReachesStore()) {
+    finish(JobAnswer::kRefused, "store_away");
+    return;
+  }
+  this->InsertThroughOwner(
+      key, value, [finish](JobAnswer answer) { finish(answer, "owner"); });
+}
+
+bool Node::OwnerReachesStore() const {
+  return this->owner_link != 0 && this->owner_store_age_ms < kOwnerStoreAgeMs;
+}
+
+void Node::InsertHere(
+    const std::string& key, const std::string& value, TimeMs deadline_ms,
+    const std::function<void(JobAnswer, const char*)>& finish) {
+  // The last resort: this process alone, until the truth is known.
+  const auto insist = [this, key, value, finish, deadline_ms,
+                       alive = this->alive](bool in_doubt) {
+    InsertJob(this->runtime, this->ports.store, key, value, deadline_ms,
+              in_doubt,
+              [this, finish, alive](JobAnswer answer, const StoreRow& row) {
+                if (!*alive) return;
+                if (answer == JobAnswer::kStored) this->NotifyOwner(row);
+                finish(answer, "store");
+              });
+  };
+  InsertJobOnce(this->runtime, this->ports.store, key, value,
+                [this, key, value, finish, insist, alive = this->alive](
+                    JobAnswer answer, const StoreRow& row) {
+                  if (!*alive) return;
+                  if (answer == JobAnswer::kStored) {
+                    this->NotifyOwner(row);
+                    finish(answer, "store");
+                    return;
+                  }
+                  const bool in_doubt = answer == JobAnswer::kUnknown;
+                  this->InsertThroughOwner(
+                      key, value,
+                      [finish, insist, in_doubt](JobAnswer by_owner) {
+                        if (by_owner == JobAnswer::kStored) {
+                          finish(by_owner, "owner");
+                          return;
+                        }
+                        insist(in_doubt || by_owner == JobAnswer::kUnknown);
+                      });
+                });
+}
+
+void Node::Cancel(const std::string& id, TimeMs timeout_ms,
+                  std::function<void(JobAnswer)> done) {
+  InsertCancellation(
+      this->runtime, this->ports.store, id, this->runtime.now() + timeout_ms,
+      [this, id, done = std::move(done), alive = this->alive](
+          JobAnswer answer, const StoreRow& row) {
+        if (!*alive) return;
+        Log(LogLevel::kInfo, "cancel_answered",
+            {F("job", id), F("answer", NameOf(kJobAnswerNames, answer))});
+        if (answer == JobAnswer::kStored) this->NotifyOwner(row);
+        done(answer);
+      });
+}
+
+void Node::Query(const std::string& id,
+                 const std::function<void(JobStatus)>& done) {
+  const auto from_store = [this, id, done] {
+    LookUpJob(this->ports.store, id, [done](const JobLookup& lookup) {
+      JobStatus status;
+      status.answered = lookup.status == StoreStatus::kOk;
+      status.found = lookup.found;
+      status.phase = lookup.phase;
+      status.source = "store";
+      done(status);
+    });
+  };
+  if (this->controller) {
+    const auto phase = workflow::QueryJob(*this->controller, id);
+    if (!phase) {
+      from_store();
+      return;
+    }
+    done({true, true, *phase, "owner"});
+    return;
+  }
+  if (this->owner_link == 0) {
+    from_store();
+    return;
+  }
+  const uint64_t call =
+      AddCall(this->calls, this->owner_link,
+              [done, from_store](const wire::FrameT* frame) {
+                const auto* reply =
+                    frame == nullptr ? nullptr : frame->body.AsJobQueryReply();
+                if (reply == nullptr || !reply->known) {
+                  from_store();
+                  return;
+                }
+                done({true, true, static_cast<workflow::JobPhase>(reply->phase),
+                      "owner"});
+              });
+  wire::JobQueryT query;
+  query.call = call;
+  query.job = id;
+  this->peers->Send(this->owner_link, std::move(query));
+  this->runtime.after(kOwnerAnswerMs, [this, call, alive = this->alive] {
+    if (*alive) EndCall(this->calls, call, nullptr);
+  });
+}
+
+std::optional<uint32_t> Node::Pending(const std::string& queue) const {
+  if (this->controller && this->controller->loaded) {
+    const auto counts = workflow::CountPending(*this->controller);
+    const auto found = counts.find(queue);
+    return found == counts.end() ? 0 : found->second;
+  }
+  if (!this->pending_known) return std::nullopt;
+  const auto found = this->pending.find(queue);
+  return found == this->pending.end() ? 0 : found->second;
+}
+
+}  // namespace dotterelcove
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -1,4 +1,4 @@
-/// Questions to a peer that are waiting for its answer.
+/// Requests to a peer that are waiting for its answer.
 #pragma once
 
 #include <cstdint>
@@ -23,14 +23,14 @@
   uint64_t next_call = 1;
 };
 
-/// Registers a question sent over `link`; returns its number.
+/// Registers a request sent over `link`; returns its number.
 inline uint64_t AddCall(PeerCalls& calls, uint64_t link, PeerAnswer answer) {
   const uint64_t call = calls.next_call++;
   calls.open[call] = {link, std::move(answer)};
   return call;
 }
 
-/// Ends a question; nothing happens if it has ended already.
+/// Ends a request; nothing happens if it has ended already.
 inline void EndCall(PeerCalls& calls, uint64_t call,
                     const wire::FrameT* answer) {
   const auto found = calls.open.find(call);
@@ -40,7 +40,7 @@
   done(answer);
 }
 
-/// Ends every question sent over a connection that broke.
+/// Ends every request sent over a connection that broke.
 inline void EndCallsOf(PeerCalls& calls, uint64_t link) {
   std::vector<uint64_t> ended;
   for (const auto& [call, open] : calls.open) {
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -126,8 +126,8 @@
     worker.recorded = true;
     if (worker.synced) {
       c.unanswered.erase(info.id);
-    } else if (worker.looks == 0) {
-      Look(c, worker, 0);
+    } else if (worker.syncs == 0) {
+      Sync(c, worker, 0);
     }
   }
   CloseCompleted(c);
@@ -163,13 +163,13 @@
 void CheckLapsed(Controller& c, Worker& worker) {
   if (worker.runs.empty() || worker.reachable) return;
   if (worker.clock_ms == 0 || c.runtime.now() < worker.lapses_ms) return;
-  LoseRuns(c, worker, "lease_lapsed");
+  LoseRuns(c, worker, "lease_lapsed", true);
   worker.synced = false;
   RequestSchedule(c);
 }
 
 bool IsForgettable(const Controller& c, const Worker& worker) {
-  return !worker.listed && worker.runs.empty() && worker.foreign.empty() &&
+  return !worker.listed && worker.runs.empty() && worker.orphans.empty() &&
          !c.unanswered.contains(worker.info.id);
 }
 
@@ -184,8 +184,8 @@
       it = c.fleet.erase(it);
       continue;
     }
-    if (worker.looks == 0 && now_ms >= worker.next_look_ms) {
-      Look(c, worker, worker.runs.empty() ? 0 : c.options.look_wait_ms);
+    if (worker.syncs == 0 && now_ms >= worker.next_sync_ms) {
+      Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
     }
     ++it;
   }
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -28,14 +28,14 @@
 namespace dotterelcove::workflow {
 
 struct ControllerOptions {
-  /// Lease of a worker's tasks, renewed at every look.
+  /// Lease of a worker's tasks, renewed at every sync.
   TimeMs lease_ms = 5'000;
   /// The longest lease that any owner may have given.
   TimeMs max_lease_ms = 6'000;
-  /// A look waits this long for an end.
-  TimeMs look_wait_ms = 1'500;
-  /// Looks at a worker that holds nothing.
-  TimeMs idle_look_ms = 2'500;
+  /// A sync waits this long for an end.
+  TimeMs sync_wait_ms = 1'500;
+  /// Syncs at a worker that holds nothing.
+  TimeMs idle_sync_ms = 2'500;
   TimeMs gang_timeout_ms = 3'000;
   TimeMs stop_timeout_ms = 900;
   /// A worker's clock may run slow by this share.
@@ -58,8 +58,8 @@
   uint64_t ends_failed = 0;
   uint64_t ends_other = 0;
   uint64_t stops = 0;
-  uint64_t looks = 0;
-  uint64_t questions = 0;
+  uint64_t syncs = 0;
+  uint64_t requests = 0;
   uint64_t orders_in_doubt = 0;
 };
 
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -132,7 +132,7 @@
     constexpr uint32_t kFailuresBeforeDoubt = 2;
     constexpr TimeMs kDoubtMs = 1'500;
     if (record.failures_in_a_row >= kFailuresBeforeDoubt) {
-      SetAside(c, held->second, kDoubtMs, "tasks_fail");
+      Quarantine(c, held->second, kDoubtMs, "tasks_fail");
     }
   }
   Job& job = *ref.job;
@@ -147,7 +147,7 @@
   if (held == c.fleet.end()) return;
   WorkerRecord& record = held->second.record;
   record.failures_in_a_row = 0;
-  record.set_aside_count = 0;
+  record.quarantines = 0;
   const TaskState& task = TaskOf(ref);
   const StepSpec& spec = SpecOf(ref);
   if (spec.estimate_ms <= 0 || task.started_ms <= 0) return;
@@ -286,8 +286,8 @@
     if (worker.info.incarnation != end.first) continue;
     worker.acked = std::max(worker.acked, end.second);
     // The worker was left alone until its ends were stored.
-    if (worker.looks == 0) {
-      Look(c, worker, worker.runs.empty() ? 0 : c.options.look_wait_ms);
+    if (worker.syncs == 0) {
+      Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
     }
   }
   FlushProgress(c);
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr TimeMs kStopRetryMs = 150;
+/// Unanswered stops are repeated ever less often, up to this many times that.
+constexpr TimeMs kMaxStopBackoff = 6;
 /// Work is kept away from a worker whose room was misjudged.
 constexpr TimeMs kNoRoomPauseMs = 250;
 constexpr TimeMs kUnhealthyPauseMs = 800;
@@ -56,7 +58,7 @@
   run.start_in_doubt = false;
   if (!run.confirmed) {
     run.confirmed = true;
-    run.looks_before_confirmed = found.worker->looks_sent;
+    run.syncs_before_confirmed = found.worker->syncs_sent;
   }
   TaskState& task = TaskOf(run.task);
   if (task.phase == TaskPhase::kStarting && task.worker == key.worker) {
@@ -103,7 +105,7 @@
       }
       return;
     case OrderStatus::kNoRoom:
-      worker.record.set_aside_until_ms = c.runtime.now() + kNoRoomPauseMs;
+      worker.record.quarantined_until_ms = c.runtime.now() + kNoRoomPauseMs;
       Unplace(c, key, found, 0);
       return;
     case OrderStatus::kNoTicket:
@@ -111,7 +113,7 @@
       Unplace(c, key, found, 0);
       return;
     case OrderStatus::kUnhealthy:
-      SetAside(c, worker, kUnhealthyPauseMs, "unhealthy");
+      Quarantine(c, worker, kUnhealthyPauseMs, "unhealthy");
       Unplace(c, key, found, 0);
       return;
     case OrderStatus::kMalformed:
@@ -121,12 +123,12 @@
     case OrderStatus::kOtherIncarnation:
       worker.synced = false;
       Unplace(c, key, found, 0);
-      Look(c, worker, 0);
+      Sync(c, worker, 0);
       return;
     case OrderStatus::kNotSent:
       worker.reachable = false;
       Unplace(c, key, found, 0);
-      Look(c, worker, 0);
+      Sync(c, worker, 0);
       return;
     default:
       Unplace(c, key, found, 0);
@@ -139,6 +141,7 @@
   if (found.run == nullptr || found.run->stop_in_flight) return;
   if (found.run->stop_answered) return;
   found.run->stop_in_flight = true;
+  found.run->stops_sent++;
   c.stats.stops++;
   c.port.stop(
       {found.worker->info.id, found.worker->info.address},
@@ -155,16 +158,19 @@
                               answer.status == OrderStatus::kOldRun;
         if (answered) {
           again.run->stop_answered = true;
-          again.run->looks_before_stopped = again.worker->looks_sent;
-          // Whether the run was there at all, only a look tells; the end of
-          // one that was comes with the look under way.
-          if (again.run->start_in_doubt) Look(self, *again.worker, 0);
+          again.run->syncs_before_stopped = again.worker->syncs_sent;
+          // Whether the run was there at all, only a sync tells; the end of
+          // one that was comes with the sync under way.
+          if (again.run->start_in_doubt) Sync(self, *again.worker, 0);
           return;
         }
         Log(LogLevel::kWarning, "stop_unanswered",
             {F("task", key.task), F("run", key.run), F("worker", key.worker),
              F("status", NameOf(kOrderStatusNames, answer.status))});
-        self.runtime.after(kStopRetryMs, Guard(self, [key](Controller& later) {
+        const TimeMs retry_ms =
+            kStopRetryMs *
+            std::min<TimeMs>(again.run->stops_sent, kMaxStopBackoff);
+        self.runtime.after(retry_ms, Guard(self, [key](Controller& later) {
                              SendStop(later, key);
                            }));
       }));
@@ -205,13 +211,13 @@
       {F("task", name), F("run", placing.run), F("worker", worker.info.id),
        F("free_cores", FreeOf(worker).milli_cores),
        F("waited_ms", now_ms - StepOf(placing.task).ready_since_ms),
-       F("look_age_ms", now_ms - worker.clock_read_ms)});
+       F("sync_age_ms", now_ms - worker.clock_read_ms)});
   c.port.start({worker.info.id, worker.info.address}, order,
                Guard(c, [key](Controller& self, const OrderAnswer& answer) {
                  OnStartAnswer(self, key, answer);
                }));
-  // A worker with tasks is looked at all the time; an idle one was not.
-  if (was_idle && worker.looks == 0) Look(c, worker, c.options.look_wait_ms);
+  // A worker with tasks is synced all the time; an idle one was not.
+  if (was_idle && worker.syncs == 0) Sync(c, worker, c.options.sync_wait_ms);
 }
 
 void StopRun(Controller& c, Worker& worker, const std::string& name,
@@ -231,6 +237,20 @@
   SendStop(c, {worker.info.id, worker.info.incarnation, name, run.run});
 }
 
+void StopUnconfirmed(Controller& c, Worker& worker) {
+  std::vector<RunKey> keys;
+  for (auto& [name, run] : worker.runs) {
+    run.start_in_doubt = true;
+    run.stop_wanted = true;
+    run.stop_in_flight = false;
+    run.stop_answered = false;
+    TaskState& task = TaskOf(run.task);
+    if (task.phase != TaskPhase::kDone) task.phase = TaskPhase::kStopping;
+    keys.push_back({worker.info.id, worker.info.incarnation, name, run.run});
+  }
+  for (const RunKey& key : keys) SendStop(c, key);
+}
+
 void StopJob(Controller& c, Job& job, const char* reason) {
   if (job.placed == 0) return;
   for (auto& [id, worker] : c.fleet) {
@@ -252,9 +272,9 @@
   }
 }
 
-void StopForeign(Controller& c, Worker& worker, const std::string& name) {
-  const auto found = worker.foreign.find(name);
-  if (found == worker.foreign.end()) return;
+void StopOrphan(Controller& c, Worker& worker, const std::string& name) {
+  const auto found = worker.orphans.find(name);
+  if (found == worker.orphans.end()) return;
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
   c.stats.stops++;
@@ -268,9 +288,9 @@
                 const auto again = self.fleet.find(id);
                 if (again == self.fleet.end()) return;
                 if (again->second.info.incarnation != incarnation) return;
-                if (!again->second.foreign.contains(name)) return;
-                // A look tells when it is gone; one may be under way.
-                if (again->second.looks == 0) Look(self, again->second, 0);
+                if (!again->second.orphans.contains(name)) return;
+                // A sync tells when it is gone; one may be under way.
+                if (again->second.syncs == 0) Sync(self, again->second, 0);
               }));
 }
 
--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -36,13 +36,16 @@
 /// Stops a run; it occupies its worker until its end is known.
 void StopRun(Controller& controller, Worker& worker, const std::string& name,
              const char* reason);
+/// The worker has started anew: starts that its former life has not confirmed
+/// may still reach the new one, so each is stopped there.
+void StopUnconfirmed(Controller& controller, Worker& worker);
 /// Stops every run of a job.
 void StopJob(Controller& controller, Job& job, const char* reason);
 /// Stops the other runs of a gang.
 void StopGang(Controller& controller, uint64_t gang, const char* reason);
 /// Stops a run that this owner does not know.
-void StopForeign(Controller& controller, Worker& worker,
-                 const std::string& name);
+void StopOrphan(Controller& controller, Worker& worker,
+                const std::string& name);
 /// The next number for a start of the task.
 uint32_t NextRun(const Controller& controller, const TaskState& task);
 
@@ -70,16 +73,18 @@
 
 // Workers.
 /// Asks the worker what runs on it, renewing its lease.
-void Look(Controller& controller, Worker& worker, TimeMs wait_ms);
+void Sync(Controller& controller, Worker& worker, TimeMs wait_ms);
 /// The lease end to send now, on the worker's clock; 0 if it is not known.
 int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
-/// All runs on the worker have ended without a report.
-void LoseRuns(Controller& controller, Worker& worker, const char* reason);
+/// All confirmed runs on the worker have ended without a report, with
+/// `unconfirmed` the others too.
+void LoseRuns(Controller& controller, Worker& worker, const char* reason,
+              bool unconfirmed);
 /// Takes workers into or out of the stored list of those that may hold tasks.
 void RecordFleet(Controller& controller);
 /// A worker failed a task or an order: gives it no work for a while.
-void SetAside(Controller& controller, Worker& worker, TimeMs base_ms,
-              const char* reason);
+void Quarantine(Controller& controller, Worker& worker, TimeMs base_ms,
+                const char* reason);
 bool IsRecovering(const Controller& controller);
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -12,9 +12,9 @@
 
 /// Passes are this far apart, so that a burst of events gives one pass.
 constexpr TimeMs kPassDelayMs = 2;
-/// A question that could not help is asked again after this.
-constexpr TimeMs kUrgentQuestionPauseMs = 60;
-constexpr TimeMs kQuestionPauseMs = 250;
+/// A request that could not help is asked again after this.
+constexpr TimeMs kUrgentRequestPauseMs = 60;
+constexpr TimeMs kRequestPauseMs = 250;
 /// The next step's permits are asked for this long before it can begin.
 constexpr TimeMs kAskAheadMarginMs = 150;
 /// Work that is neither urgent nor lasting leaves this share of each worker
@@ -79,7 +79,7 @@
   return counts;
 }
 
-void OnPermits(Controller& c, const PermitQuestion& question, TaskRef ref,
+void OnPermits(Controller& c, const PermitRequest& request, TaskRef ref,
                const std::string& job_id, const std::string& asker, bool slow,
                TimeMs asked_ms, const PermitAnswer& answer) {
   const auto asked = c.askers.find(asker);
@@ -92,15 +92,15 @@
   Job* job = FindJob(c.jobs, job_id);
   if (job == nullptr || job != ref.job) return;
   StepState& state = StepOf(ref);
-  state.questions--;
+  state.requests--;
   if (c.observe) c.observe("permit", c.runtime.now() - asked_ms);
   Log(LogLevel::kInfo, "permits_answered",
-      {F("step", question.step),
+      {F("step", request.step),
        F("status", NameOf(kPermitStatusNames, answer.status)),
-       F("named", question.workers.size()), F("allowed", answer.grants.size()),
+       F("named", request.workers.size()), F("allowed", answer.grants.size()),
        F("asked_by", asker), F("took_ms", c.runtime.now() - asked_ms)});
   if (answer.status != PermitStatus::kOk) {
-    state.next_question_ms = c.runtime.now() + kQuestionPauseMs;
+    state.next_request_ms = c.runtime.now() + kRequestPauseMs;
     return;
   }
   std::map<std::string, std::string> granted;
@@ -109,7 +109,7 @@
   }
   // Half a round trip may have passed since the ticket was made.
   constexpr TimeMs kAnswerAgeMs = 20;
-  for (const std::string& id : question.workers) {
+  for (const std::string& id : request.workers) {
     const auto grant = granted.find(id);
     if (grant == granted.end()) {
       state.denied.insert(id);
@@ -125,42 +125,41 @@
   }
 }
 
-/// Puts a question about the step unless one is under way or cannot help.
+/// Puts a request about the step unless one is under way or cannot help.
 void AskPermits(Controller& c, const TaskRef& ref, const PlacementNeed& need,
                 uint32_t tasks) {
   StepState& state = StepOf(ref);
   const TimeMs now_ms = c.runtime.now();
-  if (state.questions > 0 || now_ms < state.next_question_ms) return;
-  PermitQuestion question;
-  question.workers = WorkersToName(c.fleet, need, tasks);
+  if (state.requests > 0 || now_ms < state.next_request_ms) return;
+  PermitRequest request;
+  request.workers = WorkersToName(c.fleet, need, tasks);
   const bool urgent = ref.job->spec.policy.priority == 0;
-  const TimeMs pause_ms = urgent ? kUrgentQuestionPauseMs : kQuestionPauseMs;
-  if (question.workers.empty()) {
-    state.next_question_ms = now_ms + pause_ms;
+  const TimeMs pause_ms = urgent ? kUrgentRequestPauseMs : kRequestPauseMs;
+  if (request.workers.empty()) {
+    state.next_request_ms = now_ms + pause_ms;
     return;
   }
-  question.step = MakeStepName(*ref.job, ref.occurrence, ref.step);
+  request.step = MakeStepName(*ref.job, ref.occurrence, ref.step);
   const TimeMs cost_ms =
-      QuestionCostMs(ref.job->spec.policy.permits, question.workers.size());
+      RequestCostMs(ref.job->spec.policy.permits, request.workers.size());
   PermitAsker* asker = ChooseAsker(c.askers, cost_ms, now_ms);
   if (asker == nullptr) return;
   std::string asker_name;
   for (const auto& [name, each] : c.askers) {
     if (&each == asker) asker_name = name;
   }
-  const bool slow = cost_ms > kSlowQuestionMs;
+  const bool slow = cost_ms > kSlowRequestMs;
   asker->busy_until_ms = std::max(asker->busy_until_ms, now_ms) + cost_ms;
   asker->outstanding++;
   if (slow) asker->slow++;
-  state.questions++;
-  state.next_question_ms = now_ms + pause_ms;
-  c.stats.questions++;
-  asker->ask(question,
-             Guard(c, [question, ref, id = ref.job->spec.id, asker_name, slow,
-                       now_ms](Controller& self, const PermitAnswer& answer) {
-               OnPermits(self, question, ref, id, asker_name, slow, now_ms,
-                         answer);
-             }));
+  state.requests++;
+  state.next_request_ms = now_ms + pause_ms;
+  c.stats.requests++;
+  asker->ask(
+      request, Guard(c, [request, ref, id = ref.job->spec.id, asker_name, slow,
+                         now_ms](Controller& self, const PermitAnswer& answer) {
+        OnPermits(self, request, ref, id, asker_name, slow, now_ms, answer);
+      }));
 }
 
 std::string TicketFor(const StepState& state, const Worker& worker) {
@@ -275,7 +274,7 @@
       const StepSpec& spec = job.spec.steps[i];
       StepState& state = occurrence.steps[i];
       if (spec.after.empty() || state.ready_since_ms >= 0) continue;
-      if (!state.tickets.empty() || state.questions > 0) continue;
+      if (!state.tickets.empty() || state.requests > 0) continue;
       TimeMs begins_in_ms = 0;
       bool near = true;
       for (const uint32_t before : spec.after) {
@@ -285,7 +284,7 @@
             begins_in_ms, RemainingOfStep(job.spec.steps[before], earlier));
       }
       const TimeMs cost_ms =
-          QuestionCostMs(job.spec.policy.permits, kMaxWorkersNamed);
+          RequestCostMs(job.spec.policy.permits, kMaxWorkersNamed);
       if (!near || begins_in_ms > cost_ms + kAskAheadMarginMs) continue;
       PlacementNeed need;
       need.job = &job.spec;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -1,4 +1,4 @@
-// Workers: looks that renew leases and report ends, workers that are lost,
+// Workers: syncs that renew leases and report ends, workers that are lost,
 // leave or come back, and what a predecessor left running.
 #include <algorithm>
 #include <utility>
@@ -10,15 +10,15 @@
 namespace dotterelcove::workflow {
 namespace {
 
-constexpr TimeMs kLookRetryMs = 120;
-constexpr TimeMs kUnackedLookMs = 250;
-constexpr TimeMs kStrayStopRetryMs = 500;
+constexpr TimeMs kSyncRetryMs = 120;
+constexpr TimeMs kUnackedSyncMs = 250;
+constexpr TimeMs kOrphanStopRetryMs = 500;
 /// A task whose reported progress stands still for this long is started
 /// elsewhere; at least this, more for long tasks.
 constexpr TimeMs kStandstillMs = 2'200;
 constexpr double kStandstillShare = 0.12;
-/// Longest time that a worker is set aside at a stretch.
-constexpr TimeMs kMaxSetAsideMs = 8'000;
+/// Longest time that a worker is quarantined at a stretch.
+constexpr TimeMs kMaxQuarantineMs = 8'000;
 constexpr TimeMs kLapseMarginMs = 120;
 
 void UpdateClock(Controller& c, Worker& worker, int64_t clock_ms) {
@@ -29,13 +29,13 @@
 }
 
 /// The worker has started anew: nothing of before runs on it.
-void OnReborn(Controller& c, Worker& worker, uint64_t incarnation) {
+void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
   Log(LogLevel::kWarning, "worker_restarted",
       {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
        F("incarnation", incarnation)});
-  LoseRuns(c, worker, "worker_restarted");
+  LoseRuns(c, worker, "worker_restarted", false);
   worker.info.incarnation = incarnation;
-  worker.foreign.clear();
+  worker.orphans.clear();
   worker.seen = 0;
   worker.acked = 0;
   worker.ack_sent = 0;
@@ -44,12 +44,13 @@
   worker.synced = false;
   worker.record = WorkerRecord();
   c.fleet_dirty = true;
+  StopUnconfirmed(c, worker);
 }
 
 void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
   if (end.number <= worker.seen) return;
   worker.seen = end.number;
-  worker.foreign.erase(end.task);
+  worker.orphans.erase(end.task);
   TaskName name;
   if (!ParseTaskName(end.task, name)) {
     Log(LogLevel::kWarning, "end_of_unknown_task",
@@ -89,18 +90,18 @@
                       reported.run > TaskOf(task).run &&
                       !IsFinal(task.job->phase);
   if (!wanted) {
-    const bool is_new = !worker.foreign.contains(reported.task);
-    ForeignRun& stray = worker.foreign[reported.task];
-    stray.run = reported.run;
-    const TimeMs since_ms = c.runtime.now() - stray.stop_sent_ms;
-    if (!is_new && since_ms < kStrayStopRetryMs) return;
+    const bool is_new = !worker.orphans.contains(reported.task);
+    OrphanedRun& orphan = worker.orphans[reported.task];
+    orphan.run = reported.run;
+    const TimeMs since_ms = c.runtime.now() - orphan.stop_sent_ms;
+    if (!is_new && since_ms < kOrphanStopRetryMs) return;
     if (is_new) {
-      Log(LogLevel::kWarning, "stray_run_found",
+      Log(LogLevel::kWarning, "orphaned_run_found",
           {F("task", reported.task), F("run", reported.run),
            F("worker", worker.info.id), F("job_known", task.job != nullptr)});
     }
-    stray.stop_sent_ms = c.runtime.now();
-    StopForeign(c, worker, reported.task);
+    orphan.stop_sent_ms = c.runtime.now();
+    StopOrphan(c, worker, reported.task);
     return;
   }
   TaskState& state = TaskOf(task);
@@ -115,7 +116,7 @@
   run.run = reported.run;
   run.size = SizeOnWorker(SpecOf(task));
   run.confirmed = true;
-  run.looks_before_confirmed = worker.looks_sent;
+  run.syncs_before_confirmed = worker.syncs_sent;
   run.placed_ms = c.runtime.now();
   if (SpecOf(task).gang)
     run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
@@ -152,7 +153,7 @@
   run.start_in_doubt = false;
   if (!run.confirmed) {
     run.confirmed = true;
-    run.looks_before_confirmed = 0;
+    run.syncs_before_confirmed = 0;
     if (task.phase == TaskPhase::kStarting) task.phase = TaskPhase::kRunning;
     ref.job->started = true;
   }
@@ -165,21 +166,21 @@
   if (run.gang != 0 || !StandsStill(c, ref)) return;
   AvoidWorker(c, task, worker.info.id);
   constexpr TimeMs kStandstillDoubtMs = 3'000;
-  SetAside(c, worker, kStandstillDoubtMs, "task_stands_still");
+  Quarantine(c, worker, kStandstillDoubtMs, "task_stands_still");
   StopRun(c, worker, reported.task, "no_progress");
 }
 
-/// Runs that should be on the worker and are not, although the look was sent
+/// Runs that should be on the worker and are not, although the sync was sent
 /// after the worker had confirmed them: their ends are not known any more.
-void DropAbsentRuns(Controller& c, Worker& worker, const LookAnswer& answer,
-                    uint64_t look) {
+void DropAbsentRuns(Controller& c, Worker& worker, const SyncAnswer& answer,
+                    uint64_t sync) {
   std::set<std::string> listed;
   for (const ReportedRun& run : answer.running) listed.insert(run.task);
   std::vector<std::string> absent;
   for (const auto& [name, run] : worker.runs) {
     if (listed.contains(name)) continue;
-    const bool stopped = run.stop_answered && run.looks_before_stopped < look;
-    const bool confirmed = run.confirmed && run.looks_before_confirmed < look &&
+    const bool stopped = run.stop_answered && run.syncs_before_stopped < sync;
+    const bool confirmed = run.confirmed && run.syncs_before_confirmed < sync &&
                            !run.start_in_doubt;
     if (stopped || confirmed) absent.push_back(name);
   }
@@ -194,7 +195,7 @@
     if (gang != 0) StopGang(c, gang, "gang_member_absent");
     ForgetIfClosed(c, *task.job);
   }
-  std::erase_if(worker.foreign,
+  std::erase_if(worker.orphans,
                 [&](const auto& run) { return !listed.contains(run.first); });
 }
 
@@ -206,30 +207,30 @@
   }
   worker.synced = true;
   worker.reachable = true;
-  worker.look_failures = 0;
+  worker.sync_failures = 0;
   if (c.unanswered.erase(worker.info.id) > 0 && c.unanswered.empty()) {
     Log(LogLevel::kInfo, "recovery_complete", {F("epoch", c.epoch)});
     RequestSchedule(c);
   }
 }
 
-void ContinueLooking(Controller& c, Worker& worker) {
-  if (worker.looks > 0) return;
+void ContinueSyncing(Controller& c, Worker& worker) {
+  if (worker.syncs > 0) return;
   if (worker.seen > worker.acked) {
     // A worker answers at once while it holds ends that are not acknowledged,
-    // so the next look waits for their commit, though not for an outage's end.
-    worker.next_look_ms = c.runtime.now() + kUnackedLookMs;
+    // so the next sync waits for their commit, though not for an outage's end.
+    worker.next_sync_ms = c.runtime.now() + kUnackedSyncMs;
     return;
   }
-  if (!worker.runs.empty() || !worker.foreign.empty()) {
-    Look(c, worker, c.options.look_wait_ms);
+  if (!worker.runs.empty() || !worker.orphans.empty()) {
+    Sync(c, worker, c.options.sync_wait_ms);
     return;
   }
-  worker.next_look_ms = c.runtime.now() + c.options.idle_look_ms;
+  worker.next_sync_ms = c.runtime.now() + c.options.idle_sync_ms;
 }
 
-void OnLookFailed(Controller& c, Worker& worker, OrderStatus status) {
-  worker.look_failures++;
+void OnSyncFailed(Controller& c, Worker& worker, OrderStatus status) {
+  worker.sync_failures++;
   if (worker.reachable) {
     Log(LogLevel::kWarning, "worker_unreachable",
         {F("worker", worker.info.id),
@@ -240,54 +241,54 @@
   worker.reachable = false;
   if (status == OrderStatus::kOtherIncarnation) worker.synced = false;
   const TimeMs delay_ms =
-      kLookRetryMs * std::min<TimeMs>(worker.look_failures, 4);
-  worker.next_look_ms = c.runtime.now() + delay_ms;
+      kSyncRetryMs * std::min<TimeMs>(worker.sync_failures, 4);
+  worker.next_sync_ms = c.runtime.now() + delay_ms;
 }
 
-void OnLookAnswer(Controller& c, const std::string& id, uint64_t incarnation,
-                  uint64_t look, const LookAnswer& answer) {
+void OnSyncAnswer(Controller& c, const std::string& id, uint64_t incarnation,
+                  uint64_t sync, const SyncAnswer& answer) {
   const auto found = c.fleet.find(id);
   if (found == c.fleet.end()) return;
   Worker& worker = found->second;
-  worker.looks--;
+  worker.syncs--;
   if (answer.status == OrderStatus::kFenced) {
     c.fenced();
     return;
   }
   if (answer.status != OrderStatus::kOk) {
-    // Another look is under way: its answer counts.
-    if (worker.looks == 0) OnLookFailed(c, worker, answer.status);
+    // Another sync is under way: its answer counts.
+    if (worker.syncs == 0) OnSyncFailed(c, worker, answer.status);
     return;
   }
-  const bool reborn =
+  const bool restarted =
       answer.incarnation != 0 && answer.incarnation != worker.info.incarnation;
-  if (reborn || worker.info.incarnation != incarnation) {
-    if (reborn) OnReborn(c, worker, answer.incarnation);
-    Look(c, worker, 0);
+  if (restarted || worker.info.incarnation != incarnation) {
+    if (restarted) OnRestarted(c, worker, answer.incarnation);
+    Sync(c, worker, 0);
     return;
   }
   // An answer that was overtaken by a newer one describes the past.
-  if (look < worker.look_answered) {
-    ContinueLooking(c, worker);
+  if (sync < worker.sync_answered) {
+    ContinueSyncing(c, worker);
     return;
   }
-  worker.look_answered = look;
+  worker.sync_answered = sync;
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ApplyReportedEnd(c, worker, end);
   if (c.stopped) return;
   for (const ReportedRun& run : answer.running) {
     ApplyReportedRun(c, worker, run);
   }
-  DropAbsentRuns(c, worker, answer, look);
+  DropAbsentRuns(c, worker, answer, sync);
   OnSynced(c, worker);
   FlushProgress(c);
-  ContinueLooking(c, worker);
+  ContinueSyncing(c, worker);
 }
 
 /// Moves tasks off a worker that leaves before they can end there.
 void Evacuate(Controller& c, Worker& worker) {
   constexpr TimeMs kUnstatedRemainingMs = 2'500;
-  TimeMs left_ms = worker.info.drain_remaining_ms;
+  TimeMs left_ms = worker.info.leaves_in_ms;
   if (left_ms < 0) left_ms = kUnstatedRemainingMs;
   std::vector<std::string> names;
   for (const auto& [name, run] : worker.runs) {
@@ -309,19 +310,19 @@
   worker.listed = true;
   if (worker.info.incarnation != 0 &&
       info.incarnation > worker.info.incarnation) {
-    OnReborn(c, worker, info.incarnation);
+    OnRestarted(c, worker, info.incarnation);
     worker.info = info;
-    Look(c, worker, 0);
+    Sync(c, worker, 0);
     return;
   }
-  // A look may have told of a newer life than the list.
+  // A sync may have told of a newer life than the list.
   if (info.incarnation < worker.info.incarnation) return;
   const bool drains_now = info.draining && !worker.info.draining;
   worker.info = info;
   if (!drains_now) return;
   Log(LogLevel::kInfo, "worker_draining",
       {F("worker", info.id), F("runs", worker.runs.size()),
-       F("remaining_ms", info.drain_remaining_ms)});
+       F("remaining_ms", info.leaves_in_ms)});
   worker.drain_seen_ms = c.runtime.now();
   Evacuate(c, worker);
 }
@@ -350,31 +351,34 @@
   return clock_ms + c.options.lease_ms;
 }
 
-void Look(Controller& c, Worker& worker, TimeMs wait_ms) {
+void Sync(Controller& c, Worker& worker, TimeMs wait_ms) {
   if (c.suspended) return;
-  worker.looks++;
-  worker.looks_sent++;
-  LookOrder order;
+  worker.syncs++;
+  worker.syncs_sent++;
+  SyncOrder order;
   order.token = c.epoch;
   // The worker may have started anew: its new ends must not be forgotten.
   order.acked = worker.reachable ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
   order.wait_ms = worker.synced ? wait_ms : 0;
   worker.ack_sent = order.acked;
-  c.stats.looks++;
+  c.stats.syncs++;
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
-  const uint64_t look = worker.looks_sent;
-  c.port.look({id, worker.info.address}, order,
-              Guard(c, [id, incarnation, look](Controller& self,
-                                               const LookAnswer& answer) {
-                OnLookAnswer(self, id, incarnation, look, answer);
+  const uint64_t sync = worker.syncs_sent;
+  c.port.sync({id, worker.info.address}, order,
+              Guard(c, [id, incarnation, sync](Controller& self,
+                                               const SyncAnswer& answer) {
+                OnSyncAnswer(self, id, incarnation, sync, answer);
               }));
 }
 
-void LoseRuns(Controller& c, Worker& worker, const char* reason) {
+void LoseRuns(Controller& c, Worker& worker, const char* reason,
+              bool unconfirmed) {
   std::vector<std::string> names;
-  for (const auto& [name, run] : worker.runs) names.push_back(name);
+  for (const auto& [name, run] : worker.runs) {
+    if (run.confirmed || unconfirmed) names.push_back(name);
+  }
   for (const std::string& name : names) {
     const auto found = worker.runs.find(name);
     if (found == worker.runs.end()) continue;
@@ -383,7 +387,7 @@
     Log(LogLevel::kWarning, "task_lost",
         {F("task", name), F("run", found->second.run),
          F("worker", worker.info.id), F("reason", reason),
-         F("look_age_ms", c.runtime.now() - worker.clock_read_ms)});
+         F("sync_age_ms", c.runtime.now() - worker.clock_read_ms)});
     RemoveRun(worker, name);
     if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
     if (gang != 0) StopGang(c, gang, "gang_member_lost");
@@ -391,16 +395,15 @@
   }
 }
 
-void SetAside(Controller& c, Worker& worker, TimeMs base_ms,
-              const char* reason) {
+void Quarantine(Controller& c, Worker& worker, TimeMs base_ms,
+                const char* reason) {
   const TimeMs now_ms = c.runtime.now();
-  if (now_ms < worker.record.set_aside_until_ms) return;
-  const uint32_t doublings =
-      std::min<uint32_t>(worker.record.set_aside_count, 3);
-  const TimeMs pause_ms = std::min(base_ms << doublings, kMaxSetAsideMs);
-  worker.record.set_aside_until_ms = now_ms + pause_ms;
-  worker.record.set_aside_count++;
-  Log(LogLevel::kWarning, "worker_set_aside",
+  if (now_ms < worker.record.quarantined_until_ms) return;
+  const uint32_t doublings = std::min<uint32_t>(worker.record.quarantines, 3);
+  const TimeMs pause_ms = std::min(base_ms << doublings, kMaxQuarantineMs);
+  worker.record.quarantined_until_ms = now_ms + pause_ms;
+  worker.record.quarantines++;
+  Log(LogLevel::kWarning, "worker_quarantined",
       {F("worker", worker.info.id), F("reason", reason), F("for_ms", pause_ms),
        F("failures", worker.record.failures_in_a_row)});
 }
@@ -425,7 +428,7 @@
     Log(LogLevel::kInfo, "worker_listed",
         {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
          F("cores", info.capacity.milli_cores)});
-    Look(c, worker, 0);
+    Sync(c, worker, 0);
   }
   RequestSchedule(c);
 }
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -6,8 +6,8 @@
 
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && worker.synced && worker.reachable &&
-         worker.recorded && !worker.info.draining && worker.foreign.empty() &&
-         now_ms >= worker.record.set_aside_until_ms;
+         worker.recorded && !worker.info.draining && worker.orphans.empty() &&
+         now_ms >= worker.record.quarantined_until_ms;
 }
 
 Resources SizeOnWorker(const StepSpec& step) {
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -23,7 +23,7 @@
   uint64_t incarnation = 0;
   bool draining = false;
   /// Least time until a draining worker leaves, -1 for not stated.
-  TimeMs drain_remaining_ms = -1;
+  TimeMs leaves_in_ms = -1;
 };
 
 /// One run that occupies a worker.
@@ -32,15 +32,16 @@
   uint32_t run = 0;
   Resources size;
   bool confirmed = false;
-  /// Looks sent to the worker before the start was confirmed or the stop was
-  /// answered: only the answer to a later look must show it.
-  uint64_t looks_before_confirmed = 0;
+  /// Syncs sent to the worker before the start was confirmed or the stop was
+  /// answered: only the answer to a later sync must show it.
+  uint64_t syncs_before_confirmed = 0;
   /// The answer to the start is missing: it may still take effect.
   bool start_in_doubt = false;
   bool stop_wanted = false;
   bool stop_in_flight = false;
+  uint32_t stops_sent = 0;
   bool stop_answered = false;
-  uint64_t looks_before_stopped = 0;
+  uint64_t syncs_before_stopped = 0;
   TimeMs placed_ms = 0;
   /// Runs of the same gang share this number, 0 for none.
   uint64_t gang = 0;
@@ -49,7 +50,7 @@
 };
 
 /// A run that the owner does not know and is stopping.
-struct ForeignRun {
+struct OrphanedRun {
   uint32_t run = 0;
   /// When its stop was last sent.
   TimeMs stop_sent_ms = 0;
@@ -62,9 +63,9 @@
   double slowness = 1.0;
   uint32_t samples = 0;
   /// No new work before this time.
-  TimeMs set_aside_until_ms = 0;
-  /// Times it was set aside without a success in between.
-  uint32_t set_aside_count = 0;
+  TimeMs quarantined_until_ms = 0;
+  /// Times it was quarantined without a success in between.
+  uint32_t quarantines = 0;
 };
 
 struct Worker {
@@ -73,15 +74,15 @@
   bool listed = true;
   /// This owner's fencing token was accepted and its runs are known.
   bool synced = false;
-  /// The last look succeeded.
+  /// The last sync succeeded.
   bool reachable = false;
-  /// Looks under way, the number of the last one sent, and of the newest one
+  /// Syncs under way, the number of the last one sent, and of the newest one
   /// that was answered.
-  uint32_t looks = 0;
-  uint64_t looks_sent = 0;
-  uint64_t look_answered = 0;
-  uint32_t look_failures = 0;
-  TimeMs next_look_ms = 0;
+  uint32_t syncs = 0;
+  uint64_t syncs_sent = 0;
+  uint64_t sync_answered = 0;
+  uint32_t sync_failures = 0;
+  TimeMs next_sync_ms = 0;
   /// The worker's clock and when it was read; 0 before the first answer.
   int64_t clock_ms = 0;
   TimeMs clock_read_ms = 0;
@@ -96,7 +97,7 @@
   uint64_t ack_sent = 0;
   std::map<std::string, PlacedRun> runs;
   /// Runs that this owner does not know, which are being stopped.
-  std::map<std::string, ForeignRun> foreign;
+  std::map<std::string, OrphanedRun> orphans;
   Resources used;
   WorkerRecord record;
   /// Recorded in the store as a worker that may hold tasks.
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -91,9 +91,9 @@
   /// Tickets by worker, and workers known not to be allowed.
   std::map<std::string, Ticket> tickets;
   std::set<std::string> denied;
-  /// Questions to the permit authority that are under way.
-  int questions = 0;
-  TimeMs next_question_ms = 0;
+  /// Requests to the permit authority that are under way.
+  int requests = 0;
+  TimeMs next_request_ms = 0;
   TimeMs ready_since_ms = -1;
 };
 
--- a/src/workflow/PermitPlan.cpp
+++ b/src/workflow/PermitPlan.cpp
@@ -6,7 +6,7 @@
 namespace dotterelcove::workflow {
 namespace {
 
-/// A quick question waits at most this long for a process to become free.
+/// A quick request waits at most this long for a process to become free.
 constexpr TimeMs kMaxQuickWaitMs = 400;
 
 struct Candidate {
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-TimeMs QuestionCostMs(const PermitTerms& terms, size_t workers) {
+TimeMs RequestCostMs(const PermitTerms& terms, size_t workers) {
   return static_cast<TimeMs>(
       terms.decision_ms + terms.per_worker_ms * static_cast<double>(workers));
 }
@@ -72,7 +72,7 @@
 }
 
 PermitAsker* ChooseAsker(PermitAskers& askers, TimeMs cost_ms, TimeMs now_ms) {
-  const bool slow = cost_ms > kSlowQuestionMs;
+  const bool slow = cost_ms > kSlowRequestMs;
   size_t slow_ones = 0;
   PermitAsker* best = nullptr;
   for (auto& [name, asker] : askers) {
--- a/src/workflow/PermitPlan.h
+++ b/src/workflow/PermitPlan.h
@@ -13,15 +13,15 @@
 
 namespace dotterelcove::workflow {
 
-/// Most workers named in one question.
+/// Most workers named in one request.
 inline constexpr size_t kMaxWorkersNamed = 30;
-/// Questions longer than this are slow: they never wait behind one another and
+/// Requests longer than this are slow: they never wait behind one another and
 /// leave some processes free for quick ones.
-inline constexpr TimeMs kSlowQuestionMs = 150;
-/// Processes kept free of slow questions.
+inline constexpr TimeMs kSlowRequestMs = 150;
+/// Processes kept free of slow requests.
 inline constexpr size_t kProcessesForQuick = 2;
 
-/// A process that can put questions to the authority.
+/// A process that can put requests to the authority.
 struct PermitAsker {
   PermitPort ask;
   TimeMs busy_until_ms = 0;
@@ -30,10 +30,10 @@
 };
 using PermitAskers = std::map<std::string, PermitAsker>;
 
-TimeMs QuestionCostMs(const PermitTerms& terms, size_t workers);
+TimeMs RequestCostMs(const PermitTerms& terms, size_t workers);
 
 /// Workers worth naming for tasks of a step that cannot be placed with the
-/// tickets at hand; empty when a question could not help now.
+/// tickets at hand; empty when a request could not help now.
 std::vector<std::string> WorkersToName(const Fleet& fleet,
                                        const PlacementNeed& need,
                                        uint32_t tasks);
--- a/src/workflow/Ports.h
+++ b/src/workflow/Ports.h
@@ -85,7 +85,7 @@
 };
 
 /// Renews the lease, acknowledges ends and asks for what runs.
-struct LookOrder {
+struct SyncOrder {
   uint64_t token = 0;
   uint64_t acked = 0;
   /// 0 renews nothing.
@@ -131,7 +131,7 @@
   std::string checkpoint;
 };
 
-struct LookAnswer {
+struct SyncAnswer {
   OrderStatus status = OrderStatus::kUnknown;
   int64_t clock_ms = 0;
   /// 0 when the worker did not tell.
@@ -139,7 +139,7 @@
   std::vector<ReportedRun> running;
   std::vector<ReportedEnd> ended;
 };
-using LookCallback = std::function<void(LookAnswer)>;
+using SyncCallback = std::function<void(SyncAnswer)>;
 
 struct WorkerPort {
   std::function<void(const WorkerAddress&, const StartOrder&, OrderCallback)>
@@ -148,12 +148,12 @@
       stop;
   std::function<void(const WorkerAddress&, const PaceOrder&, OrderCallback)>
       pace;
-  std::function<void(const WorkerAddress&, const LookOrder&, LookCallback)>
-      look;
+  std::function<void(const WorkerAddress&, const SyncOrder&, SyncCallback)>
+      sync;
 };
 
 /// Which workers may run the tasks of one step.
-struct PermitQuestion {
+struct PermitRequest {
   std::string step;
   std::vector<std::string> workers;
 };
@@ -172,6 +172,6 @@
   TimeMs validity_ms = 0;
 };
 using PermitCallback = std::function<void(PermitAnswer)>;
-using PermitPort = std::function<void(const PermitQuestion&, PermitCallback)>;
+using PermitPort = std::function<void(const PermitRequest&, PermitCallback)>;
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/Workflow.cpp
+++ b/src/workflow/Workflow.cpp
@@ -28,9 +28,9 @@
     }
     TimeMs length = step.estimate_ms;
     if (spec.policy.permits.required) {
-      constexpr double kTypicalQuestion = 30;
+      constexpr double kTypicalWorkers = 30;
       length += static_cast<TimeMs>(spec.policy.permits.decision_ms +
-                                    kTypicalQuestion *
+                                    kTypicalWorkers *
                                         spec.policy.permits.per_worker_ms);
     }
     ends.push_back(begin + length);
--- a/src/workflow/Workflow.h
+++ b/src/workflow/Workflow.h
@@ -13,7 +13,7 @@
 /// How an outside authority hands out permits for the steps of a queue.
 struct PermitTerms {
   bool required = false;
-  /// Time of one question, and more for each worker named in it.
+  /// Time of one request, and more for each worker named in it.
   double decision_ms = 0;
   double per_worker_ms = 0;
   /// How long a ticket may be used after it was given.
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -318,10 +318,10 @@
   return {workflow::OrderStatus::kOk, clock_ms};
 }
 
-workflow::LookAnswer LookAt(Cell& cell, ModelWorker& worker,
-                            const workflow::LookOrder& order) {
+workflow::SyncAnswer SyncWith(Cell& cell, ModelWorker& worker,
+                              const workflow::SyncOrder& order) {
   Advance(cell, worker);
-  workflow::LookAnswer answer;
+  workflow::SyncAnswer answer;
   answer.clock_ms = ClockOf(cell, worker);
   answer.incarnation = worker.info.incarnation;
   if (order.token < worker.token) {
@@ -402,19 +402,19 @@
   });
 }
 
-/// Holds the answer to a look back until something has ended.
-void LookWhenEnded(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
-                   const std::string& id, const workflow::LookOrder& order,
+/// Holds the answer to a sync back until something has ended.
+void SyncWhenEnded(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
+                   const std::string& id, const workflow::SyncOrder& order,
                    TimeMs until_ms, uint64_t incarnation,
-                   const workflow::LookCallback& done) {
+                   const workflow::SyncCallback& done) {
   ModelWorker* worker = FindReachable(cell, daemon, id);
-  // The connection of a look that waits breaks with the worker's life.
+  // The connection of a sync that waits breaks with the worker's life.
   if (worker == nullptr || worker->info.incarnation != incarnation) {
     Deliver(cell, daemon, alive, kOrderTimeoutMs,
-            [done] { done(workflow::LookAnswer{}); });
+            [done] { done(workflow::SyncAnswer{}); });
     return;
   }
-  workflow::LookAnswer answer = LookAt(cell, *worker, order);
+  workflow::SyncAnswer answer = SyncWith(cell, *worker, order);
   const bool now = !answer.ended.empty() || cell.time.now_ms >= until_ms ||
                    answer.status != workflow::OrderStatus::kOk;
   if (now) {
@@ -422,11 +422,11 @@
     return;
   }
   constexpr TimeMs kStepMs = 10;
-  workflow::LookOrder rest = order;
+  workflow::SyncOrder rest = order;
   rest.lease_end_clock_ms = 0;
   cell.time.After(kStepMs, [&cell, daemon, alive, id, rest, until_ms,
                             incarnation, done] {
-    LookWhenEnded(cell, daemon, alive, id, rest, until_ms, incarnation, done);
+    SyncWhenEnded(cell, daemon, alive, id, rest, until_ms, incarnation, done);
   });
 }
 
@@ -450,12 +450,12 @@
                 return StopOn(cell, there, sent);
               });
   };
-  port.look = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
-                                     const workflow::LookOrder& order,
-                                     const workflow::LookCallback& done) {
+  port.sync = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
+                                     const workflow::SyncOrder& order,
+                                     const workflow::SyncCallback& done) {
     const std::string id = worker.id;
     cell.time.After(kHopMs, [&cell, daemon, alive, id, order, done] {
-      LookWhenEnded(cell, daemon, alive, id, order,
+      SyncWhenEnded(cell, daemon, alive, id, order,
                     cell.time.now_ms + order.wait_ms,
                     cell.workers.at(id).info.incarnation, done);
     });
@@ -465,14 +465,14 @@
 
 workflow::PermitPort MakePermits(Cell& cell, int daemon,
                                  const std::shared_ptr<bool>& alive) {
-  return [&cell, daemon, alive](const workflow::PermitQuestion& question,
+  return [&cell, daemon, alive](const workflow::PermitRequest& request,
                                 const workflow::PermitCallback& done) {
     workflow::PermitAnswer answer;
     answer.status = workflow::PermitStatus::kOk;
     answer.validity_ms = 2'500;
     constexpr uint64_t kBuckets = 100;
-    for (const std::string& worker : question.workers) {
-      const uint64_t bucket = Hash64(question.step + worker) % kBuckets;
+    for (const std::string& worker : request.workers) {
+      const uint64_t bucket = Hash64(request.step + worker) % kBuckets;
       // Some may run every step, so that no job is hopeless by chance.
       const bool allowed =
           worker == "w0" || worker == "w1" ||
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -54,7 +54,7 @@
 }
 
 // Guards against an owner that stops or repeats what its predecessor started:
-// progress rows once held the last started run, so running tasks were strays.
+// progress rows once held the last started run, so running tasks were orphans.
 Test(CellModel, new_owner_adopts_running_tasks, .init = Quiet) {
   Cell cell({});
   cell.time.RunUntil(2 * kSecond);
@@ -93,7 +93,7 @@
   ExpectSound(cell, true);
 }
 
-// Guards against a start without an answer that is never resolved: a look in
+// Guards against a start without an answer that is never resolved: a sync in
 // the same millisecond as the stop's answer once counted as an earlier one.
 Test(CellModel, starts_in_doubt_are_resolved, .init = Quiet) {
   Cell cell({.seed = 7});
@@ -107,7 +107,7 @@
 }
 
 // Guards against a worker lost for good whose tasks never count as ended: each
-// unanswered look once put off the end of its lease.
+// unanswered sync once put off the end of its lease.
 Test(CellModel, tasks_of_a_lost_worker_run_elsewhere, .init = Quiet) {
   Cell cell({});
   cell.time.RunUntil(2 * kSecond);
@@ -124,6 +124,23 @@
   ExpectSound(cell, true);
 }
 
+// Guards against a late start that the next life of its worker carries out,
+// while the task already runs elsewhere (model seed 347).
+Test(CellModel, late_start_does_not_reach_a_restarted_worker, .init = Quiet) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell({.seed = seed});
+    cell.time.RunUntil(2 * kSecond);
+    for (auto& [id, worker] : cell.workers) worker.late_share = 1;
+    Submit(cell, 0, MakeChain(cell, 1, 4, {1'000, 500, 0}, 4 * kSecond));
+    cell.time.RunUntil(2 * kSecond + 50);
+    for (auto& [id, worker] : cell.workers) worker.late_share = 0;
+    cell.time.RunUntil(2 * kSecond + 300);
+    for (const auto& [id, worker] : cell.workers) RestartWorker(cell, id);
+    cell.time.RunUntil(40 * kSecond);
+    ExpectSound(cell, true);
+  }
+}
+
 // Guards against late orders of an old owner that take effect after its
 // successor has placed the task elsewhere.
 Test(CellModel, late_orders_and_a_takeover, .init = Quiet) {
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -130,7 +130,7 @@
   cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
 }
 
-// Guards against work for a worker that leaves, is away, or is set aside.
+// Guards against work for a worker that leaves, is away, or is quarantined.
 Test(Placement, unusable_workers_are_passed_over) {
   Scene scene = MakeScene(MakeStep(1, 1'000));
   AddWorker(scene, "w", 8'000);
@@ -142,10 +142,10 @@
   worker.reachable = false;
   cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
   worker.reachable = true;
-  worker.record.set_aside_until_ms = kNow + 1;
+  worker.record.quarantined_until_ms = kNow + 1;
   cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
-  worker.record.set_aside_until_ms = 0;
-  worker.foreign["stray"] = {1, 0};
+  worker.record.quarantined_until_ms = 0;
+  worker.orphans["orphan"] = {1, 0};
   cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
 }
 
@@ -196,7 +196,7 @@
   cr_expect_null(ChooseWorker(scene.fleet, NeedOf(scene)));
 }
 
-// Guards against questions that name workers which cannot help: each costs
+// Guards against requests that name workers which cannot help: each costs
 // milliseconds of an authority that takes one call at a time.
 Test(PermitPlan, names_only_workers_that_can_help) {
   Scene scene = MakeScene(MakeStep(1, 1'000));
@@ -216,7 +216,7 @@
   }
 }
 
-// Guards against slow questions that hold up quick ones in a burst of audits.
+// Guards against slow requests that hold up quick ones in a burst of audits.
 Test(PermitPlan, some_processes_stay_free_of_slow_questions) {
   PermitAskers askers;
   for (int i = 0; i < 9; ++i) askers["d" + std::to_string(i)];
--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -188,10 +188,10 @@
     "running": [["a.0.0.1", 2, "save", 41], ["a.0.0.2", 1, "", 7.5, 12.5]],
     "finished": [[58, "a.0.0.3", 1, "done", ""],
                  [59, "a.0.0.4", 3, "alone", "s"], [60, "b", 1, "odd", ""]]})";
-  workflow::LookAnswer got;
+  workflow::SyncAnswer got;
   bool done = false;
-  MakeWorkerPort(peer.http).look({"i-1", peer.address()}, {7, 57, 0, 0},
-                                 [&](workflow::LookAnswer answer) {
+  MakeWorkerPort(peer.http).sync({"i-1", peer.address()}, {7, 57, 0, 0},
+                                 [&](workflow::SyncAnswer answer) {
                                    got = std::move(answer);
                                    done = true;
                                  });
