A new owner waits only for leases that were given

Ruled out: load (the wait of 11.8 s follows from the settings). Change: the wait is lease_ms x 1.025 + 1.5 s; max_lease_ms goes away.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -112,7 +112,7 @@
   }
   c.recovery_until_ms =
       c.runtime.now() + c.options.isolation_ms +
-      static_cast<TimeMs>(static_cast<double>(c.options.max_lease_ms) *
+      static_cast<TimeMs>(static_cast<double>(c.options.lease_ms) *
                           (1 + c.options.clock_rate_error));
   Log(LogLevel::kInfo, "records_read",
       {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -28,10 +28,9 @@
 namespace dotterelcove::workflow {
 
 struct ControllerOptions {
-  /// Lease of a worker's tasks, renewed at every sync.
+  /// Lease of a worker's tasks, renewed at every sync; the same for every
+  /// owner, since a new one waits for the leases of its predecessor.
   TimeMs lease_ms = 5'000;
-  /// The longest lease that any owner may have given.
-  TimeMs max_lease_ms = 6'000;
   /// A sync waits this long for an end.
   TimeMs sync_wait_ms = 1'500;
   /// Syncs at a worker that holds nothing.
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -195,8 +195,7 @@
   }
 }
 
-/// Makes room for urgent tasks that found none; returns how many runs it has
-/// asked to stop.
+/// Makes room for urgent tasks that found none.
 void Preempt(Controller& c, const PlacementNeed& need, uint32_t tasks) {
   for (const Victim& victim : ChooseVictims(c.fleet, need, tasks)) {
     const auto worker = c.fleet.find(victim.worker);
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -141,6 +141,32 @@
   }
 }
 
+// Guards against a new owner that waits for longer leases than were given: jobs
+// of before its take-over once waited 11.8 s for a worker that was cut off.
+Test(CellModel, takeover_waits_only_for_leases_that_were_given, .init = Quiet) {
+  constexpr TimeMs kLeaseMs = 5'000;
+  constexpr TimeMs kIsolationMs = 1'500;
+  constexpr TimeMs kTakeOverMs = 1'400;
+  Cell cell({});
+  cell.time.RunUntil(2 * kSecond);
+  const workflow::JobSpec spec =
+      MakeChain(cell, 1, 1, {1'000, 500, 0}, 30 * kSecond);
+  Submit(cell, 0, spec);
+  cell.time.RunUntil(4 * kSecond);
+  cr_assert_eq(cell.journal.size(), 1U);
+  cell.workers.at(cell.journal.front().worker).cut = true;
+  const int owner = FindOwner(cell);
+  cr_assert_geq(owner, 0);
+  KillDaemon(cell, owner);
+  cell.time.RunUntil(4 * kSecond + kTakeOverMs + kLeaseMs * 41 / 40 +
+                     kIsolationMs);
+  cr_expect_eq(cell.journal.size(), 2U);
+  // The worker notes the end of its lease once time passes on it again.
+  cell.workers.at(cell.journal.front().worker).cut = false;
+  cell.time.RunUntil(50 * kSecond);
+  ExpectSound(cell, true);
+}
+
 // Guards against late orders of an old owner that take effect after its
 // successor has placed the task elsewhere.
 Test(CellModel, late_orders_and_a_takeover, .init = Quiet) {
