Serve maintenance waves and pace fillers

Ruled out: recording only finished VMs. A successor would then take the next VM down while an unanswered order of its predecessor may still be carried out. So each order is recorded before it is sent, and repeated until its outcome is known. Moves between pools are not used: no deployment has a second pool.

Change: Maintenance (pure choice of the next VM, emptying time), Disruption (allowance of long-running steps), ControllerMaintenance (record, order, report), Pacing (control rule on the worst tail), ControllerPacing. Fillers spread by the load of other fillers.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -115,6 +115,8 @@
   c.runtime = this->runtime;
   c.store = this->ports.store;
   c.port = this->ports.workers;
+  c.vm_port = this->ports.vms;
+  c.early_waves = this->waves;
   c.options = this->options.controller;
   c.log = log;
   c.epoch = log->row().epoch;
@@ -388,6 +390,11 @@
   }
 }
 
+void Node::UpdateWaves(std::vector<workflow::MaintenanceWave> new_waves) {
+  this->waves = std::move(new_waves);
+  if (this->controller) workflow::UpdateWaves(*this->controller, this->waves);
+}
+
 void Node::Stop(std::function<void()> done) {
   this->stopping = true;
   this->leadership->Release([this, done = std::move(done)] {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -41,6 +41,7 @@
   RowStore store;
   workflow::WorkerPort workers;
   workflow::PermitPort permits;
+  workflow::VmPort vms;
   /// For how long the store has not answered this daemon, 0 while it does.
   std::function<TimeMs()> store_away_ms;
   /// Reads the platform's list of workers; nothing when it cannot be read.
@@ -80,6 +81,7 @@
 
   void UpdatePolicies(std::map<std::string, workflow::QueuePolicy> policies,
                       uint64_t config_version);
+  void UpdateWaves(std::vector<workflow::MaintenanceWave> waves);
   /// Called when a peer has a newer configuration than this daemon.
   std::function<void(uint64_t version)> config_behind;
 
@@ -119,6 +121,7 @@
   std::shared_ptr<Leadership> leadership;
   workflow::ControllerPtr controller;
   std::map<std::string, workflow::QueuePolicy> policies;
+  std::vector<workflow::MaintenanceWave> waves;
   uint64_t config_version = 0;
   /// The connection to the present owner, 0 for none.
   LinkId owner_link = 0;
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -1,6 +1,7 @@
 #include "workflow/Controller.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "telemetry/Log.h"
@@ -18,7 +19,8 @@
   StoreAnswer jobs;
   StoreAnswer progress;
   StoreAnswer fleet;
-  int missing = 3;
+  StoreAnswer maintenance;
+  int missing = 4;
 };
 
 void LoadTable(Controller& c, const std::shared_ptr<Loading>& loading,
@@ -99,6 +101,22 @@
   }
 }
 
+void LoadWaves(Controller& c, const StoreAnswer& rows) {
+  for (const StoreRow& row : rows.rows) {
+    uint64_t number = 0;
+    const char* end = row.key.data() + row.key.size();
+    const auto parsed = std::from_chars(row.key.data(), end, number);
+    const std::optional<WaveRecord> record = DecodeWaveRecord(row.value);
+    if (parsed.ptr != end || !record) {
+      Log(LogLevel::kError, "maintenance_row_unreadable",
+          {F("key", row.key), F("version", row.version)});
+      continue;
+    }
+    c.maintenance.records[number] = *record;
+  }
+  UpdateWaves(c, std::exchange(c.early_waves, {}));
+}
+
 void OnLoaded(Controller& c, const Loading& loading) {
   c.loaded = true;
   LoadJobs(c, loading);
@@ -132,6 +150,7 @@
   }
   CloseCompleted(c);
   for (const StoreRow& row : std::exchange(c.early_rows, {})) AdmitRow(c, row);
+  LoadWaves(c, loading.maintenance);
   c.fleet_dirty = true;
   if (!c.early_fleet.empty()) UpdateFleet(c, c.early_fleet);
   FollowJobs(c, loading.jobs.version);
@@ -207,6 +226,7 @@
   if (c.suspended) return;
   CheckWorkers(c);
   CheckRecovery(c);
+  CheckMaintenance(c);
   CompactOutcomes(c);
   FlushProgress(c);
   RequestSchedule(c);
@@ -219,6 +239,7 @@
   LoadTable(c, loading, kJobTable, &Loading::jobs);
   LoadTable(c, loading, kProgressTable, &Loading::progress);
   LoadTable(c, loading, kFleetTable, &Loading::fleet);
+  LoadTable(c, loading, kMaintenanceTable, &Loading::maintenance);
   Tick(c);
 }
 
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -22,6 +22,7 @@
 #include "store/RowStore.h"
 #include "workflow/Fleet.h"
 #include "workflow/JobRows.h"
+#include "workflow/Maintenance.h"
 #include "workflow/PermitPlan.h"
 #include "workflow/Ports.h"
 
@@ -35,14 +36,26 @@
   TimeMs sync_wait_ms = 1'500;
   /// Syncs at a worker that holds nothing.
   TimeMs idle_sync_ms = 2'500;
-  TimeMs gang_timeout_ms = 3'000;
-  TimeMs stop_timeout_ms = 900;
   /// A worker's clock may run slow by this share.
   double clock_rate_error = 0.025;
   /// Time by which an owner cut off from store and peers has noticed it.
   TimeMs isolation_ms = 1'500;
   /// How long the outcome of an ended job is kept.
   TimeMs retention_ms = 180'000;
+  /// How long a VM is down for its maintenance.
+  TimeMs maintenance_ms = 2'000;
+};
+
+/// Maintenance waves and the VMs that they name.
+struct Maintenance {
+  std::map<uint64_t, WaveState> waves;
+  /// What was stored of the waves when this owner took over.
+  std::map<uint64_t, WaveRecord> records;
+  VmList vms;
+  /// When the list at hand was asked for, -1 for none.
+  TimeMs vms_asked_ms = -1;
+  TimeMs next_list_ms = 0;
+  bool list_in_flight = false;
 };
 
 struct EndedJob {
@@ -66,6 +79,8 @@
   Runtime runtime;
   RowStore store;
   WorkerPort port;
+  /// Empty functions where the deployment has no VM service.
+  VmPort vm_port;
   ControllerOptions options;
   std::shared_ptr<OwnerLog> log;
   uint64_t epoch = 0;
@@ -93,6 +108,8 @@
   /// Notices that came while the stored jobs were being read.
   std::vector<StoreRow> early_rows;
   std::vector<WorkerInfo> early_fleet;
+  std::vector<MaintenanceWave> early_waves;
+  Maintenance maintenance;
   std::set<std::string> cancelled_ids;
 
   std::set<Job*> dirty;
@@ -120,6 +137,10 @@
 void AdmitRow(Controller& controller, const StoreRow& row);
 /// Takes in the platform's list of workers.
 void UpdateFleet(Controller& controller, const std::vector<WorkerInfo>& list);
+/// Takes in the maintenance waves that the operator asks for; the same ones may
+/// come several times.
+void UpdateWaves(Controller& controller,
+                 const std::vector<MaintenanceWave>& waves);
 void UpdatePolicies(Controller& controller,
                     std::map<std::string, QueuePolicy> policies);
 void AddAsker(Controller& controller, const std::string& name, PermitPort ask);
--- /dev/null
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -0,0 +1,296 @@
+// Maintenance waves: empties VMs one after the other, records and sends the
+// orders, and tells the operator how far each wave is.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+#include "workflow/Disruption.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// The list of VMs is read this often while a wave is under way.
+constexpr TimeMs kVmListIntervalMs = 400;
+constexpr TimeMs kOrderRetryMs = 400;
+constexpr TimeMs kReportRetryMs = 500;
+
+bool IsOpen(const WaveState& state) { return !state.completed; }
+
+void SetPhase(Controller& c, const WaveState& state, const std::string& name,
+              WaveVm& vm, VmPhase phase) {
+  Log(LogLevel::kInfo, "maintenance_phase",
+      {F("wave", state.wave.number), F("vm", name),
+       F("from", NameOf(kVmPhaseNames, vm.phase)),
+       F("to", NameOf(kVmPhaseNames, phase)),
+       F("after_ms", c.runtime.now() - vm.since_ms),
+       F("list_age_ms", c.runtime.now() - c.maintenance.vms_asked_ms)});
+  vm.phase = phase;
+  vm.since_ms = c.runtime.now();
+  vm.in_flight = false;
+}
+
+Worker* WorkerOf(Controller& c, const std::string& vm) {
+  const auto listed = c.maintenance.vms.find(vm);
+  if (listed == c.maintenance.vms.end()) return nullptr;
+  const auto worker = c.fleet.find(listed->second.worker);
+  return worker == c.fleet.end() ? nullptr : &worker->second;
+}
+
+WaveRecord MakeRecord(const WaveState& state) {
+  WaveRecord record;
+  record.completed = state.completed;
+  for (const auto& [name, vm] : state.vms) {
+    const bool ordered = vm.phase == VmPhase::kOrdered ||
+                         vm.phase == VmPhase::kDown ||
+                         vm.phase == VmPhase::kDone;
+    if (ordered) record.ordered.insert(name);
+  }
+  return record;
+}
+
+void Record(Controller& c, const WaveState& state,
+            std::function<void(Controller&)> done) {
+  c.log->Commit({{kMaintenanceTable, std::to_string(state.wave.number),
+                  EncodeWaveRecord(MakeRecord(state))}},
+                {}, Guard(c, std::move(done)));
+}
+
+/// Runs `use` with the VM of a wave, if both are still there.
+void WithVm(Controller& c, uint64_t wave, const std::string& name,
+            const std::function<void(WaveState&, WaveVm&)>& use) {
+  const auto state = c.maintenance.waves.find(wave);
+  if (state == c.maintenance.waves.end()) return;
+  const auto vm = state->second.vms.find(name);
+  if (vm != state->second.vms.end()) use(state->second, vm->second);
+}
+
+void OnBegun(Controller& c, WaveState& state, const std::string& name,
+             WaveVm& vm) {
+  SetPhase(c, state, name, vm, VmPhase::kDown);
+  Worker* worker = WorkerOf(c, name);
+  if (worker == nullptr || !worker->maintenance_planned) return;
+  // The order ended this life of the worker and all that ran in it.
+  LoseRuns(c, *worker, "vm_in_maintenance", true);
+  worker->reachable = false;
+  worker->synced = false;
+}
+
+void OnOrderAnswer(Controller& c, WaveState& state, const std::string& name,
+                   WaveVm& vm, VmOrderStatus status) {
+  vm.in_flight = false;
+  vm.next_order_ms = c.runtime.now() + kOrderRetryMs;
+  Log(LogLevel::kInfo, "maintenance_ordered",
+      {F("wave", state.wave.number), F("vm", name),
+       F("status", NameOf(kVmOrderStatusNames, status)), F("epoch", c.epoch)});
+  switch (status) {
+    case VmOrderStatus::kOk:
+      OnBegun(c, state, name, vm);
+      return;
+    case VmOrderStatus::kFenced:
+      c.fenced();
+      return;
+    case VmOrderStatus::kNotInWave:
+      SetPhase(c, state, name, vm, VmPhase::kGone);
+      return;
+    case VmOrderStatus::kBusy:
+    case VmOrderStatus::kRefused:
+    case VmOrderStatus::kUnknown:
+      // An unanswered order may be carried out late. Repeating it until its
+      // outcome is known keeps its VM counted against the cap.
+      return;
+  }
+}
+
+void SendOrder(Controller& c, uint64_t wave, const std::string& name) {
+  c.vm_port.maintain(
+      {name, wave, c.epoch},
+      Guard(c, [wave, name](Controller& self, VmOrderStatus status) {
+        WithVm(self, wave, name, [&](WaveState& state, WaveVm& vm) {
+          OnOrderAnswer(self, state, name, vm, status);
+        });
+      }));
+}
+
+/// The order is recorded first, so that a successor resolves it before it
+/// takes another VM down.
+void BeginOrder(Controller& c, WaveState& state, const std::string& name,
+                WaveVm& vm) {
+  SetPhase(c, state, name, vm, VmPhase::kOrdered);
+  vm.in_flight = true;
+  const uint64_t wave = state.wave.number;
+  Record(c, state,
+         [wave, name](Controller& self) { SendOrder(self, wave, name); });
+}
+
+/// Moves what can be moved without loss off a worker that is to go down.
+void EmptyWorker(Controller& c, Worker& worker, TimeMs left_ms) {
+  std::vector<std::string> names;
+  for (const auto& [name, run] : worker.runs) {
+    if (run.stop_wanted || run.gang != 0) continue;
+    const StepSpec& spec = SpecOf(run.task);
+    if (!spec.long_running && !spec.checkpoints) continue;
+    const TaskState& task = TaskOf(run.task);
+    const TimeMs rest_ms = spec.estimate_ms * (100 - task.percent) / 100;
+    if (!spec.long_running && rest_ms < left_ms) continue;
+    names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    const TaskRef task = worker.runs.at(name).task;
+    // Each stop counts against the allowance of the step at once.
+    if (!MayInterrupt(SpecOf(task), StepOf(task))) continue;
+    StopRun(c, worker, name, "vm_maintenance");
+  }
+}
+
+void AdvanceEmptying(Controller& c, WaveState& state, const std::string& name,
+                     WaveVm& vm) {
+  Worker* worker = WorkerOf(c, name);
+  if (worker == nullptr) {
+    BeginOrder(c, state, name, vm);
+    return;
+  }
+  worker->maintenance_planned = true;
+  const TimeMs limit_ms = EmptyingLimitMs(state.wave, c.options.maintenance_ms);
+  const TimeMs left_ms = limit_ms - (c.runtime.now() - vm.since_ms);
+  EmptyWorker(c, *worker, left_ms);
+  const bool may_go =
+      worker->runs.empty() || (left_ms <= 0 && MayInterruptAll(*worker));
+  if (may_go) BeginOrder(c, state, name, vm);
+}
+
+void AdvanceVm(Controller& c, WaveState& state, const std::string& name,
+               WaveVm& vm) {
+  const Maintenance& maintenance = c.maintenance;
+  const auto listed = maintenance.vms.find(name);
+  const bool list_is_newer = maintenance.vms_asked_ms > vm.since_ms;
+  if (vm.phase == VmPhase::kEmptying) AdvanceEmptying(c, state, name, vm);
+  if (vm.phase == VmPhase::kOrdered && !vm.in_flight &&
+      c.runtime.now() >= vm.next_order_ms) {
+    vm.in_flight = true;
+    SendOrder(c, state.wave.number, name);
+    return;
+  }
+  if (!list_is_newer || vm.in_flight) return;
+  const bool ends = vm.phase == VmPhase::kDown || vm.phase == VmPhase::kDone;
+  if (listed == maintenance.vms.end()) {
+    if (vm.phase != VmPhase::kGone && !ends) {
+      SetPhase(c, state, name, vm, VmPhase::kGone);
+    }
+    if (vm.phase != VmPhase::kDown) return;
+  }
+  const bool is_up =
+      listed == maintenance.vms.end() || listed->second.state == VmState::kUp;
+  if (vm.phase == VmPhase::kDown && is_up) {
+    SetPhase(c, state, name, vm, VmPhase::kDone);
+  }
+}
+
+void Report(Controller& c, WaveState& state, WaveReport report) {
+  if (state.report_in_flight) return;
+  state.report_in_flight = true;
+  const uint64_t wave = state.wave.number;
+  c.vm_port.report(
+      wave, report, Guard(c, [wave, report](Controller& self, bool stored) {
+        const auto found = self.maintenance.waves.find(wave);
+        if (found == self.maintenance.waves.end()) return;
+        WaveState& state = found->second;
+        Log(LogLevel::kInfo, "wave_reported",
+            {F("wave", wave), F("state", NameOf(kWaveReportNames, report)),
+             F("stored", stored)});
+        if (!stored) {
+          self.runtime.after(
+              kReportRetryMs, Guard(self, [wave](Controller& later) {
+                later.maintenance.waves.at(wave).report_in_flight = false;
+              }));
+          return;
+        }
+        state.report_in_flight = false;
+        state.running_reported = true;
+        if (report != WaveReport::kCompleted) return;
+        state.completed = true;
+        Record(self, state, [](Controller&) {});
+      }));
+}
+
+void AdvanceWave(Controller& c, WaveState& state) {
+  if (!state.running_reported) Report(c, state, WaveReport::kRunning);
+  for (auto& [name, vm] : state.vms) AdvanceVm(c, state, name, vm);
+  const auto next = ChooseNextVm(state, c.maintenance.vms, c.fleet);
+  if (next) {
+    SetPhase(c, state, *next, state.vms.at(*next), VmPhase::kEmptying);
+  }
+  if (IsOver(state)) Report(c, state, WaveReport::kCompleted);
+}
+
+void ReadVms(Controller& c) {
+  Maintenance& maintenance = c.maintenance;
+  const TimeMs now_ms = c.runtime.now();
+  if (maintenance.list_in_flight || now_ms < maintenance.next_list_ms) return;
+  maintenance.list_in_flight = true;
+  maintenance.next_list_ms = now_ms + kVmListIntervalMs;
+  c.vm_port.list(Guard(c, [now_ms](Controller& self,
+                                   const std::optional<VmList>& list) {
+    self.maintenance.list_in_flight = false;
+    if (!list) {
+      Log(LogLevel::kWarning, "vm_list_unreadable",
+          {F("age_ms", self.runtime.now() - self.maintenance.vms_asked_ms)});
+      return;
+    }
+    self.maintenance.vms = *list;
+    self.maintenance.vms_asked_ms = now_ms;
+  }));
+}
+
+/// A worker is usable again once no wave wants its VM down any more.
+void ReleaseWorkers(Controller& c) {
+  std::set<std::string> planned;
+  for (const auto& [number, state] : c.maintenance.waves) {
+    for (const auto& [name, vm] : state.vms) {
+      const bool wanted =
+          vm.phase == VmPhase::kEmptying || vm.phase == VmPhase::kOrdered;
+      const Worker* worker = wanted ? WorkerOf(c, name) : nullptr;
+      if (worker != nullptr) planned.insert(worker->info.id);
+    }
+  }
+  for (auto& [id, worker] : c.fleet) {
+    worker.maintenance_planned = planned.contains(id);
+  }
+}
+
+}  // namespace
+
+void CheckMaintenance(Controller& c) {
+  if (!c.loaded || !c.vm_port.list) return;
+  auto& waves = c.maintenance.waves;
+  const bool any = std::any_of(waves.begin(), waves.end(), [](const auto& it) {
+    return IsOpen(it.second);
+  });
+  if (!any) return;
+  ReadVms(c);
+  if (c.maintenance.vms_asked_ms < 0) return;
+  for (auto& [number, state] : waves) {
+    if (IsOpen(state)) AdvanceWave(c, state);
+  }
+  ReleaseWorkers(c);
+}
+
+void UpdateWaves(Controller& c, const std::vector<MaintenanceWave>& waves) {
+  if (!c.loaded) {
+    c.early_waves = waves;
+    return;
+  }
+  for (const MaintenanceWave& wave : waves) {
+    if (c.maintenance.waves.contains(wave.number)) continue;
+    const auto record = c.maintenance.records.find(wave.number);
+    const bool known = record != c.maintenance.records.end();
+    c.maintenance.waves[wave.number] = MakeWaveState(
+        wave, known ? record->second : WaveRecord(), c.runtime.now());
+    Log(LogLevel::kInfo, "wave_requested",
+        {F("wave", wave.number), F("vms", wave.vms.size()), F("cap", wave.cap),
+         F("duration_ms", wave.duration_ms),
+         F("completed", known && record->second.completed)});
+  }
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/ControllerPacing.cpp
@@ -0,0 +1,55 @@
+// Sends the paces of fillers to their workers.
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+#include "workflow/Pacing.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// Reports within this time give one judgement: the figures reported are of the
+/// last half second.
+constexpr TimeMs kJudgeIntervalMs = 400;
+
+void SendPace(Controller& c, Worker& worker, const PaceChange& change) {
+  PlacedRun& run = worker.runs.at(change.task);
+  Log(LogLevel::kInfo, "filler_paced",
+      {F("task", change.task), F("run", run.run), F("worker", worker.info.id),
+       F("from", run.pace_percent), F("to", change.percent),
+       F("tail_ratio", WorstTailRatio(worker)),
+       F("report_age_ms", c.runtime.now() - worker.clock_read_ms)});
+  run.pace_percent = change.percent;
+  run.pace_in_flight = true;
+  const std::string id = worker.info.id;
+  c.port.pace({id, worker.info.address},
+              {change.task, run.run, change.percent, c.epoch},
+              Guard(c, [id, task = change.task, number = run.run](
+                           Controller& self, const OrderAnswer& answer) {
+                if (answer.status == OrderStatus::kFenced) {
+                  self.fenced();
+                  return;
+                }
+                const auto found = self.fleet.find(id);
+                if (found == self.fleet.end()) return;
+                const auto paced = found->second.runs.find(task);
+                if (paced == found->second.runs.end()) return;
+                if (paced->second.run != number) return;
+                paced->second.pace_in_flight = false;
+                // A pace whose order was not answered is sent again.
+                paced->second.pace_known = answer.status == OrderStatus::kOk;
+              }));
+}
+
+}  // namespace
+
+void PaceFillers(Controller& c, Worker& worker) {
+  if (worker.filler_milli_cores == 0) return;
+  const TimeMs now_ms = c.runtime.now();
+  const TimeMs elapsed_ms = now_ms - worker.paces_judged_ms;
+  if (elapsed_ms < kJudgeIntervalMs) return;
+  worker.paces_judged_ms = now_ms;
+  for (const PaceChange& change : PlanPaces(worker, elapsed_ms)) {
+    SendPace(c, worker, change);
+  }
+}
+
+}  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -87,4 +87,12 @@
                 const char* reason);
 bool IsRecovering(const Controller& controller);
 
+// Pacing.
+/// Sets the speed of the worker's fillers by its newest report.
+void PaceFillers(Controller& controller, Worker& worker);
+
+// Maintenance.
+/// Takes the next steps of the waves under way.
+void CheckMaintenance(Controller& controller);
+
 }  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -6,6 +6,7 @@
 #include "base/Hash.h"
 #include "telemetry/Log.h"
 #include "workflow/ControllerParts.h"
+#include "workflow/Pacing.h"
 
 namespace dotterelcove::workflow {
 namespace {
@@ -20,6 +21,8 @@
 /// Longest time that a worker is quarantined at a stretch.
 constexpr TimeMs kMaxQuarantineMs = 8'000;
 constexpr TimeMs kLapseMarginMs = 120;
+/// Reports come this often from a worker whose fillers are paced.
+constexpr TimeMs kPacingSyncMs = 450;
 
 void UpdateClock(Controller& c, Worker& worker, int64_t clock_ms) {
   if (clock_ms <= 0) return;
@@ -118,6 +121,9 @@
   run.confirmed = true;
   run.syncs_before_confirmed = worker.syncs_sent;
   run.placed_ms = c.runtime.now();
+  run.usage = reported.usage;
+  // The predecessor may have slowed it down.
+  run.pace_known = false;
   if (SpecOf(task).gang)
     run.gang = Hash64(MakeStepName(*task.job, task.occurrence, task.step)) | 1U;
   AddRun(worker, reported.task, run);
@@ -151,6 +157,7 @@
   const TaskRef ref = run.task;
   TaskState& task = TaskOf(ref);
   run.start_in_doubt = false;
+  run.usage = reported.usage;
   if (!run.confirmed) {
     run.confirmed = true;
     run.syncs_before_confirmed = 0;
@@ -223,7 +230,8 @@
     return;
   }
   if (!worker.runs.empty() || !worker.orphans.empty()) {
-    Sync(c, worker, c.options.sync_wait_ms);
+    Sync(c, worker,
+         NeedsPacing(worker) ? kPacingSyncMs : c.options.sync_wait_ms);
     return;
   }
   worker.next_sync_ms = c.runtime.now() + c.options.idle_sync_ms;
@@ -281,6 +289,7 @@
   }
   DropAbsentRuns(c, worker, answer, sync);
   OnSynced(c, worker);
+  PaceFillers(c, worker);
   FlushProgress(c);
   ContinueSyncing(c, worker);
 }
@@ -323,7 +332,6 @@
   Log(LogLevel::kInfo, "worker_draining",
       {F("worker", info.id), F("runs", worker.runs.size()),
        F("remaining_ms", info.leaves_in_ms)});
-  worker.drain_seen_ms = c.runtime.now();
   Evacuate(c, worker);
 }
 
--- /dev/null
+++ b/src/workflow/Disruption.h
@@ -0,0 +1,24 @@
+/// How many tasks of a long-running step may be interrupted, by the allowance
+/// that the caller stated.
+#pragma once
+
+#include <cstdint>
+
+#include "workflow/Fleet.h"
+
+namespace dotterelcove::workflow {
+
+/// Whether the task serves: it runs and its start-up is over.
+bool IsAtWork(const TaskState& task);
+
+/// Tasks of the step that do not serve now, for whatever reason.
+uint32_t CountAway(const StepState& state);
+
+/// Whether one more serving task of the step may be interrupted. A step without
+/// an allowance sets no limit.
+bool MayInterrupt(const StepSpec& spec, const StepState& state);
+
+/// Whether every task on the worker may be interrupted at the same time.
+bool MayInterruptAll(const Worker& worker);
+
+}  // namespace dotterelcove::workflow
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -3,10 +3,19 @@
 #include <utility>
 
 namespace dotterelcove::workflow {
+namespace {
+
+int64_t FillerLoad(const PlacedRun& run) {
+  const StepSpec& spec = SpecOf(run.task);
+  return spec.filler ? spec.size.milli_cores : 0;
+}
+
+}  // namespace
 
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && worker.synced && worker.reachable &&
-         worker.recorded && !worker.info.draining && worker.orphans.empty() &&
+         worker.recorded && !worker.info.draining &&
+         !worker.maintenance_planned && worker.orphans.empty() &&
          now_ms >= worker.record.quarantined_until_ms;
 }
 
@@ -18,6 +27,7 @@
 
 void AddRun(Worker& worker, const std::string& name, PlacedRun run) {
   worker.used = worker.used + run.size;
+  worker.filler_milli_cores += FillerLoad(run);
   run.task.job->placed++;
   worker.runs[name] = run;
 }
@@ -26,6 +36,7 @@
   const auto found = worker.runs.find(name);
   if (found == worker.runs.end()) return;
   worker.used = worker.used - found->second.size;
+  worker.filler_milli_cores -= FillerLoad(found->second);
   found->second.task.job->placed--;
   worker.runs.erase(found);
 }
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -45,6 +45,15 @@
   TimeMs placed_ms = 0;
   /// Runs of the same gang share this number, 0 for none.
   uint64_t gang = 0;
+  /// Tail latency in milliseconds of a serving task, processors used of any
+  /// other, as last reported; -1 for unknown.
+  double usage = -1;
+  /// Share of full speed that a filler was last told to work at, and whether
+  /// its worker has confirmed it.
+  int pace_percent = 100;
+  bool pace_known = true;
+  bool pace_in_flight = false;
+  TimeMs pace_judged_ms = 0;
   /// Why it is being stopped, for the log.
   const char* stop_reason = "";
 };
@@ -99,10 +108,14 @@
   /// Runs that this owner does not know, which are being stopped.
   std::map<std::string, OrphanedRun> orphans;
   Resources used;
+  /// What its fillers would use, which `used` does not count.
+  int64_t filler_milli_cores = 0;
+  TimeMs paces_judged_ms = 0;
   WorkerRecord record;
   /// Recorded in the store as a worker that may hold tasks.
   bool recorded = false;
-  TimeMs drain_seen_ms = 0;
+  /// Its VM is being emptied for maintenance.
+  bool maintenance_planned = false;
 };
 
 using Fleet = std::map<std::string, Worker>;
--- /dev/null
+++ b/src/workflow/Maintenance.cpp
@@ -0,0 +1,99 @@
+#include "workflow/Maintenance.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace dotterelcove::workflow {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr TimeMs kMaxEmptyingMs = 4'000;
+
+/// Processor use of the tasks that would start from their beginning again.
+int64_t WorkAtRisk(const Worker& worker) {
+  int64_t milli_cores = 0;
+  for (const auto& [name, run] : worker.runs) {
+    const StepSpec& spec = SpecOf(run.task);
+    if (!spec.checkpoints) milli_cores += spec.size.milli_cores;
+  }
+  return milli_cores;
+}
+
+bool IsUnderWay(VmPhase phase) {
+  return phase == VmPhase::kEmptying || phase == VmPhase::kOrdered ||
+         phase == VmPhase::kDown;
+}
+
+}  // namespace
+
+std::string EncodeWaveRecord(const WaveRecord& record) {
+  return Json{{"ordered", record.ordered}, {"completed", record.completed}}
+      .dump();
+}
+
+std::optional<WaveRecord> DecodeWaveRecord(const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    WaveRecord record;
+    record.ordered = json.at("ordered").get<std::set<std::string>>();
+    record.completed = json.at("completed").get<bool>();
+    return record;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+WaveState MakeWaveState(const MaintenanceWave& wave, const WaveRecord& record,
+                        TimeMs now_ms) {
+  WaveState state;
+  state.wave = wave;
+  state.completed = record.completed;
+  for (const std::string& vm : wave.vms) {
+    const bool ordered = record.ordered.contains(vm);
+    state.vms[vm] = {ordered ? VmPhase::kOrdered : VmPhase::kWaiting, now_ms,
+                     false, 0};
+  }
+  return state;
+}
+
+TimeMs EmptyingLimitMs(const MaintenanceWave& wave, TimeMs maintenance_ms) {
+  const auto cap = std::max<size_t>(wave.cap, 1);
+  const auto rounds = static_cast<TimeMs>((wave.vms.size() + cap - 1) / cap);
+  if (rounds == 0) return 0;
+  // A quarter of each round is left for orders, records and late answers.
+  const TimeMs round_ms = wave.duration_ms / rounds * 3 / 4;
+  return std::clamp<TimeMs>(round_ms - maintenance_ms, 0, kMaxEmptyingMs);
+}
+
+std::optional<std::string> ChooseNextVm(const WaveState& state,
+                                        const VmList& vms, const Fleet& fleet) {
+  uint32_t under_way = 0;
+  for (const auto& [name, vm] : state.vms) {
+    if (IsUnderWay(vm.phase)) ++under_way;
+  }
+  if (under_way >= std::max(state.wave.cap, 1U)) return std::nullopt;
+  std::optional<std::string> best;
+  int64_t best_risk = std::numeric_limits<int64_t>::max();
+  for (const auto& [name, vm] : state.vms) {
+    if (vm.phase != VmPhase::kWaiting) continue;
+    const auto listed = vms.find(name);
+    if (listed == vms.end() || listed->second.state != VmState::kUp) continue;
+    const auto worker = fleet.find(listed->second.worker);
+    const int64_t risk = worker == fleet.end() ? 0 : WorkAtRisk(worker->second);
+    if (risk >= best_risk) continue;
+    best = name;
+    best_risk = risk;
+  }
+  return best;
+}
+
+bool IsOver(const WaveState& state) {
+  return std::all_of(state.vms.begin(), state.vms.end(), [](const auto& entry) {
+    return entry.second.phase == VmPhase::kDone ||
+           entry.second.phase == VmPhase::kGone;
+  });
+}
+
+}  // namespace dotterelcove::workflow
--- /dev/null
+++ b/src/workflow/Pacing.cpp
@@ -0,0 +1,73 @@
+#include "workflow/Pacing.h"
+
+#include <algorithm>
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// Above this share of the objective the fillers slow down.
+constexpr double kHighRatio = 0.9;
+/// Below this share they speed up again; between the two they keep their pace.
+constexpr double kLowRatio = 0.7;
+/// Over the objective the fillers drop to this share of their pace at once.
+constexpr double kOverloadFactor = 0.3;
+constexpr double kSlowFactor = 0.75;
+/// Speed given back, in percent of full pace a second.
+constexpr double kRisePerSecond = 15;
+/// A pace below this is no pace: the filler would only hold its memory.
+constexpr int kLeastPercent = 5;
+constexpr double kMsPerSecond = 1'000;
+
+bool ReportsTail(const PlacedRun& run) {
+  const StepSpec& spec = SpecOf(run.task);
+  return !spec.filler && spec.tail_target_ms > 0;
+}
+
+}  // namespace
+
+double WorstTailRatio(const Worker& worker) {
+  double worst = 0;
+  for (const auto& [name, run] : worker.runs) {
+    if (!ReportsTail(run) || run.usage < 0) continue;
+    worst = std::max(worst, run.usage / static_cast<double>(
+                                            SpecOf(run.task).tail_target_ms));
+  }
+  return worst;
+}
+
+int NextPace(int percent, double tail_ratio, TimeMs elapsed_ms) {
+  if (tail_ratio > 1) {
+    const int slower = static_cast<int>(percent * kOverloadFactor);
+    return slower < kLeastPercent ? 0 : slower;
+  }
+  if (tail_ratio > kHighRatio) {
+    return std::max(static_cast<int>(percent * kSlowFactor),
+                    std::min(percent, kLeastPercent));
+  }
+  if (tail_ratio >= kLowRatio) return percent;
+  const double rise =
+      kRisePerSecond * static_cast<double>(elapsed_ms) / kMsPerSecond;
+  return std::min(percent + static_cast<int>(rise), kFullPacePercent);
+}
+
+std::vector<PaceChange> PlanPaces(const Worker& worker, TimeMs elapsed_ms) {
+  std::vector<PaceChange> changes;
+  const double ratio = WorstTailRatio(worker);
+  for (const auto& [name, run] : worker.runs) {
+    if (!SpecOf(run.task).filler || !run.confirmed || run.stop_wanted) continue;
+    if (run.pace_in_flight) continue;
+    const int percent = NextPace(run.pace_percent, ratio, elapsed_ms);
+    if (percent == run.pace_percent && run.pace_known) continue;
+    changes.push_back({name, percent});
+  }
+  return changes;
+}
+
+bool NeedsPacing(const Worker& worker) {
+  if (worker.filler_milli_cores == 0) return false;
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const auto& entry) { return ReportsTail(entry.second); });
+}
+
+}  // namespace dotterelcove::workflow
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -10,6 +10,13 @@
 /// A ticket has to live a little longer than the order needs to arrive.
 constexpr TimeMs kTicketMarginMs = 60;
 
+bool HasLatencyObjective(const Worker& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& entry) {
+                       return SpecOf(entry.second.task).tail_target_ms > 0;
+                     });
+}
+
 /// Lower is better: the share of the worker that stays free after the task.
 /// Long-running tasks go to the emptiest worker instead, since their load
 /// varies and a lost worker then takes fewer of them along.
@@ -24,6 +31,13 @@
       static_cast<double>(std::max<int64_t>(all.memory_mb, 1));
   constexpr double kSkewWeight = 0.3;
   double score = cores + kSkewWeight * std::abs(cores - memory);
+  if (need.step->filler) {
+    // Fillers spread by what the others and they themselves leave unused, away
+    // from tasks whose latency they would disturb.
+    score += static_cast<double>(-worker.filler_milli_cores) /
+             static_cast<double>(std::max<int64_t>(all.milli_cores, 1));
+    if (HasLatencyObjective(worker)) score -= 1;
+  }
   if (need.step->long_running || need.step->filler) score = -score;
   if (worker.record.slowness > kSlowWorker) score += 10;
   if (worker.record.failures_in_a_row > 0) score += 5;
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -626,6 +626,7 @@
       });
     };
     workflow::AddAsker(c, "self", MakePermits(cell, index, alive));
+    if (cell.equip_owner) cell.equip_owner(c);
     workflow::StartController(c);
   };
   callbacks.lost = [&cell, index] {
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -165,6 +165,8 @@
   std::map<std::string, CallerJob> jobs;
   std::vector<std::unique_ptr<Daemon>> daemons;
   uint64_t next_job = 1;
+  /// Adds ports to each new owner that only some tests need.
+  std::function<void(workflow::Controller&)> equip_owner;
 };
 
 /// A daemon that may be killed and started again.
--- /dev/null
+++ b/tests/MaintenanceTest.cpp
@@ -0,0 +1,256 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "telemetry/Log.h"
+#include "tests/CellModel.h"
+#include "workflow/Disruption.h"
+#include "workflow/Maintenance.h"
+
+namespace dotterelcove::model {
+namespace {
+
+using workflow::VmOrderStatus;
+using workflow::VmState;
+using workflow::WaveReport;
+
+constexpr TimeMs kSecond = 1'000;
+constexpr TimeMs kDownMs = 2'000;
+
+void Quiet() {
+  SetLogOutput([](const std::string&) {});
+}
+
+/// A modelled VM service: VM "vm-ID" carries worker ID. Keeps what it saw.
+struct VmService {
+  struct Begin {
+    std::string vm;
+    TimeMs at_ms = 0;
+    size_t down_before = 0;
+  };
+  VmService(Cell& cell, workflow::MaintenanceWave wave)
+      : cell(cell), wave(std::move(wave)) {}
+
+  Cell& cell;
+  workflow::MaintenanceWave wave;
+  std::map<std::string, uint64_t> tokens;
+  std::map<std::string, TimeMs> down_until_ms;
+  std::map<std::string, TimeMs> begun_ms;
+  std::vector<Begin> begins;
+  std::vector<WaveReport> reports;
+  std::vector<std::string> too_many_away;
+  /// Every second order gets no answer and is carried out this much later.
+  TimeMs late_ms = 0;
+  uint32_t orders = 0;
+};
+
+/// Serving tasks of a step that an order would interrupt beyond the allowance.
+void NoteDisruption(VmService& service, const std::string& worker) {
+  const Cell& cell = service.cell;
+  std::map<std::string, uint32_t> serving;
+  std::map<std::string, uint32_t> hit;
+  for (const Journal& entry : cell.journal) {
+    if (entry.end_ms >= 0) continue;
+    const std::string job = entry.task.substr(0, 16);
+    serving[job]++;
+    if (entry.worker == worker) hit[job]++;
+  }
+  for (const auto& [job, tasks] : hit) {
+    const workflow::StepSpec& step = cell.jobs.at(job).spec.steps.front();
+    if (!step.long_running || step.disruption_allowance == 0) continue;
+    const uint32_t left = serving[job] - tasks;
+    if (left + step.disruption_allowance >= step.count) continue;
+    service.too_many_away.push_back(job + " at " +
+                                    std::to_string(cell.time.now_ms));
+  }
+}
+
+void EndDowntime(VmService& service) {
+  for (auto it = service.down_until_ms.begin();
+       it != service.down_until_ms.end();) {
+    if (service.cell.time.now_ms < it->second) {
+      ++it;
+      continue;
+    }
+    RestartWorker(service.cell, it->first.substr(3));
+    it = service.down_until_ms.erase(it);
+  }
+}
+
+VmOrderStatus Maintain(VmService& service,
+                       const workflow::MaintenanceOrder& order) {
+  EndDowntime(service);
+  uint64_t& token = service.tokens[order.vm];
+  if (order.token < token) return VmOrderStatus::kFenced;
+  token = order.token;
+  if (service.begun_ms.contains(order.vm)) return VmOrderStatus::kOk;
+  const std::string worker = order.vm.substr(3);
+  if (!service.cell.workers.at(worker).up) return VmOrderStatus::kBusy;
+  service.begins.push_back(
+      {order.vm, service.cell.time.now_ms, service.down_until_ms.size()});
+  NoteDisruption(service, worker);
+  service.begun_ms[order.vm] = service.cell.time.now_ms;
+  service.down_until_ms[order.vm] = service.cell.time.now_ms + kDownMs;
+  CrashWorker(service.cell, worker);
+  return VmOrderStatus::kOk;
+}
+
+workflow::VmList ListVms(VmService& service) {
+  EndDowntime(service);
+  workflow::VmList list;
+  for (const auto& [id, worker] : service.cell.workers) {
+    const std::string vm = "vm-" + id;
+    workflow::VmInfo& info = list[vm];
+    info.worker = id;
+    info.state = service.down_until_ms.contains(vm) ? VmState::kInMaintenance
+                                                    : VmState::kUp;
+  }
+  return list;
+}
+
+workflow::VmPort MakePort(VmService& service) {
+  constexpr TimeMs kAnswerMs = 10;
+  workflow::VmPort port;
+  port.list =
+      [&service](
+          const std::function<void(std::optional<workflow::VmList>)>& done) {
+        service.cell.time.After(kAnswerMs,
+                                [&service, done] { done(ListVms(service)); });
+      };
+  port.maintain = [&service](const workflow::MaintenanceOrder& order,
+                             const std::function<void(VmOrderStatus)>& done) {
+    const bool late = service.late_ms > 0 && service.orders++ % 2 == 0;
+    if (late) {
+      service.cell.time.After(service.late_ms,
+                              [&service, order] { Maintain(service, order); });
+      service.cell.time.After(kSecond,
+                              [done] { done(VmOrderStatus::kUnknown); });
+      return;
+    }
+    service.cell.time.After(
+        kAnswerMs, [&service, order, done] { done(Maintain(service, order)); });
+  };
+  port.report = [&service](uint64_t, WaveReport report,
+                           const std::function<void(bool)>& done) {
+    service.cell.time.After(kAnswerMs, [&service, report, done] {
+      service.reports.push_back(report);
+      done(true);
+    });
+  };
+  return port;
+}
+
+/// Equips every owner of the cell with the service and its one wave.
+void Connect(Cell& cell, VmService& service) {
+  cell.equip_owner = [&service](workflow::Controller& c) {
+    c.vm_port = MakePort(service);
+    c.options.maintenance_ms = kDownMs;
+    c.early_waves = {service.wave};
+  };
+}
+
+workflow::MaintenanceWave MakeWave(uint32_t vms, uint32_t cap) {
+  workflow::MaintenanceWave wave;
+  wave.number = 7;
+  wave.cap = cap;
+  wave.duration_ms = 40 * kSecond;
+  for (uint32_t i = 0; i < vms; ++i) {
+    wave.vms.push_back("vm-w" + std::to_string(i));
+  }
+  return wave;
+}
+
+void ExpectKept(const VmService& service) {
+  for (const VmService::Begin& begin : service.begins) {
+    cr_expect_lt(begin.down_before, service.wave.cap, "%s", begin.vm.c_str());
+  }
+  for (const std::string& breach : service.too_many_away) {
+    cr_expect(false, "too many tasks away: %s", breach.c_str());
+  }
+  cr_expect_eq(service.begins.size(), service.wave.vms.size());
+  cr_assert_not(service.reports.empty());
+  cr_expect(service.reports.back() == WaveReport::kCompleted);
+  for (const std::string& breach : Judge(service.cell, true)) {
+    cr_expect(false, "%s", breach.c_str());
+  }
+}
+
+/// Hands in a long-running job of which `allowance` tasks may be away.
+void SubmitWatch(Cell& cell, uint32_t tasks, uint32_t allowance) {
+  workflow::JobSpec spec = MakeChain(cell, 1, tasks, {2'000, 500, 0}, 1'000);
+  spec.steps.front().long_running = true;
+  spec.steps.front().disruption_allowance = allowance;
+  Submit(cell, 0, spec);
+}
+
+}  // namespace
+
+// Guards against a wave that takes more VMs down than its cap allows, or more
+// tasks of a watch than may be away, and against one that never ends.
+Test(Maintenance, wave_keeps_its_cap_and_the_allowance, .init = Quiet) {
+  Cell cell({.workers = 8, .failure_share = 0});
+  VmService service(cell, MakeWave(5, 2));
+  Connect(cell, service);
+  cell.time.RunUntil(2 * kSecond);
+  SubmitWatch(cell, 10, 1);
+  cell.time.RunUntil(80 * kSecond);
+  ExpectKept(service);
+}
+
+// Guards against a new owner that takes a second VM down while an order of its
+// predecessor may still be carried out.
+Test(Maintenance, takeover_during_a_wave_keeps_its_cap, .init = Quiet) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    Cell cell({.workers = 8, .seed = seed, .failure_share = 0});
+    VmService service(cell, MakeWave(4, 1));
+    service.late_ms = 4 * kSecond;
+    Connect(cell, service);
+    const auto kill_at_ms = static_cast<TimeMs>(seed) * 300 + 1'200;
+    cell.time.RunUntil(kill_at_ms);
+    const int owner = FindOwner(cell);
+    if (owner >= 0) KillDaemon(cell, owner);
+    cell.time.RunUntil(120 * kSecond);
+    ExpectKept(service);
+  }
+}
+
+// Guards against a wave that waits for ever for a VM that is gone.
+Test(Maintenance, vms_that_are_gone_do_not_hold_up_the_wave, .init = Quiet) {
+  Cell cell({.workers = 6, .failure_share = 0});
+  VmService service(cell, MakeWave(2, 1));
+  service.wave.vms.push_back("vm-w99");
+  Connect(cell, service);
+  cell.time.RunUntil(60 * kSecond);
+  cr_expect_eq(service.begins.size(), 2U);
+  cr_assert_not(service.reports.empty());
+  cr_expect(service.reports.back() == WaveReport::kCompleted);
+}
+
+// Guards against a wave that starts over after its record was written.
+Test(Maintenance, record_survives_its_text) {
+  workflow::WaveRecord record;
+  record.ordered = {"vm-1", "vm-2"};
+  record.completed = true;
+  const auto read =
+      workflow::DecodeWaveRecord(workflow::EncodeWaveRecord(record));
+  cr_assert(read.has_value());
+  cr_expect(read->ordered == record.ordered);
+  cr_expect(read->completed);
+  cr_expect_not(workflow::DecodeWaveRecord("[]").has_value());
+}
+
+// Guards against VMs that are emptied for longer than the wave has time.
+Test(Maintenance, emptying_ends_in_time_for_the_wave) {
+  workflow::MaintenanceWave wave = MakeWave(4, 1);
+  wave.duration_ms = 20 * kSecond;
+  cr_expect_eq(workflow::EmptyingLimitMs(wave, kDownMs), 1'750);
+  wave.duration_ms = 4 * kSecond;
+  cr_expect_eq(workflow::EmptyingLimitMs(wave, kDownMs), 0);
+}
+
+}  // namespace dotterelcove::model
