Find lost answers, silent workers and silent owners sooner

The take-over took 1.75 s, since the first look at a row that had changed after the last report counted as a change now.

Change: timeouts by kind of call; a sync out of turn when a start or an end is overdue; an unanswered start is stopped only when a later sync does not show it; compaction leaves a slow store alone; workers that do not answer are recorded as closed with the store's version, so that jobs accepted later do not wait for them; the owner row carries the store's clock, so that its age is known at the first look; silence of peers after 600 ms, lease 3.5 s, syncs wait 1 s.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr TimeMs kHeartbeatMs = 250;
-constexpr TimeMs kPeerSilenceMs = 900;
+/// Silence alone takes no ownership over: the owner row must be old as well.
+constexpr TimeMs kPeerSilenceMs = 600;
 constexpr TimeMs kIsolationCheckMs = 200;
 /// Spreads the take-overs of the standbys.
 constexpr uint64_t kRankSteps = 12;
--- a/src/store/OwnerLog.cpp
+++ b/src/store/OwnerLog.cpp
@@ -10,11 +10,10 @@
 namespace dotterelcove {
 
 std::string OwnerRowToJson(const OwnerRow& row) {
-  return nlohmann::json{{"epoch", row.epoch},
-                        {"process", row.process},
-                        {"address", row.address},
-                        {"incarnation", row.incarnation},
-                        {"sequence", row.sequence}}
+  return nlohmann::json{
+      {"epoch", row.epoch},       {"process", row.process},
+      {"address", row.address},   {"incarnation", row.incarnation},
+      {"sequence", row.sequence}, {"sent", row.sent_clock_ms}}
       .dump();
 }
 
@@ -32,6 +31,7 @@
   row.epoch = json["epoch"];
   row.incarnation = json["incarnation"];
   row.sequence = json["sequence"];
+  row.sent_clock_ms = json.value("sent", int64_t{0});
   row.process = json["process"];
   row.address = json["address"];
   return true;
@@ -123,6 +123,8 @@
 }
 
 void OwnerLog::Send() {
+  this->next.sent_clock_ms =
+      this->clock_known ? this->runtime.now() + this->clock_offset_ms : 0;
   RowTransaction transaction;
   transaction.conditions.push_back(
       {kOwnerTable, kOwnerKey, this->current.version});
@@ -155,6 +157,10 @@
 }
 
 void OwnerLog::OnAnswer(const StoreAnswer& answer) {
+  if (answer.store_clock_ms > 0) {
+    this->clock_offset_ms = answer.store_clock_ms - this->runtime.now();
+    this->clock_known = true;
+  }
   if (answer.status == StoreStatus::kOk) {
     this->OnCommitted(answer.version);
     return;
@@ -229,6 +235,7 @@
 
 void OwnerLog::OnCommitted(uint64_t version) {
   this->last_answer_ms = this->runtime.now();
+  this->last_commit_ms = this->last_answer_ms - this->last_write_ms;
   this->current = this->next;
   this->current.version = version;
   this->writing = false;
--- a/src/store/OwnerLog.h
+++ b/src/store/OwnerLog.h
@@ -30,6 +30,8 @@
   uint64_t incarnation = 0;
   /// Transactions of this epoch so far.
   uint64_t sequence = 0;
+  /// When it was sent, on the store's clock; 0 for unknown.
+  int64_t sent_clock_ms = 0;
   /// Version of the row, 0 for an absent one. Not part of the value.
   uint64_t version = 0;
 };
@@ -69,6 +71,8 @@
   void Stop();
 
   const OwnerRow& row() const { return this->current; }
+  /// How long the last commit took, from its last try.
+  TimeMs commit_ms() const { return this->last_commit_ms; }
   /// Age of the last answer of the store to a transaction.
   TimeMs store_age_ms() const;
   size_t waiting() const { return this->queue.size(); }
@@ -106,6 +110,10 @@
   std::function<void()> released;
   TimeMs last_write_ms = 0;
   TimeMs last_answer_ms = 0;
+  TimeMs last_commit_ms = 0;
+  /// The store's clock minus this process's, once the store has told it.
+  int64_t clock_offset_ms = 0;
+  bool clock_known = false;
 };
 
 }  // namespace dotterelcove
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -73,6 +73,8 @@
   bool more = false;
   /// The newest version of the store, or of the rows written.
   uint64_t version = 0;
+  /// The store's steady clock at the answer, 0 when it was not told.
+  int64_t store_clock_ms = 0;
 };
 
 /// Parts of a table that the store writes one transaction at a time. The job
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -120,12 +120,16 @@
 void OnLoaded(Controller& c, const Loading& loading) {
   c.loaded = true;
   LoadJobs(c, loading);
-  std::vector<WorkerInfo> recorded;
+  std::vector<RecordedWorker> recorded;
   for (const StoreRow& row : loading.fleet.rows) {
     c.fleet_rows[row.key] = row.value;
-    for (WorkerInfo& info : DecodeFleet(row.value)) {
-      c.unanswered.insert(info.id);
-      recorded.push_back(std::move(info));
+    for (RecordedWorker& worker : DecodeFleet(row.value)) {
+      if (worker.closed && worker.closed_version == 0) {
+        worker.closed_version = row.version;
+      }
+      c.unanswered[worker.info.id] =
+          worker.closed ? worker.closed_version : UINT64_MAX;
+      recorded.push_back(std::move(worker));
     }
   }
   c.recovery_until_ms =
@@ -135,15 +139,17 @@
   Log(LogLevel::kInfo, "records_read",
       {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
        F("ended_jobs", c.ended.size()), F("workers", recorded.size())});
-  for (const WorkerInfo& info : recorded) {
-    Worker& worker = c.fleet[info.id];
+  for (const RecordedWorker& known : recorded) {
+    Worker& worker = c.fleet[known.info.id];
     if (worker.info.id.empty()) {
-      worker.info = info;
+      worker.info = known.info;
       worker.listed = false;
     }
-    worker.recorded = true;
+    worker.closed = known.closed;
+    worker.closed_version = known.closed_version;
+    worker.recorded = !known.closed;
     if (worker.synced) {
-      c.unanswered.erase(info.id);
+      c.unanswered.erase(known.info.id);
     } else if (worker.syncs == 0) {
       Sync(c, worker, 0);
     }
@@ -187,6 +193,40 @@
   RequestSchedule(c);
 }
 
+/// An order to a live worker is answered within a few milliseconds.
+bool HasOverdueStart(const Controller& c, const Worker& worker) {
+  constexpr TimeMs kOverdueMs = 150;
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [&](const auto& entry) {
+                       const PlacedRun& run = entry.second;
+                       if (run.confirmed || run.stop_wanted) return false;
+                       return c.runtime.now() - run.placed_ms > kOverdueMs;
+                     });
+}
+
+/// Whether the worker owes news: a run should have ended, and the answer of the
+/// sync under way, which waits for an end, may be lost.
+bool OwesNews(const Controller& c, const Worker& worker) {
+  constexpr TimeMs kHedgeIntervalMs = 350;
+  const TimeMs now_ms = c.runtime.now();
+  if (worker.syncs == 0 || !worker.reachable) return false;
+  if (now_ms - worker.last_hedge_ms < kHedgeIntervalMs) return false;
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [&](const auto& entry) {
+                       const TimeMs expected_ms = entry.second.expected_end_ms;
+                       return expected_ms > 0 && now_ms > expected_ms &&
+                              worker.clock_read_ms < expected_ms;
+                     });
+}
+
+/// Whether the next sync is due.
+bool IsSyncDue(const Controller& c, const Worker& worker) {
+  // Beside a sync that may wait for long, an unreachable worker is asked anew.
+  constexpr uint32_t kMaxSyncs = 2;
+  const uint32_t limit = worker.reachable ? 1 : kMaxSyncs;
+  return worker.syncs < limit && c.runtime.now() >= worker.next_sync_ms;
+}
+
 bool IsForgettable(const Controller& c, const Worker& worker) {
   return !worker.listed && worker.runs.empty() && worker.orphans.empty() &&
          !c.unanswered.contains(worker.info.id);
@@ -197,14 +237,19 @@
   for (auto it = c.fleet.begin(); it != c.fleet.end();) {
     Worker& worker = it->second;
     CheckLapsed(c, worker);
+    worker.overdue = HasOverdueStart(c, worker);
     if (c.loaded && IsForgettable(c, worker)) {
       Log(LogLevel::kInfo, "worker_gone", {F("worker", it->first)});
       c.fleet_dirty = true;
       it = c.fleet.erase(it);
       continue;
     }
-    if (worker.syncs == 0 && now_ms >= worker.next_sync_ms) {
+    if (IsSyncDue(c, worker)) {
       Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
+    } else if (OwesNews(c, worker)) {
+      worker.last_hedge_ms = now_ms;
+      c.stats.hedged_syncs++;
+      Sync(c, worker, 0);
     }
     ++it;
   }
@@ -213,9 +258,10 @@
 void CheckRecovery(Controller& c) {
   if (!c.loaded || c.unanswered.empty()) return;
   if (c.runtime.now() < c.recovery_until_ms) return;
-  for (const std::string& id : c.unanswered) {
+  for (const auto& [id, version] : c.unanswered) {
     Log(LogLevel::kWarning, "worker_waited_out",
-        {F("worker", id), F("epoch", c.epoch)});
+        {F("worker", id), F("epoch", c.epoch),
+         F("jobs_up_to_version", version)});
   }
   c.unanswered.clear();
   RequestSchedule(c);
@@ -253,15 +299,45 @@
   RequestSchedule(c);
 }
 
+namespace {
+
+/// What a commit says of one worker.
+struct FleetRecord {
+  bool closed = false;
+  uint32_t closings = 0;
+};
+using FleetRecords = std::map<std::string, FleetRecord>;
+
+/// The records have been stored at `version`. One that a later change of its
+/// worker has overtaken opens nothing.
+void OnFleetRecorded(Controller& c, const FleetRecords& records,
+                     uint64_t version) {
+  for (const auto& [id, record] : records) {
+    const auto found = c.fleet.find(id);
+    if (found == c.fleet.end()) continue;
+    Worker& worker = found->second;
+    if (worker.closings != record.closings) continue;
+    if (!record.closed) {
+      worker.recorded = true;
+    } else if (worker.closed_version == 0) {
+      worker.closed_version = version;
+    }
+  }
+  RequestSchedule(c);
+}
+
+}  // namespace
+
 void RecordFleet(Controller& c) {
   if (!c.fleet_dirty || !c.loaded) return;
   c.fleet_dirty = false;
-  std::map<std::string, std::vector<WorkerInfo>> by_row;
-  std::vector<std::string> ids;
+  std::map<std::string, std::vector<RecordedWorker>> by_row;
+  FleetRecords records;
   for (const auto& [key, text] : c.fleet_rows) by_row[key];
   for (const auto& [id, worker] : c.fleet) {
-    by_row[FleetKeyOf(id)].push_back(worker.info);
-    ids.push_back(id);
+    by_row[FleetKeyOf(id)].push_back(
+        {worker.info, worker.closed, worker.closed_version});
+    records[id] = {worker.closed, worker.closings};
   }
   std::vector<RowPut> puts;
   for (const auto& [key, workers] : by_row) {
@@ -271,16 +347,28 @@
     written = text;
     puts.push_back({kFleetTable, key, std::move(text)});
   }
-  c.log->Commit(std::move(puts), {}, Guard(c, [ids](Controller& self) {
-                  for (const std::string& id : ids) {
-                    const auto found = self.fleet.find(id);
-                    if (found != self.fleet.end())
-                      found->second.recorded = true;
-                  }
-                  RequestSchedule(self);
+  c.log->Commit(std::move(puts), {}, Guard(c, [records](Controller& self) {
+                  OnFleetRecorded(self, records, self.log->row().version);
                 }));
 }
 
+void CloseWorker(Controller& c, Worker& worker) {
+  if (worker.closed) return;
+  worker.closed = true;
+  worker.closings++;
+  worker.closed_version = 0;
+  worker.recorded = false;
+  c.fleet_dirty = true;
+}
+
+void ReopenWorker(Controller& c, Worker& worker) {
+  if (!worker.closed) return;
+  worker.closed = false;
+  worker.closings++;
+  worker.closed_version = 0;
+  c.fleet_dirty = true;
+}
+
 void UpdatePolicies(Controller& c,
                     std::map<std::string, QueuePolicy> policies) {
   c.policies = std::move(policies);
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -31,9 +31,9 @@
 struct ControllerOptions {
   /// Lease of a worker's tasks, renewed at every sync; the same for every
   /// owner, since a new one waits for the leases of its predecessor.
-  TimeMs lease_ms = 5'000;
+  TimeMs lease_ms = 3'500;
   /// A sync waits this long for an end.
-  TimeMs sync_wait_ms = 1'500;
+  TimeMs sync_wait_ms = 1'000;
   /// Syncs at a worker that holds nothing.
   TimeMs idle_sync_ms = 2'500;
   /// A worker's clock may run slow by this share.
@@ -71,6 +71,8 @@
   uint64_t ends_other = 0;
   uint64_t stops = 0;
   uint64_t syncs = 0;
+  /// Syncs beside one under way, since news were overdue.
+  uint64_t hedged_syncs = 0;
   uint64_t requests = 0;
   uint64_t orders_in_doubt = 0;
 };
@@ -101,9 +103,10 @@
 
   /// The stored jobs have been read.
   bool loaded = false;
-  /// Workers of the predecessor that have not answered yet; tasks of its jobs
-  /// wait for them, until `recovery_until_ms` at the latest.
-  std::set<std::string> unanswered;
+  /// Workers of the predecessor that have not answered yet, each with the
+  /// version of the store up to which an accepted job may have a task there;
+  /// those jobs wait for it, until `recovery_until_ms` at the latest.
+  std::map<std::string, uint64_t> unanswered;
   TimeMs recovery_until_ms = 0;
   /// Notices that came while the stored jobs were being read.
   std::vector<StoreRow> early_rows;
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -48,6 +48,7 @@
       {F("job", row.key), F("queue", job->spec.queue),
        F("steps", job->spec.steps.size()), F("version", row.version),
        F("age_ms", c.runtime.now() - job->accepted_ms)});
+  job->version = row.version;
   Job* admitted = job.get();
   c.jobs.jobs[row.key] = std::move(job);
   if (c.cancelled_ids.erase(row.key) > 0) {
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -38,6 +38,16 @@
   return {&worker->second, &run->second};
 }
 
+/// Later than a start on a sound worker takes by its estimate.
+TimeMs ExpectedEnd(const StepSpec& spec, TimeMs now_ms) {
+  constexpr double kEstimateFactor = 1.35;
+  constexpr TimeMs kSlackMs = 100;
+  if (spec.long_running || spec.estimate_ms <= 0) return 0;
+  return now_ms + kSlackMs +
+         static_cast<TimeMs>(kEstimateFactor *
+                             static_cast<double>(spec.estimate_ms));
+}
+
 /// The start was refused for certain: the task goes back to those waiting.
 void Unplace(Controller& c, const RunKey& key, FoundRun found,
              TimeMs pause_ms) {
@@ -98,11 +108,9 @@
     case OrderStatus::kUnknown:
       c.stats.orders_in_doubt++;
       found.run->start_in_doubt = true;
-      if (found.run->gang != 0) {
-        StopGang(c, found.run->gang, "start_unanswered");
-      } else {
-        StopRun(c, worker, key.task, "start_unanswered");
-      }
+      found.run->syncs_before_doubt = worker.syncs_sent;
+      // Often only the answer is lost: the next sync tells whether it runs.
+      Sync(c, worker, 0);
       return;
     case OrderStatus::kNoRoom:
       worker.record.quarantined_until_ms = c.runtime.now() + kNoRoomPauseMs;
@@ -193,6 +201,7 @@
   run.run = placing.run;
   run.size = SizeOnWorker(SpecOf(placing.task));
   run.placed_ms = now_ms;
+  run.expected_end_ms = ExpectedEnd(SpecOf(placing.task), now_ms);
   run.gang = placing.gang;
   const std::string name = MakeTaskName(placing.task);
   const bool was_idle = worker.runs.empty();
--- a/src/workflow/ControllerOutcomes.cpp
+++ b/src/workflow/ControllerOutcomes.cpp
@@ -15,6 +15,10 @@
 /// Jobs in one transaction; each takes two entries.
 constexpr size_t kMaxJobsPerCompaction = 40;
 
+/// A store whose commits take longer than this is left to jobs that callers
+/// hand in: both go to the same parts.
+constexpr TimeMs kSlowCommitMs = 100;
+
 using Batch = std::vector<std::pair<std::string, JobPhase>>;
 
 void RemoveProgress(Controller& c, const Batch& batch) {
@@ -85,6 +89,7 @@
 void CompactOutcomes(Controller& c) {
   if (!c.loaded || c.runtime.now() < c.next_compaction_ms) return;
   c.next_compaction_ms = c.runtime.now() + kCompactionMs;
+  if (c.log->commit_ms() > kSlowCommitMs) return;
   CompactAll(c);
   DropOld(c);
 }
--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -82,6 +82,11 @@
               bool unconfirmed);
 /// Takes workers into or out of the stored list of those that may hold tasks.
 void RecordFleet(Controller& controller);
+/// Places nothing on the worker and records that, so that a successor does not
+/// hold up later jobs for it.
+void CloseWorker(Controller& controller, Worker& worker);
+/// Lets it be used again once that is recorded.
+void ReopenWorker(Controller& controller, Worker& worker);
 /// A worker failed a task or an order: gives it no work for a while.
 void Quarantine(Controller& controller, Worker& worker, TimeMs base_ms,
                 const char* reason);
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -29,8 +29,13 @@
   std::vector<uint32_t> tasks;
 };
 
+/// A task of a job that was accepted before its worker was closed may still be
+/// on that worker.
 bool MustWaitForRecovery(const Controller& c, const Job& job) {
-  return job.from_predecessor && IsRecovering(c);
+  if (!job.from_predecessor || !IsRecovering(c)) return false;
+  return std::any_of(
+      c.unanswered.begin(), c.unanswered.end(),
+      [&](const auto& worker) { return job.version <= worker.second; });
 }
 
 /// Tasks of the step that may be placed now. A gang waits as a whole.
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -145,6 +145,16 @@
   return c.runtime.now() - task.progress_ms > limit_ms;
 }
 
+/// The end to expect by the progress made so far, 0 for unknown.
+TimeMs ProjectEnd(const Controller& c, const TaskRef& ref, int percent) {
+  constexpr int kLeastPercent = 5;
+  constexpr TimeMs kSlackMs = 80;
+  if (SpecOf(ref).long_running || percent < kLeastPercent) return 0;
+  const TimeMs ran_ms = c.runtime.now() - TaskOf(ref).started_ms;
+  const TimeMs rest_ms = ran_ms * (100 - percent) / percent;
+  return c.runtime.now() + rest_ms + rest_ms / 8 + kSlackMs;
+}
+
 void ApplyReportedRun(Controller& c, Worker& worker,
                       const ReportedRun& reported) {
   const auto held = worker.runs.find(reported.task);
@@ -165,6 +175,7 @@
     ref.job->started = true;
   }
   if (!reported.checkpoint.empty()) task.checkpoint = reported.checkpoint;
+  run.expected_end_ms = ProjectEnd(c, ref, reported.percent);
   if (reported.percent != task.percent) {
     task.percent = reported.percent;
     task.progress_ms = c.runtime.now();
@@ -206,6 +217,26 @@
                 [&](const auto& run) { return !listed.contains(run.first); });
 }
 
+/// Starts without an answer that a later sync does not show may be carried out
+/// later still, so they are stopped. `sync` is 0 when the worker cannot be
+/// asked.
+void StopUnanswered(Controller& c, Worker& worker, uint64_t sync) {
+  std::vector<std::string> names;
+  for (const auto& [name, run] : worker.runs) {
+    if (!run.start_in_doubt || run.stop_wanted) continue;
+    if (sync == 0 || run.syncs_before_doubt < sync) names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    const auto found = worker.runs.find(name);
+    if (found == worker.runs.end()) continue;
+    if (found->second.gang != 0) {
+      StopGang(c, found->second.gang, "start_unanswered");
+    } else {
+      StopRun(c, worker, name, "start_unanswered");
+    }
+  }
+}
+
 void OnSynced(Controller& c, Worker& worker) {
   if (!worker.synced) {
     Log(LogLevel::kInfo, "worker_regained",
@@ -215,6 +246,7 @@
   worker.synced = true;
   worker.reachable = true;
   worker.sync_failures = 0;
+  ReopenWorker(c, worker);
   if (c.unanswered.erase(worker.info.id) > 0 && c.unanswered.empty()) {
     Log(LogLevel::kInfo, "recovery_complete", {F("epoch", c.epoch)});
     RequestSchedule(c);
@@ -247,6 +279,8 @@
          F("lapses_in_ms", worker.lapses_ms - c.runtime.now())});
   }
   worker.reachable = false;
+  CloseWorker(c, worker);
+  StopUnanswered(c, worker, 0);
   if (status == OrderStatus::kOtherIncarnation) worker.synced = false;
   const TimeMs delay_ms =
       kSyncRetryMs * std::min<TimeMs>(worker.sync_failures, 4);
@@ -264,8 +298,8 @@
     return;
   }
   if (answer.status != OrderStatus::kOk) {
-    // Another sync is under way: its answer counts.
-    if (worker.syncs == 0) OnSyncFailed(c, worker, answer.status);
+    // What a newer sync has told counts.
+    if (sync > worker.sync_answered) OnSyncFailed(c, worker, answer.status);
     return;
   }
   const bool restarted =
@@ -287,6 +321,7 @@
   for (const ReportedRun& run : answer.running) {
     ApplyReportedRun(c, worker, run);
   }
+  StopUnanswered(c, worker, sync);
   DropAbsentRuns(c, worker, answer, sync);
   OnSynced(c, worker);
   PaceFillers(c, worker);
@@ -368,7 +403,8 @@
   // The worker may have started anew: its new ends must not be forgotten.
   order.acked = worker.reachable ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
-  order.wait_ms = worker.synced ? wait_ms : 0;
+  // A worker that did not answer is asked for a prompt answer.
+  order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
   worker.ack_sent = order.acked;
   c.stats.syncs++;
   const std::string id = worker.info.id;
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -14,7 +14,7 @@
 
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && worker.synced && worker.reachable &&
-         worker.recorded && !worker.info.draining &&
+         !worker.overdue && worker.recorded && !worker.info.draining &&
          !worker.maintenance_planned && worker.orphans.empty() &&
          now_ms >= worker.record.quarantined_until_ms;
 }
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -26,6 +26,16 @@
   TimeMs leaves_in_ms = -1;
 };
 
+/// A worker as the store lists it for the next owner.
+struct RecordedWorker {
+  WorkerInfo info;
+  /// No task is placed on it until it is recorded as open again.
+  bool closed = false;
+  /// Version of the store at which it was closed: no later job can have a task
+  /// on it. 0 when that is not known to its row.
+  uint64_t closed_version = 0;
+};
+
 /// One run that occupies a worker.
 struct PlacedRun {
   TaskRef task;
@@ -37,12 +47,16 @@
   uint64_t syncs_before_confirmed = 0;
   /// The answer to the start is missing: it may still take effect.
   bool start_in_doubt = false;
+  uint64_t syncs_before_doubt = 0;
   bool stop_wanted = false;
   bool stop_in_flight = false;
   uint32_t stops_sent = 0;
   bool stop_answered = false;
   uint64_t syncs_before_stopped = 0;
   TimeMs placed_ms = 0;
+  /// When its end should be known by the estimate and its reported progress, 0
+  /// for unknown.
+  TimeMs expected_end_ms = 0;
   /// Runs of the same gang share this number, 0 for none.
   uint64_t gang = 0;
   /// Tail latency in milliseconds of a serving task, processors used of any
@@ -85,12 +99,16 @@
   bool synced = false;
   /// The last sync succeeded.
   bool reachable = false;
+  /// An order is overdue: the worker may be lost, so it gets no more.
+  bool overdue = false;
   /// Syncs under way, the number of the last one sent, and of the newest one
   /// that was answered.
   uint32_t syncs = 0;
   uint64_t syncs_sent = 0;
   uint64_t sync_answered = 0;
   uint32_t sync_failures = 0;
+  /// When it was last asked besides the sync under way.
+  TimeMs last_hedge_ms = 0;
   TimeMs next_sync_ms = 0;
   /// The worker's clock and when it was read; 0 before the first answer.
   int64_t clock_ms = 0;
@@ -112,8 +130,13 @@
   int64_t filler_milli_cores = 0;
   TimeMs paces_judged_ms = 0;
   WorkerRecord record;
-  /// Recorded in the store as a worker that may hold tasks.
+  /// Recorded in the store as a worker that may be given tasks.
   bool recorded = false;
+  /// It did not answer, so it is recorded as closed.
+  bool closed = false;
+  uint64_t closed_version = 0;
+  /// Changes of `closed`, so that a record of an earlier state is told apart.
+  uint32_t closings = 0;
   /// Its VM is being emptied for maintenance.
   bool maintenance_planned = false;
 };
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -248,24 +248,27 @@
   return "workers." + std::to_string(Hash64(worker) % kFleetRows);
 }
 
-std::string EncodeFleet(const std::vector<WorkerInfo>& workers) {
+std::string EncodeFleet(const std::vector<RecordedWorker>& workers) {
   Json json = Json::array();
-  for (const WorkerInfo& worker : workers) {
-    json.push_back(
-        {worker.id, worker.address, worker.service, worker.incarnation});
+  for (const RecordedWorker& worker : workers) {
+    const WorkerInfo& info = worker.info;
+    json.push_back({info.id, info.address, info.service, info.incarnation,
+                    worker.closed, worker.closed_version});
   }
   return json.dump();
 }
 
-std::vector<WorkerInfo> DecodeFleet(const std::string& text) {
-  std::vector<WorkerInfo> workers;
+std::vector<RecordedWorker> DecodeFleet(const std::string& text) {
+  std::vector<RecordedWorker> workers;
   try {
     for (const Json& entry : Json::parse(text)) {
-      WorkerInfo worker;
-      worker.id = entry.at(0).get<std::string>();
-      worker.address = entry.at(1).get<std::string>();
-      worker.service = entry.at(2).get<std::string>();
-      worker.incarnation = entry.at(3).get<uint64_t>();
+      RecordedWorker worker;
+      worker.info.id = entry.at(0).get<std::string>();
+      worker.info.address = entry.at(1).get<std::string>();
+      worker.info.service = entry.at(2).get<std::string>();
+      worker.info.incarnation = entry.at(3).get<uint64_t>();
+      worker.closed = entry.at(4).get<bool>();
+      worker.closed_version = entry.at(5).get<uint64_t>();
       workers.push_back(std::move(worker));
     }
   } catch (const Json::exception&) {
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -53,8 +53,8 @@
 std::string FleetKeyOf(const std::string& worker);
 
 /// The workers of one fleet row, each with what is needed to ask it.
-std::string EncodeFleet(const std::vector<WorkerInfo>& workers);
+std::string EncodeFleet(const std::vector<RecordedWorker>& workers);
 /// Entries that are not such a worker are left out.
-std::vector<WorkerInfo> DecodeFleet(const std::string& text);
+std::vector<RecordedWorker> DecodeFleet(const std::string& text);
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -116,6 +116,8 @@
   /// Stored before this owner took over, so that a worker may hold a task of
   /// it that this owner has not seen yet.
   bool from_predecessor = false;
+  /// Version of the store at which it was accepted.
+  uint64_t version = 0;
   /// Progress has changed since the last commit.
   bool dirty = false;
   /// A commit that ends the job is under way.
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -89,7 +89,8 @@
   }
   cell.time.After(faults.answer_ms / 2,
                   [&cell, daemon, alive, transaction, done, faults] {
-                    const StoreAnswer answer = Apply(cell.store, transaction);
+                    StoreAnswer answer = Apply(cell.store, transaction);
+                    answer.store_clock_ms = cell.time.now_ms;
                     Deliver(cell, daemon, alive, (faults.answer_ms + 1) / 2,
                             [done, answer] { done(answer); });
                   });
@@ -104,6 +105,7 @@
   } else {
     answer.status = StoreStatus::kOk;
     answer.version = cell.store.version;
+    answer.store_clock_ms = cell.time.now_ms;
     for (auto it = cell.store.rows.lower_bound({table, from});
          it != cell.store.rows.end() && it->first.first == table; ++it) {
       if (ShardOf(table, it->first.second) != shard) continue;
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -144,7 +144,7 @@
 // Guards against a new owner that waits for longer leases than were given: jobs
 // of before its take-over once waited 11.8 s for a worker that was cut off.
 Test(CellModel, takeover_waits_only_for_leases_that_were_given, .init = Quiet) {
-  constexpr TimeMs kLeaseMs = 5'000;
+  constexpr TimeMs kLeaseMs = 3'500;
   constexpr TimeMs kIsolationMs = 1'500;
   constexpr TimeMs kTakeOverMs = 1'400;
   Cell cell({});
@@ -167,6 +167,86 @@
   ExpectSound(cell, true);
 }
 
+// Guards against a take-over that holds up all work for one silent worker: jobs
+// accepted after it was found silent once waited 8 to 11 s (trouble-3 of
+// vppca-yard).
+Test(CellModel, later_jobs_do_not_wait_for_a_closed_worker, .init = Quiet) {
+  Cell cell({.failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 20 * kSecond));
+  cell.time.RunUntil(3 * kSecond);
+  cr_assert_eq(cell.journal.size(), 1U);
+  const std::string silent = cell.journal.front().worker;
+  cell.workers.at(silent).cut = true;
+  cell.time.RunUntil(7 * kSecond);
+  const workflow::JobSpec later = MakeChain(cell, 2, 3, {1'000, 500, 0}, 1'500);
+  Submit(cell, 0, later);
+  cell.time.RunUntil(7 * kSecond + 500);
+  KillDaemon(cell, FindOwner(cell));
+  cell.time.RunUntil(11 * kSecond + 500);
+  size_t done = 0;
+  for (const Journal& entry : cell.journal) {
+    const bool is_later = entry.task.substr(0, 16) == later.id;
+    if (is_later && entry.how == "done") ++done;
+    if (is_later) cr_expect_neq(entry.worker, silent);
+  }
+  cr_expect_eq(done, 6U);
+  cell.workers.at(silent).cut = false;
+  cell.time.RunUntil(60 * kSecond);
+  ExpectSound(cell, true);
+}
+
+// Guards against a worker that is used again before the store has it as open: a
+// successor would place its tasks elsewhere too.
+Test(CellModel, closed_workers_and_takeovers_run_nothing_twice, .init = Quiet) {
+  for (uint64_t seed = 1; seed <= 25; ++seed) {
+    Cell cell({.workers = 4, .seed = seed});
+    cell.time.RunUntil(2 * kSecond);
+    Load(cell, 12, 6);
+    // Workers fall silent and come back in turn, around two take-overs.
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = "w" + std::to_string(i % 4);
+      const TimeMs at_ms = i * 1'100 + UniformInt(cell.random, 0, 500);
+      cell.time.After(at_ms, [&cell, id] { cell.workers.at(id).cut = true; });
+      cell.time.After(at_ms + UniformInt(cell.random, 200, 2'500),
+                      [&cell, id] { cell.workers.at(id).cut = false; });
+    }
+    for (const TimeMs at_ms : {4'000, 9'000}) {
+      cell.time.After(at_ms + UniformInt(cell.random, 0, 1'500), [&cell] {
+        const int owner = FindOwner(cell);
+        if (owner < 0) return;
+        KillDaemon(cell, owner);
+        cell.time.After(2 * kSecond,
+                        [&cell, owner] { StartDaemon(cell, owner); });
+      });
+    }
+    cell.time.RunUntil(70 * kSecond);
+    ExpectSound(cell, true);
+  }
+}
+
+// Guards against a standby that lets a silent owner's row grow old a second
+// time: 1.75 s passed from its loss to the take-over (trouble-3 of vppca-yard).
+Test(CellModel, silent_owner_is_replaced_once_its_silence_is_noticed,
+     .init = Quiet) {
+  constexpr TimeMs kSilenceMs = 850;
+  constexpr TimeMs kPollMs = 250;
+  Cell cell({});
+  cell.time.RunUntil(2 * kSecond);
+  Load(cell, 8, 10);
+  cell.time.RunUntil(5 * kSecond + 130);
+  const int owner = FindOwner(cell);
+  cr_assert_geq(owner, 0);
+  cell.daemons[static_cast<size_t>(owner)]->frozen_until_ms = 30 * kSecond;
+  cell.time.RunUntil(5 * kSecond + 130 + kSilenceMs);
+  for (const auto& daemon : cell.daemons) {
+    if (daemon->index == owner) continue;
+    daemon->leadership->OnOwnerLink(false, false);
+  }
+  cell.time.RunUntil(5 * kSecond + 130 + kSilenceMs + kPollMs);
+  cr_expect_neq(FindOwner(cell), owner);
+}
+
 // Guards against late orders of an old owner that take effect after its
 // successor has placed the task elsewhere.
 Test(CellModel, late_orders_and_a_takeover, .init = Quiet) {
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -295,14 +295,17 @@
 Test(JobRows, fleet_rows_stay_short) {
   constexpr int kWorkers = 3'000;
   constexpr size_t kMaxRowBytes = 65'536;
-  std::map<std::string, std::vector<WorkerInfo>> rows;
+  std::map<std::string, std::vector<RecordedWorker>> rows;
   for (int i = 0; i < kWorkers; ++i) {
-    WorkerInfo worker;
+    RecordedWorker recorded;
+    recorded.closed = true;
+    recorded.closed_version = 1'000'000'000;
+    WorkerInfo& worker = recorded.info;
     worker.id = "i-" + std::to_string(100'000'000 + i);
     worker.address = "10.128.100.100:" + std::to_string(10'000 + i);
     worker.service = "service";
     worker.incarnation = 1'700'000'000'000;
-    rows[FleetKeyOf(worker.id)].push_back(worker);
+    rows[FleetKeyOf(worker.id)].push_back(recorded);
   }
   size_t read = 0;
   for (const auto& [key, workers] : rows) {
--- a/tests/MaintenanceTest.cpp
+++ b/tests/MaintenanceTest.cpp
@@ -43,33 +43,11 @@
   std::map<std::string, TimeMs> begun_ms;
   std::vector<Begin> begins;
   std::vector<WaveReport> reports;
-  std::vector<std::string> too_many_away;
   /// Every second order gets no answer and is carried out this much later.
   TimeMs late_ms = 0;
   uint32_t orders = 0;
 };
 
-/// Serving tasks of a step that an order would interrupt beyond the allowance.
-void NoteDisruption(VmService& service, const std::string& worker) {
-  const Cell& cell = service.cell;
-  std::map<std::string, uint32_t> serving;
-  std::map<std::string, uint32_t> hit;
-  for (const Journal& entry : cell.journal) {
-    if (entry.end_ms >= 0) continue;
-    const std::string job = entry.task.substr(0, 16);
-    serving[job]++;
-    if (entry.worker == worker) hit[job]++;
-  }
-  for (const auto& [job, tasks] : hit) {
-    const workflow::StepSpec& step = cell.jobs.at(job).spec.steps.front();
-    if (!step.long_running || step.disruption_allowance == 0) continue;
-    const uint32_t left = serving[job] - tasks;
-    if (left + step.disruption_allowance >= step.count) continue;
-    service.too_many_away.push_back(job + " at " +
-                                    std::to_string(cell.time.now_ms));
-  }
-}
-
 void EndDowntime(VmService& service) {
   for (auto it = service.down_until_ms.begin();
        it != service.down_until_ms.end();) {
@@ -93,7 +71,6 @@
   if (!service.cell.workers.at(worker).up) return VmOrderStatus::kBusy;
   service.begins.push_back(
       {order.vm, service.cell.time.now_ms, service.down_until_ms.size()});
-  NoteDisruption(service, worker);
   service.begun_ms[order.vm] = service.cell.time.now_ms;
   service.down_until_ms[order.vm] = service.cell.time.now_ms + kDownMs;
   CrashWorker(service.cell, worker);
@@ -169,9 +146,6 @@
   for (const VmService::Begin& begin : service.begins) {
     cr_expect_lt(begin.down_before, service.wave.cap, "%s", begin.vm.c_str());
   }
-  for (const std::string& breach : service.too_many_away) {
-    cr_expect(false, "too many tasks away: %s", breach.c_str());
-  }
   cr_expect_eq(service.begins.size(), service.wave.vms.size());
   cr_assert_not(service.reports.empty());
   cr_expect(service.reports.back() == WaveReport::kCompleted);
@@ -180,12 +154,44 @@
   }
 }
 
+/// Each interruption of a task of the watch `id` leaves all but `allowance` of
+/// its tasks at work.
+void ExpectAllowanceKept(const Cell& cell, const std::string& id) {
+  const workflow::StepSpec& step = cell.jobs.at(id).spec.steps.front();
+  size_t interruptions = 0;
+  for (const Journal& ended : cell.journal) {
+    if (ended.task.substr(0, id.size()) != id || ended.end_ms < 0) continue;
+    ++interruptions;
+    uint32_t at_work = 0;
+    for (const Journal& other : cell.journal) {
+      const bool runs = other.begin_ms <= ended.end_ms &&
+                        (other.end_ms < 0 || other.end_ms > ended.end_ms);
+      if (runs && other.task.substr(0, id.size()) == id) ++at_work;
+    }
+    cr_expect_geq(at_work + step.disruption_allowance, step.count, "at %lld",
+                  static_cast<long long>(ended.end_ms));
+  }
+  cr_expect_gt(interruptions, 0U);
+}
+
 /// Hands in a long-running job of which `allowance` tasks may be away.
-void SubmitWatch(Cell& cell, uint32_t tasks, uint32_t allowance) {
+std::string SubmitWatch(Cell& cell, uint32_t tasks, uint32_t allowance) {
   workflow::JobSpec spec = MakeChain(cell, 1, tasks, {2'000, 500, 0}, 1'000);
   spec.steps.front().long_running = true;
   spec.steps.front().disruption_allowance = allowance;
   Submit(cell, 0, spec);
+  return spec.id;
+}
+
+/// Short jobs that change from moment to moment which VM has the least to lose.
+void SubmitShortJobs(Cell& cell, TimeMs until_ms) {
+  constexpr TimeMs kEveryMs = 150;
+  for (TimeMs at_ms = kEveryMs; at_ms < until_ms; at_ms += kEveryMs) {
+    cell.time.After(at_ms, [&cell] {
+      const auto tasks = static_cast<uint32_t>(UniformInt(cell.random, 1, 4));
+      Submit(cell, 0, MakeChain(cell, 1, tasks, {3'000, 500, 0}, 900));
+    });
+  }
 }
 
 }  // namespace
@@ -197,9 +203,10 @@
   VmService service(cell, MakeWave(5, 2));
   Connect(cell, service);
   cell.time.RunUntil(2 * kSecond);
-  SubmitWatch(cell, 10, 1);
+  const std::string watch = SubmitWatch(cell, 14, 1);
   cell.time.RunUntil(80 * kSecond);
   ExpectKept(service);
+  ExpectAllowanceKept(cell, watch);
 }
 
 // Guards against a new owner that takes a second VM down while an order of its
@@ -210,7 +217,8 @@
     VmService service(cell, MakeWave(4, 1));
     service.late_ms = 4 * kSecond;
     Connect(cell, service);
-    const auto kill_at_ms = static_cast<TimeMs>(seed) * 300 + 1'200;
+    const auto kill_at_ms = static_cast<TimeMs>(seed) * 300 + 1'600;
+    SubmitShortJobs(cell, kill_at_ms + 8 * kSecond);
     cell.time.RunUntil(kill_at_ms);
     const int owner = FindOwner(cell);
     if (owner >= 0) KillDaemon(cell, owner);
--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -113,14 +114,34 @@
 // Guards against a lost answer that stalls the owner for long, and against a
 // slow store that is taken for one that is away.
 Test(PlatformStore, timeout_follows_the_answers) {
-  StoreHealth health;
-  const TimeMs usual_ms = StoreTimeoutMs(health);
+  CallTiming timing;
+  const TimeMs usual_ms = StoreTimeoutMs(timing);
   cr_expect_leq(usual_ms, 300);
-  health.unanswered = 1;
-  cr_expect_geq(StoreTimeoutMs(health), 2 * usual_ms);
-  health.unanswered = 0;
-  health.answer_ms = 250;
-  cr_expect_geq(StoreTimeoutMs(health), 900);
+  timing.unanswered = 1;
+  cr_expect_geq(StoreTimeoutMs(timing), 2 * usual_ms);
+  timing.unanswered = 0;
+  timing.answer_ms = 250;
+  cr_expect_geq(StoreTimeoutMs(timing), 900);
+}
+
+// Guards against transactions of a slow store that time out for as long as it
+// is slow (trouble-2 of vppca-yard: 57 jobs unanswered): answered reads once
+// set their timeout back each time.
+Test(PlatformStore, transactions_of_a_slow_store_stop_timing_out) {
+  constexpr TimeMs kReadMs = 240;
+  constexpr TimeMs kTransactionMs = 480;
+  StoreHealth health;
+  int timeouts = 0;
+  for (int i = 0; i < 20; ++i) {
+    LearnAnswer(health.reads, StoreStatus::kOk, kReadMs);
+    const TimeMs limit_ms = StoreTimeoutMs(health.transactions);
+    const bool answered = kTransactionMs < limit_ms;
+    if (!answered) ++timeouts;
+    LearnAnswer(health.transactions,
+                answered ? StoreStatus::kOk : StoreStatus::kUnknown,
+                std::min(kTransactionMs, limit_ms));
+  }
+  cr_expect_leq(timeouts, 3);
 }
 
 // Guards against rows spelt otherwise than the platform has them.
