--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -22,10 +22,6 @@
 /// Runs a scheduling pass soon; several wishes give one pass.
 void RequestSchedule(Controller& controller);
 
-/// Whether a worker that is not known as slow has room for the task now.
-bool HasBetterPlace(Controller& controller, const TaskRef& task,
-                    const Worker& worker);
-
 // Orders.
 struct Placing {
   TaskRef task;
@@ -96,11 +92,6 @@
                 const char* reason);
 bool IsRecovering(const Controller& controller);
 
-// Stragglers.
-/// Judges the worker's speed by its newest report; moves what crawls on a slow
-/// one.
-void MoveStragglers(Controller& controller, Worker& worker);
-
 // Pacing.
 /// Sets the speed of the worker's fillers by its newest report.
 void PaceFillers(Controller& controller, Worker& worker);
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -322,21 +322,6 @@
 
 }  // namespace
 
-bool HasBetterPlace(Controller& c, const TaskRef& task, const Worker& worker) {
-  const StepState& state = StepOf(task);
-  const std::map<std::string, uint32_t> on_worker = CountOnWorkers(state);
-  const std::set<std::string> avoid = {worker.info.id};
-  PlacementNeed need;
-  need.job = &task.job->spec;
-  need.step = &SpecOf(task);
-  need.state = &state;
-  need.on_worker = &on_worker;
-  need.avoid = &avoid;
-  need.now_ms = c.runtime.now();
-  const Worker* best = ChooseWorker(c.fleet, need);
-  return best != nullptr && best->record.slowness <= kSlowWorker;
-}
-
 void RequestSchedule(Controller& c) {
   if (c.schedule_wanted || c.stopped) return;
   c.schedule_wanted = true;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -325,7 +325,6 @@
   DropAbsentRuns(c, worker, answer, sync);
   OnSynced(c, worker);
   PaceFillers(c, worker);
-  MoveStragglers(c, worker);
   FlushProgress(c);
   ContinueSyncing(c, worker);
 }
