--- /dev/null
+++ b/tests/CellModelWorkers.cpp
@@ -0,0 +1,363 @@
+// The modelled workers and the permit authority.
+#include <algorithm>
+#include <utility>
+
+#include "base/Hash.h"
+#include "tests/CellModelParts.h"
+
+namespace dotterelcove::model {
+namespace {
+
+constexpr TimeMs kOrderTimeoutMs = 600;
+constexpr TimeMs kStopMs = 200;
+constexpr TimeMs kMaxLeaseMs = 6'000;
+/// Run time of a task that lasts, longer than any day.
+constexpr TimeMs kLastingMs = 1'000'000;
+
+// The workers.
+
+int64_t ClockOf(const Cell& cell, const ModelWorker& worker) {
+  return cell.time.now_ms + worker.clock_offset_ms;
+}
+
+void EndRun(Cell& cell, ModelWorker& worker, const std::string& task,
+            workflow::RunEnd end, TimeMs at_ms) {
+  const auto found = worker.running.find(task);
+  if (found == worker.running.end()) return;
+  Journal& entry = cell.journal[found->second.journal];
+  entry.end_ms = at_ms;
+  entry.how = std::string(NameOf(workflow::kRunEndNames, end));
+  worker.ends.push_back(
+      {worker.next_end++, task, found->second.run, end, found->second.journal});
+  worker.tombstones[task] =
+      std::max(worker.tombstones[task], found->second.run);
+  worker.running.erase(found);
+}
+
+/// Lets time pass on a worker: ends, stops and lapsed leases.
+void Advance(Cell& cell, ModelWorker& worker) {
+  if (!worker.up) return;
+  if (cell.time.now_ms >= worker.lease_end_ms) {
+    worker.lapsed_ms = worker.lease_end_ms;
+  }
+  struct Due {
+    std::string task;
+    workflow::RunEnd end;
+    TimeMs at_ms;
+  };
+  std::vector<Due> ends;
+  for (const auto& [task, run] : worker.running) {
+    Due due{task, workflow::RunEnd::kLapsed, worker.lease_end_ms};
+    if (run.stops_ms >= 0 && run.stops_ms < due.at_ms) {
+      due = {task, workflow::RunEnd::kStopped, run.stops_ms};
+    }
+    if (!worker.hangs && run.ends_ms < due.at_ms) {
+      due = {task,
+             run.fails ? workflow::RunEnd::kFailed : workflow::RunEnd::kDone,
+             run.ends_ms};
+    }
+    if (due.at_ms <= cell.time.now_ms) ends.push_back(due);
+  }
+  for (const Due& due : ends) {
+    EndRun(cell, worker, due.task, due.end, due.at_ms);
+  }
+}
+
+void RenewLease(const Cell& cell, ModelWorker& worker, int64_t end_clock_ms) {
+  if (end_clock_ms <= 0) return;
+  const TimeMs end_ms = std::min(end_clock_ms - worker.clock_offset_ms,
+                                 cell.time.now_ms + kMaxLeaseMs);
+  worker.lease_end_ms = std::max(worker.lease_end_ms, end_ms);
+}
+
+/// The task's own run time and fate, the same for each of its runs.
+ModelWorker::Run MakeRun(Cell& cell, const ModelWorker& worker,
+                         const workflow::StartOrder& order) {
+  ModelWorker::Run run;
+  run.run = order.run;
+  workflow::TaskName name;
+  workflow::ParseTaskName(order.task, name);
+  const auto job = cell.jobs.find(name.job);
+  TimeMs length_ms = 1'000;
+  if (job != cell.jobs.end()) {
+    const workflow::StepSpec& step = job->second.spec.steps.at(name.step);
+    length_ms = step.long_running ? kLastingMs : step.estimate_ms;
+    run.fails = job->second.hopeless;
+  }
+  run.fails = run.fails || worker.fails_all ||
+              Chance(cell) < cell.options.failure_share;
+  if (run.fails) length_ms = std::min<TimeMs>(length_ms, 50);
+  run.ends_ms = cell.time.now_ms + length_ms;
+  return run;
+}
+
+Resources SizeOf(const Cell& cell, const std::string& task) {
+  workflow::TaskName name;
+  if (!workflow::ParseTaskName(task, name)) return {};
+  const auto job = cell.jobs.find(name.job);
+  if (job == cell.jobs.end()) return {};
+  return job->second.spec.steps.at(name.step).size;
+}
+
+workflow::OrderAnswer StartOn(Cell& cell, int daemon, ModelWorker& worker,
+                              const workflow::StartOrder& order) {
+  Advance(cell, worker);
+  const int64_t clock_ms = ClockOf(cell, worker);
+  if (order.token < worker.token) {
+    return {workflow::OrderStatus::kFenced, clock_ms};
+  }
+  worker.token = order.token;
+  RenewLease(cell, worker, order.lease_end_clock_ms);
+  if (order.lease_end_clock_ms <= clock_ms) {
+    return {workflow::OrderStatus::kLate, clock_ms};
+  }
+  const auto tombstone = worker.tombstones.find(order.task);
+  if (tombstone != worker.tombstones.end() && order.run <= tombstone->second) {
+    return {workflow::OrderStatus::kOldRun, clock_ms};
+  }
+  const auto running = worker.running.find(order.task);
+  if (running != worker.running.end()) {
+    return {running->second.run == order.run ? workflow::OrderStatus::kOk
+                                             : workflow::OrderStatus::kOldRun,
+            clock_ms};
+  }
+  ModelWorker::Run run = MakeRun(cell, worker, order);
+  run.journal = cell.journal.size();
+  Journal entry;
+  entry.task = order.task;
+  entry.run = order.run;
+  entry.worker = worker.info.id;
+  entry.payload = order.payload;
+  entry.checkpoint = order.checkpoint;
+  entry.token = order.token;
+  entry.daemon = daemon;
+  entry.begin_ms = cell.time.now_ms;
+  entry.size = SizeOf(cell, order.task);
+  cell.journal.push_back(entry);
+  worker.running[order.task] = run;
+  return {workflow::OrderStatus::kOk, clock_ms};
+}
+
+workflow::OrderAnswer StopOn(Cell& cell, ModelWorker& worker,
+                             const workflow::StopOrder& order) {
+  Advance(cell, worker);
+  const int64_t clock_ms = ClockOf(cell, worker);
+  if (order.token < worker.token) {
+    return {workflow::OrderStatus::kFenced, clock_ms};
+  }
+  worker.token = order.token;
+  worker.tombstones[order.task] =
+      std::max(worker.tombstones[order.task], order.run);
+  const auto found = worker.running.find(order.task);
+  if (found != worker.running.end() && found->second.run <= order.run) {
+    found->second.stops_ms = cell.time.now_ms + kStopMs;
+  }
+  return {workflow::OrderStatus::kOk, clock_ms};
+}
+
+workflow::SyncAnswer SyncWith(Cell& cell, ModelWorker& worker,
+                              const workflow::SyncOrder& order) {
+  Advance(cell, worker);
+  workflow::SyncAnswer answer;
+  answer.clock_ms = ClockOf(cell, worker);
+  answer.incarnation = worker.info.incarnation;
+  if (order.token < worker.token) {
+    answer.status = workflow::OrderStatus::kFenced;
+    return answer;
+  }
+  answer.status = workflow::OrderStatus::kOk;
+  worker.token = order.token;
+  RenewLease(cell, worker, order.lease_end_clock_ms);
+  for (const auto& end : worker.ends) {
+    Journal& entry = cell.journal[end.journal];
+    if (end.number <= order.acked && entry.end_ms > worker.lapsed_ms) {
+      entry.noted = true;
+    }
+  }
+  std::erase_if(worker.ends, [&](const ModelWorker::End& end) {
+    return end.number <= order.acked;
+  });
+  for (const auto& [task, run] : worker.running) {
+    const Journal& entry = cell.journal[run.journal];
+    const TimeMs length_ms = std::max<TimeMs>(run.ends_ms - entry.begin_ms, 1);
+    auto percent =
+        static_cast<int>(100 * (cell.time.now_ms - entry.begin_ms) / length_ms);
+    // A lasting task is at work as long as it runs.
+    if (length_ms >= kLastingMs) percent = 100;
+    if (worker.hangs) percent = 0;
+    answer.running.push_back({task, run.run, "", std::min(percent, 100), -1});
+  }
+  for (const auto& end : worker.ends) {
+    answer.ended.push_back({end.number, end.task, end.run, end.end, ""});
+  }
+  return answer;
+}
+
+ModelWorker* FindReachable(Cell& cell, int daemon, const std::string& id) {
+  const auto found = cell.workers.find(id);
+  if (found == cell.workers.end()) return nullptr;
+  if (!found->second.up || found->second.cut) return nullptr;
+  if (cell.daemons[static_cast<size_t>(daemon)]->cut_from_workers) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+/// One order over the network: it may be unanswered and carried out late.
+template <class Order, class Answer, class CarryOut>
+void SendOrder(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
+               const std::string& worker, const Order& order,
+               const std::function<void(Answer)>& done, CarryOut carry_out) {
+  ModelWorker* target = FindReachable(cell, daemon, worker);
+  const auto unanswered = [&cell, daemon, alive, done] {
+    Deliver(cell, daemon, alive, kOrderTimeoutMs, [done] { done(Answer{}); });
+  };
+  if (target == nullptr) {
+    unanswered();
+    return;
+  }
+  if (target->late_share > 0 && Chance(cell) < target->late_share) {
+    const TimeMs late_ms = UniformInt(cell.random, 2'000, 12'000);
+    cell.time.After(late_ms, [&cell, worker, order, carry_out] {
+      const auto found = cell.workers.find(worker);
+      if (found != cell.workers.end() && found->second.up) {
+        carry_out(found->second, order);
+      }
+    });
+    unanswered();
+    return;
+  }
+  cell.time.After(kHopMs, [&cell, daemon, alive, worker, order, done, carry_out,
+                           unanswered] {
+    ModelWorker* there = FindReachable(cell, daemon, worker);
+    if (there == nullptr) {
+      unanswered();
+      return;
+    }
+    const Answer answer = carry_out(*there, order);
+    if (there->lost_order_share > 0 && Chance(cell) < there->lost_order_share) {
+      unanswered();
+      return;
+    }
+    Deliver(cell, daemon, alive, kHopMs, [done, answer] { done(answer); });
+  });
+}
+
+/// Holds the answer to a sync back until something has ended.
+void SyncWhenEnded(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
+                   const std::string& id, const workflow::SyncOrder& order,
+                   TimeMs until_ms, uint64_t incarnation,
+                   const workflow::SyncCallback& done) {
+  ModelWorker* worker = FindReachable(cell, daemon, id);
+  // The connection of a sync that waits breaks with the worker's life.
+  if (worker == nullptr || worker->info.incarnation != incarnation) {
+    Deliver(cell, daemon, alive, kOrderTimeoutMs,
+            [done] { done(workflow::SyncAnswer{}); });
+    return;
+  }
+  workflow::SyncAnswer answer = SyncWith(cell, *worker, order);
+  const bool now = !answer.ended.empty() || cell.time.now_ms >= until_ms ||
+                   answer.status != workflow::OrderStatus::kOk;
+  if (now && worker->lost_sync_share > 0 &&
+      Chance(cell) < worker->lost_sync_share) {
+    constexpr TimeMs kSyncSlackMs = 450;
+    const TimeMs left_ms = std::max<TimeMs>(until_ms - cell.time.now_ms, 0);
+    Deliver(cell, daemon, alive, left_ms + kSyncSlackMs,
+            [done] { done(workflow::SyncAnswer{}); });
+    return;
+  }
+  if (now) {
+    Deliver(cell, daemon, alive, kHopMs, [done, answer] { done(answer); });
+    return;
+  }
+  constexpr TimeMs kStepMs = 10;
+  workflow::SyncOrder rest = order;
+  rest.lease_end_clock_ms = 0;
+  cell.time.After(kStepMs, [&cell, daemon, alive, id, rest, until_ms,
+                            incarnation, done] {
+    SyncWhenEnded(cell, daemon, alive, id, rest, until_ms, incarnation, done);
+  });
+}
+
+}  // namespace
+
+workflow::WorkerPort MakeWorkers(Cell& cell, int daemon,
+                                 const std::shared_ptr<bool>& alive) {
+  workflow::WorkerPort port;
+  port.start = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
+                                      const workflow::StartOrder& order,
+                                      const workflow::OrderCallback& done) {
+    SendOrder(
+        cell, daemon, alive, worker.id, order, done,
+        [&cell, daemon](ModelWorker& there, const workflow::StartOrder& sent) {
+          return StartOn(cell, daemon, there, sent);
+        });
+  };
+  port.stop = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
+                                     const workflow::StopOrder& order,
+                                     const workflow::OrderCallback& done) {
+    SendOrder(cell, daemon, alive, worker.id, order, done,
+              [&cell](ModelWorker& there, const workflow::StopOrder& sent) {
+                return StopOn(cell, there, sent);
+              });
+  };
+  port.sync = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
+                                     const workflow::SyncOrder& order,
+                                     const workflow::SyncCallback& done) {
+    const std::string id = worker.id;
+    cell.time.After(kHopMs, [&cell, daemon, alive, id, order, done] {
+      SyncWhenEnded(cell, daemon, alive, id, order,
+                    cell.time.now_ms + order.wait_ms,
+                    cell.workers.at(id).info.incarnation, done);
+    });
+  };
+  return port;
+}
+
+workflow::PermitPort MakePermits(Cell& cell, int daemon,
+                                 const std::shared_ptr<bool>& alive) {
+  return [&cell, daemon, alive](const workflow::PermitRequest& request,
+                                const workflow::PermitCallback& done) {
+    workflow::PermitAnswer answer;
+    answer.status = workflow::PermitStatus::kOk;
+    answer.validity_ms = 2'500;
+    constexpr uint64_t kBuckets = 100;
+    for (const std::string& worker : request.workers) {
+      const uint64_t bucket = Hash64(request.step + worker) % kBuckets;
+      // Some may run every step, so that no job is hopeless by chance.
+      const bool allowed =
+          worker == "w0" || worker == "w1" ||
+          static_cast<double>(bucket) < cell.options.allowed_share * kBuckets;
+      if (allowed) answer.grants.push_back({worker, "ticket"});
+    }
+    constexpr TimeMs kDecisionMs = 30;
+    Deliver(cell, daemon, alive, kDecisionMs, [done, answer] { done(answer); });
+  };
+}
+
+void CrashWorker(Cell& cell, const std::string& id) {
+  ModelWorker& worker = cell.workers.at(id);
+  Advance(cell, worker);
+  for (const auto& [task, run] : worker.running) {
+    Journal& entry = cell.journal[run.journal];
+    entry.end_ms = cell.time.now_ms;
+    entry.how = "gone";
+  }
+  worker.running.clear();
+  worker.up = false;
+}
+
+void RestartWorker(Cell& cell, const std::string& id) {
+  CrashWorker(cell, id);
+  ModelWorker& worker = cell.workers.at(id);
+  worker.tombstones.clear();
+  worker.ends.clear();
+  worker.next_end = 1;
+  worker.token = 0;
+  worker.lease_end_ms = 0;
+  worker.info.incarnation++;
+  worker.up = true;
+  worker.clock_offset_ms = 1'000 - cell.time.now_ms;
+}
+
+}  // namespace dotterelcove::model
