--- /dev/null
+++ b/src/workflow/ControllerFleet.cpp
@@ -0,0 +1,146 @@
+// The list of workers: who registers, leaves or starts anew, and what a
+// successor is told of them.
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/Log.h"
+#include "workflow/ControllerParts.h"
+
+namespace dotterelcove::workflow {
+namespace {
+
+/// What a commit says of one worker.
+struct FleetRecord {
+  bool closed = false;
+  uint32_t closings = 0;
+};
+using FleetRecords = std::map<std::string, FleetRecord>;
+
+/// The records have been stored at `version`. One that a later change of its
+/// worker has overtaken opens nothing.
+void OnFleetRecorded(Controller& c, const FleetRecords& records,
+                     uint64_t version) {
+  for (const auto& [id, record] : records) {
+    const auto found = c.fleet.find(id);
+    if (found == c.fleet.end()) continue;
+    Worker& worker = found->second;
+    if (worker.closings != record.closings) continue;
+    if (!record.closed) {
+      worker.recorded = true;
+    } else if (worker.closed_version == 0) {
+      worker.closed_version = version;
+    }
+  }
+  RequestSchedule(c);
+}
+
+/// Moves tasks off a worker that leaves before they can end there.
+void Evacuate(Controller& c, Worker& worker) {
+  constexpr TimeMs kUnstatedRemainingMs = 2'500;
+  TimeMs left_ms = worker.info.leaves_in_ms;
+  if (left_ms < 0) left_ms = kUnstatedRemainingMs;
+  std::vector<std::string> names;
+  for (const auto& [name, run] : worker.runs) {
+    if (run.stop_wanted) continue;
+    const StepSpec& spec = SpecOf(run.task);
+    const TaskState& task = TaskOf(run.task);
+    const TimeMs rest_ms = spec.estimate_ms * (100 - task.percent) / 100;
+    const bool can_end = !spec.long_running && rest_ms < left_ms;
+    if (can_end || run.gang != 0) continue;
+    if (!spec.long_running && !spec.checkpoints) continue;
+    names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    StopRun(c, worker, name, "worker_leaves");
+  }
+}
+
+void ApplyListed(Controller& c, Worker& worker, const WorkerInfo& info) {
+  worker.listed = true;
+  if (worker.info.incarnation != 0 &&
+      info.incarnation > worker.info.incarnation) {
+    OnRestarted(c, worker, info.incarnation);
+    worker.info = info;
+    Sync(c, worker, 0);
+    return;
+  }
+  // A sync may have told of a newer life than the list.
+  if (info.incarnation < worker.info.incarnation) return;
+  const bool drains_now = info.draining && !worker.info.draining;
+  worker.info = info;
+  if (!drains_now) return;
+  Log(LogLevel::kInfo, "worker_draining",
+      {F("worker", info.id), F("runs", worker.runs.size()),
+       F("remaining_ms", info.leaves_in_ms)});
+  Evacuate(c, worker);
+}
+
+}  // namespace
+
+void RecordFleet(Controller& c) {
+  if (!c.fleet_dirty || !c.loaded) return;
+  c.fleet_dirty = false;
+  std::map<std::string, std::vector<RecordedWorker>> by_row;
+  FleetRecords records;
+  for (const auto& [key, text] : c.fleet_rows) by_row[key];
+  for (const auto& [id, worker] : c.fleet) {
+    by_row[FleetKeyOf(id)].push_back(
+        {worker.info, worker.closed, worker.closed_version});
+    records[id] = {worker.closed, worker.closings};
+  }
+  std::vector<RowPut> puts;
+  for (const auto& [key, workers] : by_row) {
+    std::string text = EncodeFleet(workers);
+    std::string& written = c.fleet_rows[key];
+    if (text == written) continue;
+    written = text;
+    puts.push_back({kFleetTable, key, std::move(text)});
+  }
+  c.log->Commit(std::move(puts), {}, Guard(c, [records](Controller& self) {
+                  OnFleetRecorded(self, records, self.log->row().version);
+                }));
+}
+
+void CloseWorker(Controller& c, Worker& worker) {
+  if (worker.closed) return;
+  worker.closed = true;
+  worker.closings++;
+  worker.closed_version = 0;
+  worker.recorded = false;
+  c.fleet_dirty = true;
+}
+
+void ReopenWorker(Controller& c, Worker& worker) {
+  if (!worker.closed) return;
+  worker.closed = false;
+  worker.closings++;
+  worker.closed_version = 0;
+  c.fleet_dirty = true;
+}
+
+void UpdateFleet(Controller& c, const std::vector<WorkerInfo>& list) {
+  if (c.stopped) return;
+  if (!c.loaded) {
+    // What a worker runs can be judged only when the jobs are known.
+    c.early_fleet = list;
+    return;
+  }
+  for (auto& [id, worker] : c.fleet) worker.listed = false;
+  for (const WorkerInfo& info : list) {
+    const auto found = c.fleet.find(info.id);
+    if (found != c.fleet.end()) {
+      ApplyListed(c, found->second, info);
+      continue;
+    }
+    Worker& worker = c.fleet[info.id];
+    worker.info = info;
+    c.fleet_dirty = true;
+    Log(LogLevel::kInfo, "worker_listed",
+        {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
+         F("cores", info.capacity.milli_cores)});
+    Sync(c, worker, 0);
+  }
+  RequestSchedule(c);
+}
+
+}  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerParts.h
+++ b/src/workflow/ControllerParts.h
@@ -76,6 +76,8 @@
 void Sync(Controller& controller, Worker& worker, TimeMs wait_ms);
 /// The lease end to send now, on the worker's clock; 0 if it is not known.
 int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
+/// The worker has started anew: nothing of before runs on it.
+void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation);
 /// All confirmed runs on the worker have ended without a report, with
 /// `unconfirmed` the others too.
 void LoseRuns(Controller& controller, Worker& worker, const char* reason,
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -1,5 +1,5 @@
-// Workers: syncs that renew leases and report ends, workers that are lost,
-// leave or come back, and what a predecessor left running.
+// Workers: syncs that renew leases and report ends, workers that are lost or
+// come back, and what a predecessor left running.
 #include <algorithm>
 #include <utility>
 
@@ -31,25 +31,6 @@
   worker.lapses_ms = LapseTime(c, worker);
 }
 
-/// The worker has started anew: nothing of before runs on it.
-void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
-  Log(LogLevel::kWarning, "worker_restarted",
-      {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
-       F("incarnation", incarnation)});
-  LoseRuns(c, worker, "worker_restarted", false);
-  worker.info.incarnation = incarnation;
-  worker.orphans.clear();
-  worker.seen = 0;
-  worker.acked = 0;
-  worker.ack_sent = 0;
-  worker.clock_ms = 0;
-  worker.lease_end_clock_ms = 0;
-  worker.synced = false;
-  worker.record = WorkerRecord();
-  c.fleet_dirty = true;
-  StopUnconfirmed(c, worker);
-}
-
 void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
   if (end.number <= worker.seen) return;
   worker.seen = end.number;
@@ -329,49 +310,26 @@
   ContinueSyncing(c, worker);
 }
 
-/// Moves tasks off a worker that leaves before they can end there.
-void Evacuate(Controller& c, Worker& worker) {
-  constexpr TimeMs kUnstatedRemainingMs = 2'500;
-  TimeMs left_ms = worker.info.leaves_in_ms;
-  if (left_ms < 0) left_ms = kUnstatedRemainingMs;
-  std::vector<std::string> names;
-  for (const auto& [name, run] : worker.runs) {
-    if (run.stop_wanted) continue;
-    const StepSpec& spec = SpecOf(run.task);
-    const TaskState& task = TaskOf(run.task);
-    const TimeMs rest_ms = spec.estimate_ms * (100 - task.percent) / 100;
-    const bool can_end = !spec.long_running && rest_ms < left_ms;
-    if (can_end || run.gang != 0) continue;
-    if (!spec.long_running && !spec.checkpoints) continue;
-    names.push_back(name);
-  }
-  for (const std::string& name : names) {
-    StopRun(c, worker, name, "worker_leaves");
-  }
-}
+}  // namespace
 
-void ApplyListed(Controller& c, Worker& worker, const WorkerInfo& info) {
-  worker.listed = true;
-  if (worker.info.incarnation != 0 &&
-      info.incarnation > worker.info.incarnation) {
-    OnRestarted(c, worker, info.incarnation);
-    worker.info = info;
-    Sync(c, worker, 0);
-    return;
-  }
-  // A sync may have told of a newer life than the list.
-  if (info.incarnation < worker.info.incarnation) return;
-  const bool drains_now = info.draining && !worker.info.draining;
-  worker.info = info;
-  if (!drains_now) return;
-  Log(LogLevel::kInfo, "worker_draining",
-      {F("worker", info.id), F("runs", worker.runs.size()),
-       F("remaining_ms", info.leaves_in_ms)});
-  Evacuate(c, worker);
+void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
+  Log(LogLevel::kWarning, "worker_restarted",
+      {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
+       F("incarnation", incarnation)});
+  LoseRuns(c, worker, "worker_restarted", false);
+  worker.info.incarnation = incarnation;
+  worker.orphans.clear();
+  worker.seen = 0;
+  worker.acked = 0;
+  worker.ack_sent = 0;
+  worker.clock_ms = 0;
+  worker.lease_end_clock_ms = 0;
+  worker.synced = false;
+  worker.record = WorkerRecord();
+  c.fleet_dirty = true;
+  StopUnconfirmed(c, worker);
 }
 
-}  // namespace
-
 TimeMs LapseTime(const Controller& c, const Worker& worker) {
   const int64_t left_ms =
       std::max<int64_t>(worker.lease_end_clock_ms - worker.clock_ms, 0);
@@ -452,31 +410,6 @@
        F("failures", worker.record.failures_in_a_row)});
 }
 
-void UpdateFleet(Controller& c, const std::vector<WorkerInfo>& list) {
-  if (c.stopped) return;
-  if (!c.loaded) {
-    // What a worker runs can be judged only when the jobs are known.
-    c.early_fleet = list;
-    return;
-  }
-  for (auto& [id, worker] : c.fleet) worker.listed = false;
-  for (const WorkerInfo& info : list) {
-    const auto found = c.fleet.find(info.id);
-    if (found != c.fleet.end()) {
-      ApplyListed(c, found->second, info);
-      continue;
-    }
-    Worker& worker = c.fleet[info.id];
-    worker.info = info;
-    c.fleet_dirty = true;
-    Log(LogLevel::kInfo, "worker_listed",
-        {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
-         F("cores", info.capacity.milli_cores)});
-    Sync(c, worker, 0);
-  }
-  RequestSchedule(c);
-}
-
 bool IsRecovering(const Controller& c) {
   return !c.loaded ||
          (!c.unanswered.empty() && c.runtime.now() < c.recovery_until_ms);
