Let small VMs compete later for ownership

Ruled out: handing ownership on while it is held, which costs a take-over.

Change: processors from the settings; a VM with less than 0.2 cores waits 250 ms more before it takes ownership.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -18,6 +18,10 @@
 /// Spreads the take-overs of the standbys.
 constexpr uint64_t kRankSteps = 12;
 constexpr TimeMs kRankStepMs = 6;
+/// The owner of 350 workers uses up to 0.2 cores, so a VM with less lets others
+/// go first.
+constexpr double kSmallVmCores = 0.2;
+constexpr TimeMs kSmallVmDelayMs = 250;
 /// A permit request that brings no answer is given up after this, besides the
 /// time it should take.
 constexpr TimeMs kPermitTimeoutMs = 2'500;
@@ -91,6 +95,9 @@
   leader_options.rank_delay_ms =
       static_cast<TimeMs>(Hash64(this->options.process) % kRankSteps) *
       kRankStepMs;
+  if (this->options.cores < kSmallVmCores) {
+    leader_options.rank_delay_ms += kSmallVmDelayMs;
+  }
   LeadershipCallbacks leader_callbacks;
   leader_callbacks.acquired = [this](const std::shared_ptr<OwnerLog>& log) {
     this->OnAcquired(log);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -31,6 +31,9 @@
   /// Where this daemon listens for its peers.
   std::string peer_address;
   uint16_t peer_port = 0;
+  /// Processors that this process may use; small VMs compete later for
+  /// ownership.
+  double cores = 1;
   workflow::ControllerOptions controller;
   /// How often the owner reads the platform's list of workers.
   TimeMs list_interval_ms = 500;
--- a/tests/platform/DecodingTest.cpp
+++ b/tests/platform/DecodingTest.cpp
@@ -47,6 +47,16 @@
   cr_expect_eq(settings->first_port, 7720);
 }
 
+// Guards against a small VM that is taken for a whole core and becomes owner.
+Test(PlatformSettings, processors_are_the_share_of_a_core) {
+  std::string text = kSettings;
+  text.insert(text.find('{') + 1,
+              R"("limits": {"cpu_share": 0.12, "cores": 1},)");
+  const auto settings = ParsePlatformSettings(text, "boot.json");
+  cr_assert(settings);
+  cr_expect_float_eq(settings->cores, 0.12, 0.001);
+}
+
 // Guards against a daemon that starts with settings it cannot use.
 Test(PlatformSettings, faults_name_the_key) {
   cr_expect(ProblemOf("{").find("JSON") != std::string::npos);
