--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -336,6 +336,30 @@
   }
 }
 
+// Guards against work that goes on being placed on a worker which has just
+// fallen silent: each such task waits for the end of the worker's lease.
+Test(CellModel, worker_with_an_overdue_start_gets_no_more_work, .init = Quiet) {
+  constexpr TimeMs kRunMs = 400;
+  Cell cell({.workers = 2, .failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 20 * kSecond));
+  cell.time.RunUntil(2 * kSecond + 100);
+  cr_assert_eq(cell.journal.size(), 1U);
+  cell.workers.at(cell.journal.front().worker).cut = true;
+  // The fuller worker is preferred, so the next start goes to the silent one.
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, kRunMs));
+  cell.time.RunUntil(2 * kSecond + 400);
+  const workflow::JobSpec later =
+      MakeChain(cell, 1, 3, {1'000, 500, 0}, kRunMs);
+  Submit(cell, 0, later);
+  cell.time.RunUntil(2 * kSecond + 400 + kRunMs + 200);
+  size_t done = 0;
+  for (const Journal& entry : cell.journal) {
+    if (entry.task.substr(0, 16) == later.id && entry.how == "done") ++done;
+  }
+  cr_expect_eq(done, 3U);
+}
+
 // Guards against late orders of an old owner that take effect after its
 // successor has placed the task elsewhere.
 Test(CellModel, late_orders_and_a_takeover, .init = Quiet) {
