Name draining, serving and overdue reports by their usual terms

Cause: reading the diff as a newcomer: names such as OwesNews, kEmptying and closings need explaining. Change: names only.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -204,9 +204,9 @@
                      });
 }
 
-/// Whether the worker owes news: a run should have ended, and the answer of the
+/// Whether a report is overdue: a run should have ended, and the answer of the
 /// sync under way, which waits for an end, may be lost.
-bool OwesNews(const Controller& c, const Worker& worker) {
+bool IsReportOverdue(const Controller& c, const Worker& worker) {
   constexpr TimeMs kHedgeIntervalMs = 350;
   const TimeMs now_ms = c.runtime.now();
   if (worker.syncs == 0 || !worker.reachable) return false;
@@ -246,7 +246,7 @@
     }
     if (IsSyncDue(c, worker)) {
       Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
-    } else if (OwesNews(c, worker)) {
+    } else if (IsReportOverdue(c, worker)) {
       worker.last_hedge_ms = now_ms;
       c.stats.hedged_syncs++;
       Sync(c, worker, 0);
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -71,7 +71,7 @@
   uint64_t ends_other = 0;
   uint64_t stops = 0;
   uint64_t syncs = 0;
-  /// Syncs beside one under way, since news were overdue.
+  /// Syncs beside one under way, since a report was overdue.
   uint64_t hedged_syncs = 0;
   uint64_t requests = 0;
   uint64_t orders_in_doubt = 0;
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -12,7 +12,7 @@
 /// What a commit says of one worker.
 struct FleetRecord {
   bool closed = false;
-  uint32_t closings = 0;
+  uint32_t state_changes = 0;
 };
 using FleetRecords = std::map<std::string, FleetRecord>;
 
@@ -24,7 +24,7 @@
     const auto found = c.fleet.find(id);
     if (found == c.fleet.end()) continue;
     Worker& worker = found->second;
-    if (worker.closings != record.closings) continue;
+    if (worker.state_changes != record.state_changes) continue;
     if (!record.closed) {
       worker.recorded = true;
     } else if (worker.closed_version == 0) {
@@ -86,7 +86,7 @@
   for (const auto& [id, worker] : c.fleet) {
     by_row[FleetKeyOf(id)].push_back(
         {worker.info, worker.closed, worker.closed_version});
-    records[id] = {worker.closed, worker.closings};
+    records[id] = {worker.closed, worker.state_changes};
   }
   std::vector<RowPut> puts;
   for (const auto& [key, workers] : by_row) {
@@ -104,7 +104,7 @@
 void CloseWorker(Controller& c, Worker& worker) {
   if (worker.closed) return;
   worker.closed = true;
-  worker.closings++;
+  worker.state_changes++;
   worker.closed_version = 0;
   worker.recorded = false;
   c.fleet_dirty = true;
@@ -113,7 +113,7 @@
 void ReopenWorker(Controller& c, Worker& worker) {
   if (!worker.closed) return;
   worker.closed = false;
-  worker.closings++;
+  worker.state_changes++;
   worker.closed_version = 0;
   c.fleet_dirty = true;
 }
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -1,4 +1,4 @@
-// Maintenance waves: empties VMs one after the other, records and sends the
+// Maintenance waves: drains VMs one after the other, records and sends the
 // orders, and tells the operator how far each wave is.
 #include <algorithm>
 #include <utility>
@@ -124,7 +124,7 @@
 }
 
 /// Moves what can be moved without loss off a worker that is to go down.
-void EmptyWorker(Controller& c, Worker& worker, TimeMs left_ms) {
+void DrainWorker(Controller& c, Worker& worker, TimeMs left_ms) {
   std::vector<std::string> names;
   for (const auto& [name, run] : worker.runs) {
     if (run.stop_wanted || run.gang != 0) continue;
@@ -143,17 +143,17 @@
   }
 }
 
-void AdvanceEmptying(Controller& c, WaveState& state, const std::string& name,
-                     WaveVm& vm) {
+void AdvanceDrain(Controller& c, WaveState& state, const std::string& name,
+                  WaveVm& vm) {
   Worker* worker = WorkerOf(c, name);
   if (worker == nullptr) {
     BeginOrder(c, state, name, vm);
     return;
   }
   worker->maintenance_planned = true;
-  const TimeMs limit_ms = EmptyingLimitMs(state.wave, c.options.maintenance_ms);
+  const TimeMs limit_ms = DrainLimitMs(state.wave, c.options.maintenance_ms);
   const TimeMs left_ms = limit_ms - (c.runtime.now() - vm.since_ms);
-  EmptyWorker(c, *worker, left_ms);
+  DrainWorker(c, *worker, left_ms);
   const bool may_go =
       worker->runs.empty() || (left_ms <= 0 && MayInterruptAll(*worker));
   if (may_go) BeginOrder(c, state, name, vm);
@@ -164,7 +164,7 @@
   const Maintenance& maintenance = c.maintenance;
   const auto listed = maintenance.vms.find(name);
   const bool list_is_newer = maintenance.vms_asked_ms > vm.since_ms;
-  if (vm.phase == VmPhase::kEmptying) AdvanceEmptying(c, state, name, vm);
+  if (vm.phase == VmPhase::kDraining) AdvanceDrain(c, state, name, vm);
   if (vm.phase == VmPhase::kOrdered && !vm.in_flight &&
       c.runtime.now() >= vm.next_order_ms) {
     vm.in_flight = true;
@@ -218,7 +218,7 @@
   for (auto& [name, vm] : state.vms) AdvanceVm(c, state, name, vm);
   const auto next = ChooseNextVm(state, c.maintenance.vms, c.fleet);
   if (next) {
-    SetPhase(c, state, *next, state.vms.at(*next), VmPhase::kEmptying);
+    SetPhase(c, state, *next, state.vms.at(*next), VmPhase::kDraining);
   }
   if (IsOver(state)) Report(c, state, WaveReport::kCompleted);
 }
@@ -248,7 +248,7 @@
   for (const auto& [number, state] : c.maintenance.waves) {
     for (const auto& [name, vm] : state.vms) {
       const bool wanted =
-          vm.phase == VmPhase::kEmptying || vm.phase == VmPhase::kOrdered;
+          vm.phase == VmPhase::kDraining || vm.phase == VmPhase::kOrdered;
       const Worker* worker = wanted ? WorkerOf(c, name) : nullptr;
       if (worker != nullptr) planned.insert(worker->info.id);
     }
--- a/src/workflow/Disruption.cpp
+++ b/src/workflow/Disruption.cpp
@@ -5,20 +5,20 @@
 
 namespace dotterelcove::workflow {
 
-bool IsAtWork(const TaskState& task) {
+bool IsServing(const TaskState& task) {
   constexpr int kWholePercent = 100;
   return task.phase == TaskPhase::kRunning && task.percent >= kWholePercent;
 }
 
-uint32_t CountAway(const StepState& state) {
+uint32_t CountUnavailable(const StepState& state) {
   return static_cast<uint32_t>(
       std::count_if(state.tasks.begin(), state.tasks.end(),
-                    [](const TaskState& task) { return !IsAtWork(task); }));
+                    [](const TaskState& task) { return !IsServing(task); }));
 }
 
 bool MayInterrupt(const StepSpec& spec, const StepState& state) {
   if (!spec.long_running || spec.disruption_allowance == 0) return true;
-  return CountAway(state) < spec.disruption_allowance;
+  return CountUnavailable(state) < spec.disruption_allowance;
 }
 
 bool MayInterruptAll(const Worker& worker) {
@@ -29,10 +29,11 @@
     if (!spec.long_running || spec.disruption_allowance == 0) continue;
     const StepState* step = &StepOf(run.task);
     allowed[step] = spec.disruption_allowance;
-    if (IsAtWork(TaskOf(run.task))) serving[step]++;
+    if (IsServing(TaskOf(run.task))) serving[step]++;
   }
   return std::all_of(serving.begin(), serving.end(), [&](const auto& entry) {
-    return CountAway(*entry.first) + entry.second <= allowed[entry.first];
+    return CountUnavailable(*entry.first) + entry.second <=
+           allowed[entry.first];
   });
 }
 
--- a/src/workflow/Disruption.h
+++ b/src/workflow/Disruption.h
@@ -9,10 +9,10 @@
 namespace dotterelcove::workflow {
 
 /// Whether the task serves: it runs and its start-up is over.
-bool IsAtWork(const TaskState& task);
+bool IsServing(const TaskState& task);
 
 /// Tasks of the step that do not serve now, for whatever reason.
-uint32_t CountAway(const StepState& state);
+uint32_t CountUnavailable(const StepState& state);
 
 /// Whether one more serving task of the step may be interrupted. A step without
 /// an allowance sets no limit.
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -136,8 +136,8 @@
   bool closed = false;
   uint64_t closed_version = 0;
   /// Changes of `closed`, so that a record of an earlier state is told apart.
-  uint32_t closings = 0;
-  /// Its VM is being emptied for maintenance.
+  uint32_t state_changes = 0;
+  /// Its VM is drained for maintenance.
   bool maintenance_planned = false;
 };
 
--- a/src/workflow/Maintenance.cpp
+++ b/src/workflow/Maintenance.cpp
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kMaxEmptyingMs = 4'000;
+constexpr TimeMs kMaxDrainMs = 4'000;
 
 /// Processor use of the tasks that would start from their beginning again.
 int64_t WorkAtRisk(const Worker& worker) {
@@ -22,7 +22,7 @@
 }
 
 bool IsUnderWay(VmPhase phase) {
-  return phase == VmPhase::kEmptying || phase == VmPhase::kOrdered ||
+  return phase == VmPhase::kDraining || phase == VmPhase::kOrdered ||
          phase == VmPhase::kDown;
 }
 
@@ -58,13 +58,13 @@
   return state;
 }
 
-TimeMs EmptyingLimitMs(const MaintenanceWave& wave, TimeMs maintenance_ms) {
+TimeMs DrainLimitMs(const MaintenanceWave& wave, TimeMs maintenance_ms) {
   const auto cap = std::max<size_t>(wave.cap, 1);
   const auto rounds = static_cast<TimeMs>((wave.vms.size() + cap - 1) / cap);
   if (rounds == 0) return 0;
   // A quarter of each round is left for orders, records and late answers.
   const TimeMs round_ms = wave.duration_ms / rounds * 3 / 4;
-  return std::clamp<TimeMs>(round_ms - maintenance_ms, 0, kMaxEmptyingMs);
+  return std::clamp<TimeMs>(round_ms - maintenance_ms, 0, kMaxDrainMs);
 }
 
 std::optional<std::string> ChooseNextVm(const WaveState& state,
--- a/src/workflow/Maintenance.h
+++ b/src/workflow/Maintenance.h
@@ -16,7 +16,7 @@
 enum class VmPhase : uint8_t {
   kWaiting,
   /// Gets no new tasks; those on it end or move away.
-  kEmptying,
+  kDraining,
   /// The order is being recorded, under way, or its outcome is not known.
   kOrdered,
   /// The maintenance has begun.
@@ -27,7 +27,7 @@
 };
 inline constexpr auto kVmPhaseNames =
     MakeNameTable<VmPhase>({{VmPhase::kWaiting, "waiting"},
-                            {VmPhase::kEmptying, "emptying"},
+                            {VmPhase::kDraining, "draining"},
                             {VmPhase::kOrdered, "ordered"},
                             {VmPhase::kDown, "down"},
                             {VmPhase::kDone, "done"},
@@ -67,9 +67,9 @@
 
 /// How long tasks may take to leave a VM, so that the wave ends in time.
 /// `maintenance_ms` is the time for which one VM is down.
-TimeMs EmptyingLimitMs(const MaintenanceWave& wave, TimeMs maintenance_ms);
+TimeMs DrainLimitMs(const MaintenanceWave& wave, TimeMs maintenance_ms);
 
-/// The next VM to empty: the one with the least work to lose. Nothing when the
+/// The next VM to drain: the one with the least work to lose. Nothing when the
 /// cap is reached or no VM is up.
 std::optional<std::string> ChooseNextVm(const WaveState& state,
                                         const VmList& vms, const Fleet& fleet);
--- a/tests/MaintenanceTest.cpp
+++ b/tests/MaintenanceTest.cpp
@@ -199,7 +199,7 @@
 // Guards against a wave that takes more VMs down than its cap allows, or more
 // tasks of a watch than may be away, and against one that never ends.
 Test(Maintenance, wave_keeps_its_cap_and_the_allowance, .init = Quiet) {
-  // The short one leaves no time to empty a VM before its order.
+  // The short one leaves no time to drain a VM before its order.
   for (const TimeMs duration_ms : {40 * kSecond, 4 * kSecond}) {
     Cell cell({.workers = 8, .failure_share = 0});
     VmService service(cell, MakeWave(5, 2));
@@ -257,12 +257,12 @@
 }
 
 // Guards against VMs that are emptied for longer than the wave has time.
-Test(Maintenance, emptying_ends_in_time_for_the_wave) {
+Test(Maintenance, drain_ends_in_time_for_the_wave) {
   workflow::MaintenanceWave wave = MakeWave(4, 1);
   wave.duration_ms = 20 * kSecond;
-  cr_expect_eq(workflow::EmptyingLimitMs(wave, kDownMs), 1'750);
+  cr_expect_eq(workflow::DrainLimitMs(wave, kDownMs), 1'750);
   wave.duration_ms = 4 * kSecond;
-  cr_expect_eq(workflow::EmptyingLimitMs(wave, kDownMs), 0);
+  cr_expect_eq(workflow::DrainLimitMs(wave, kDownMs), 0);
 }
 
 }  // namespace dotterelcove::model
