--- a/src/border/endpoint/EndpointClient.cpp
+++ b/src/border/endpoint/EndpointClient.cpp
@@ -4,12 +4,11 @@
 #include <utility>
 
 #include "base/Clock.h"
+#include "http/HttpStatus.h"
 
 namespace dotterelcove {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusUnavailable = 503;
 /// The endpoint is told a deadline that much earlier than ours, so that it has
 /// stopped by the time the slot is returned.
 constexpr TimeMs kDeadlineMarginMs = 20;
@@ -35,12 +34,13 @@
     return result;
   }
   result.body = std::move(answer.body);
-  if (answer.status == kStatusOk) {
+  if (answer.status == http_status::kOk) {
     result.status = RunStatus::kDone;
     return result;
   }
-  result.status = answer.status == kStatusUnavailable ? RunStatus::kRefused
-                                                      : RunStatus::kFailed;
+  result.status = answer.status == http_status::kServiceUnavailable
+                      ? RunStatus::kRefused
+                      : RunStatus::kFailed;
   result.detail = "endpoint answered status " + std::to_string(answer.status);
   return result;
 }
--- a/src/entry/Placing.cpp
+++ b/src/entry/Placing.cpp
@@ -3,12 +3,11 @@
 #include <utility>
 
 #include "base/Clock.h"
+#include "http/HttpStatus.h"
 
 namespace dotterelcove {
 namespace {
 
-constexpr int kConflictStatus = 409;
-constexpr int kCannotRunStatus = 422;
 constexpr int64_t kDefaultRetryMs = 1'000;
 
 /// Sends the Submit again later, while earlier copies may still be running.
@@ -78,7 +77,7 @@
   RequestEnd end;
   end.reason = reply.message;
   if (reply.status == wire::SubmitStatus::Conflict) {
-    end.status = kConflictStatus;
+    end.status = http_status::kConflict;
     end.field = "key";
     if (end.reason.empty()) end.reason = "key is in use with another body";
     EndRequest(state, *request, std::move(end));
@@ -96,7 +95,7 @@
     state.metrics.Count("sheds_total", {{"by", "owner"}});
     end.retry_after_ms = retry_ms;
   } else {
-    end.status = kCannotRunStatus;
+    end.status = http_status::kUnprocessableContent;
   }
   EndRequest(state, *request, std::move(end));
 }
--- a/src/entry/Queries.cpp
+++ b/src/entry/Queries.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/Hash.h"
+#include "http/HttpStatus.h"
 
 namespace dotterelcove {
 namespace {
@@ -11,10 +12,6 @@
 /// change of owner (docs/design.md 1.7: 2.1 s).
 constexpr int64_t kQueryLimitMs = 3'000;
 constexpr int64_t kRetryAfterMs = 1'000;
-constexpr int kNotFoundStatus = 404;
-constexpr int kUnavailableStatus = 503;
-constexpr int kAcceptedStatus = 202;
-constexpr int kNoAnswerStatus = 409;
 
 void AnswerQuery(EntryState& state, uint64_t call, const CallerAnswer& answer) {
   const auto found = state.queries.find(call);
@@ -44,7 +41,8 @@
   const bool plain = !query.raw && !query.cancelled;
   if (plain || outcome == Outcome::kDone) return 200;
   if (query.cancelled) return outcome == Outcome::kAccepted ? 202 : 200;
-  return outcome == Outcome::kAccepted ? kAcceptedStatus : kNoAnswerStatus;
+  return outcome == Outcome::kAccepted ? http_status::kAccepted
+                                       : http_status::kConflict;
 }
 
 }  // namespace
@@ -59,7 +57,7 @@
   answer.key = key;
   if (request->phase == Phase::kRunning || request->may_have_run) {
     answer.outcome = Outcome::kAccepted;
-    answer.status = kNoAnswerStatus;
+    answer.status = http_status::kConflict;
     answer.state = NameOf(kPhaseNames, request->phase);
     answer.reason = "a routed request that was sent cannot be cancelled";
     reply.Send(RenderAnswer(answer));
@@ -80,7 +78,7 @@
   CallerAnswer answer;
   answer.outcome.reset();
   answer.key = query->key;
-  answer.status = kUnavailableStatus;
+  answer.status = http_status::kServiceUnavailable;
   answer.retry_after_ms = kRetryAfterMs;
   answer.reason = reason;
   if (query->cancel) answer.reason += "; the cancellation may take effect";
@@ -138,7 +136,7 @@
     return;
   }
   if (!reply.found) {
-    answer.status = kNotFoundStatus;
+    answer.status = http_status::kNotFound;
     answer.reason = "no request with this key is known";
     AnswerQuery(state, reply.call, answer);
     return;
@@ -163,7 +161,7 @@
                 answer.body = std::move(content);
                 if (!read) {
                   answer.outcome.reset();
-                  answer.status = kUnavailableStatus;
+                  answer.status = http_status::kServiceUnavailable;
                   answer.retry_after_ms = kRetryAfterMs;
                   answer.reason = "done, but its answer could not be read";
                 }
@@ -184,7 +182,7 @@
   }
   CallerAnswer answer;
   answer.key = query->key;
-  answer.status = kNotFoundStatus;
+  answer.status = http_status::kNotFound;
   answer.reason = reply.message.empty() ? "no request with this key is known"
                                         : reply.message;
   AnswerQuery(state, reply.call, answer);
--- a/src/entry/Routing.cpp
+++ b/src/entry/Routing.cpp
@@ -4,12 +4,11 @@
 #include <utility>
 
 #include "base/Clock.h"
+#include "http/HttpStatus.h"
 
 namespace dotterelcove {
 namespace {
 
-constexpr int kConflictStatus = 409;
-constexpr int kBadGatewayStatus = 502;
 constexpr int64_t kRetryBaseMs = 10;
 constexpr int64_t kRetryMaxMs = 500;
 constexpr int64_t kDefaultRetryAfterMs = 1'000;
@@ -157,7 +156,7 @@
   if (!done) {
     end.status =
         outcome == Outcome::kUnknown && result.status == RunStatus::kFailed
-            ? kBadGatewayStatus
+            ? http_status::kBadGateway
             : 0;
     end.retry_after_ms = outcome == Outcome::kNotRun ? kDefaultRetryAfterMs : 0;
   }
@@ -252,7 +251,7 @@
                      std::move(end), {});
       return;
     case wire::SlotRefusalReason::Conflict:
-      end.status = kConflictStatus;
+      end.status = http_status::kConflict;
       end.field = "key";
       if (end.reason.empty()) end.reason = "key is in use with another body";
       break;
--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -139,16 +139,15 @@
                    const std::string& key, const std::string& value,
                    JobAnswerCallback done) {
   // A deadline in the past leaves one try.
-  InsertJob(runtime, store, key, value, 0, false, std::move(done));
+  InsertJob(runtime, store, key, value, 0, std::move(done));
 }
 
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, bool in_doubt, JobAnswerCallback done) {
+               TimeMs deadline_ms, JobAnswerCallback done) {
   const AttemptPtr attempt =
       MakeAttempt(runtime, store, key, deadline_ms, std::move(done));
   attempt->value = value;
-  attempt->in_doubt = in_doubt;
   TryInsert(attempt);
 }
 
--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -37,11 +37,10 @@
 
 /// The same until the outcome is known: after an unanswered try the insert is
 /// tried again, so that the truth is known before an answer; kUnknown comes
-/// only when `deadline_ms` (monotonic) passes first. `in_doubt` tells that an
-/// earlier try may have been carried out.
+/// only when `deadline_ms` (monotonic) passes first.
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, bool in_doubt, JobAnswerCallback done);
+               TimeMs deadline_ms, JobAnswerCallback done);
 
 /// Stores the wish to cancel a job; an ended job needs no row.
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -359,7 +359,7 @@
   if (const auto* insert = frame.body.AsJobInsert()) {
     const uint64_t call = insert->call;
     InsertJob(this->runtime, this->ports.store, insert->key, insert->value,
-              this->runtime.now() + kOwnerInsertMs, false,
+              this->runtime.now() + kOwnerInsertMs,
               [this, call, link = info.link, alive = this->alive](
                   JobAnswer answer, const StoreRow& row) {
                 if (!*alive) return;
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -159,58 +159,72 @@
   if (may_go) BeginOrder(c, state, name, vm);
 }
 
-void AdvanceVm(Controller& c, WaveState& state, const std::string& name,
+/// Takes in what the list says of a VM, if it was asked for after the phase
+/// began.
+void ApplyList(Controller& c, const WaveState& state, const std::string& name,
                WaveVm& vm) {
   const Maintenance& maintenance = c.maintenance;
+  if (vm.in_flight || maintenance.vms_asked_ms <= vm.since_ms) return;
   const auto listed = maintenance.vms.find(name);
-  const bool list_is_newer = maintenance.vms_asked_ms > vm.since_ms;
+  const bool exists = listed != maintenance.vms.end();
+  switch (vm.phase) {
+    case VmPhase::kDone:
+    case VmPhase::kGone:
+      return;
+    case VmPhase::kDown:
+      if (!exists || listed->second.state == VmState::kUp) {
+        SetPhase(c, state, name, vm, VmPhase::kDone);
+      }
+      return;
+    case VmPhase::kWaiting:
+    case VmPhase::kDraining:
+    case VmPhase::kOrdered:
+      if (!exists) SetPhase(c, state, name, vm, VmPhase::kGone);
+      return;
+  }
+}
+
+void AdvanceVm(Controller& c, WaveState& state, const std::string& name,
+               WaveVm& vm) {
   if (vm.phase == VmPhase::kDraining) AdvanceDrain(c, state, name, vm);
-  if (vm.phase == VmPhase::kOrdered && !vm.in_flight &&
-      c.runtime.now() >= vm.next_order_ms) {
+  const bool repeat = vm.phase == VmPhase::kOrdered && !vm.in_flight &&
+                      c.runtime.now() >= vm.next_order_ms;
+  if (repeat) {
     vm.in_flight = true;
     SendOrder(c, state.wave.number, name);
-    return;
   }
-  if (!list_is_newer || vm.in_flight) return;
-  const bool ends = vm.phase == VmPhase::kDown || vm.phase == VmPhase::kDone;
-  if (listed == maintenance.vms.end()) {
-    if (vm.phase != VmPhase::kGone && !ends) {
-      SetPhase(c, state, name, vm, VmPhase::kGone);
-    }
-    if (vm.phase != VmPhase::kDown) return;
-  }
-  const bool is_up =
-      listed == maintenance.vms.end() || listed->second.state == VmState::kUp;
-  if (vm.phase == VmPhase::kDown && is_up) {
-    SetPhase(c, state, name, vm, VmPhase::kDone);
+  ApplyList(c, state, name, vm);
+}
+
+void OnReported(Controller& c, WaveState& state, WaveReport report,
+                bool stored) {
+  const uint64_t wave = state.wave.number;
+  Log(LogLevel::kInfo, "wave_reported",
+      {F("wave", wave), F("state", NameOf(kWaveReportNames, report)),
+       F("stored", stored)});
+  if (!stored) {
+    c.runtime.after(kReportRetryMs, Guard(c, [wave](Controller& later) {
+                      later.maintenance.waves.at(wave).report_in_flight = false;
+                    }));
+    return;
   }
+  state.report_in_flight = false;
+  state.running_reported = true;
+  if (report != WaveReport::kCompleted) return;
+  state.completed = true;
+  Record(c, state, [](Controller&) {});
 }
 
 void Report(Controller& c, WaveState& state, WaveReport report) {
   if (state.report_in_flight) return;
   state.report_in_flight = true;
   const uint64_t wave = state.wave.number;
-  c.vm_port.report(
-      wave, report, Guard(c, [wave, report](Controller& self, bool stored) {
-        const auto found = self.maintenance.waves.find(wave);
-        if (found == self.maintenance.waves.end()) return;
-        WaveState& state = found->second;
-        Log(LogLevel::kInfo, "wave_reported",
-            {F("wave", wave), F("state", NameOf(kWaveReportNames, report)),
-             F("stored", stored)});
-        if (!stored) {
-          self.runtime.after(
-              kReportRetryMs, Guard(self, [wave](Controller& later) {
-                later.maintenance.waves.at(wave).report_in_flight = false;
-              }));
-          return;
-        }
-        state.report_in_flight = false;
-        state.running_reported = true;
-        if (report != WaveReport::kCompleted) return;
-        state.completed = true;
-        Record(self, state, [](Controller&) {});
-      }));
+  c.vm_port.report(wave, report,
+                   Guard(c, [wave, report](Controller& self, bool stored) {
+                     const auto found = self.maintenance.waves.find(wave);
+                     if (found == self.maintenance.waves.end()) return;
+                     OnReported(self, found->second, report, stored);
+                   }));
 }
 
 void AdvanceWave(Controller& c, WaveState& state) {
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -262,7 +262,7 @@
   constexpr TimeMs kWaitMs = 2'800;
   InsertJob(MakeModelRuntime(cell, index, daemon.alive),
             MakeStore(cell, index, daemon.alive), id, workflow::EncodeJob(spec),
-            cell.time.now_ms + kWaitMs, false,
+            cell.time.now_ms + kWaitMs,
             [&cell, id](JobAnswer answer, const StoreRow& row) {
               CallerJob& told = cell.jobs.at(id);
               told.refused = answer == JobAnswer::kRefused;
--- /dev/null
+++ b/tests/CellModelDays.cpp
@@ -0,0 +1,35 @@
+#include "tests/CellModelDays.h"
+
+#include <criterion/criterion.h>
+
+#include "telemetry/Log.h"
+
+namespace dotterelcove::model {
+
+void ExpectSound(const Cell& cell, bool at_end) {
+  for (const std::string& breach : Judge(cell, at_end)) {
+    cr_expect(false, "seed %llu: %s",
+              static_cast<unsigned long long>(cell.options.seed),
+              breach.c_str());
+  }
+}
+
+void Quiet() {
+  SetLogOutput([](const std::string&) {});
+}
+
+void Load(Cell& cell, int seconds, int jobs) {
+  for (int i = 0; i < seconds * jobs; ++i) {
+    cell.time.After(i * kSecond / jobs, [&cell] {
+      const int daemon = static_cast<int>(UniformInt(
+          cell.random, 0, static_cast<int64_t>(cell.daemons.size()) - 1));
+      const auto steps = static_cast<uint32_t>(UniformInt(cell.random, 1, 3));
+      const auto count = static_cast<uint32_t>(UniformInt(cell.random, 1, 6));
+      Submit(cell, daemon,
+             MakeChain(cell, steps, count, {1'500, 1'000, 0},
+                       UniformInt(cell.random, 100, 2'000)));
+    });
+  }
+}
+
+}  // namespace dotterelcove::model
--- a/tests/MaintenanceTest.cpp
+++ b/tests/MaintenanceTest.cpp
@@ -7,8 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "telemetry/Log.h"
-#include "tests/CellModel.h"
+#include "tests/CellModelDays.h"
 #include "workflow/Disruption.h"
 #include "workflow/Maintenance.h"
 
@@ -19,13 +18,8 @@
 using workflow::VmState;
 using workflow::WaveReport;
 
-constexpr TimeMs kSecond = 1'000;
 constexpr TimeMs kDownMs = 2'000;
 
-void Quiet() {
-  SetLogOutput([](const std::string&) {});
-}
-
 /// A modelled VM service: VM "vm-ID" carries worker ID. Keeps what it saw.
 struct VmService {
   struct Begin {
@@ -149,9 +143,7 @@
   cr_expect_eq(service.begins.size(), service.wave.vms.size());
   cr_assert_not(service.reports.empty());
   cr_expect(service.reports.back() == WaveReport::kCompleted);
-  for (const std::string& breach : Judge(service.cell, true)) {
-    cr_expect(false, "%s", breach.c_str());
-  }
+  ExpectSound(service.cell, true);
 }
 
 /// Each interruption of a task of the watch `id` leaves all but `allowance` of
