Keep a worker until its syncs have been answered

A worker that a new owner knew from its records only was forgotten while two syncs were under way and listed again; their answers were counted at the new entry, whose count of syncs went below zero, so it was synced no more. Syncs out of turn hid that; the lease of a worker without overdue reports would have lapsed.

Ruled out: a lost callback of the model; w1, w3 and w5 each showed a count of 4,294,967,295 and a last sync at 9 to 15 s of 60.

Change: a worker with syncs under way is not forgotten; an assert guards the count. The test bounds the count, which failed before and passes now.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -228,8 +228,9 @@
 }
 
 bool IsForgettable(const Controller& c, const Worker& worker) {
-  return !worker.listed && worker.runs.empty() && worker.orphans.empty() &&
-         !c.unanswered.contains(worker.info.id);
+  // Answers to syncs under way are counted at this worker.
+  return !worker.listed && worker.syncs == 0 && worker.runs.empty() &&
+         worker.orphans.empty() && !c.unanswered.contains(worker.info.id);
 }
 
 void CheckWorkers(Controller& c) {
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -1,6 +1,7 @@
 // Workers: syncs that renew leases and report ends, workers that are lost or
 // come back, and what a predecessor left running.
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "base/Hash.h"
@@ -273,6 +274,7 @@
   const auto found = c.fleet.find(id);
   if (found == c.fleet.end()) return;
   Worker& worker = found->second;
+  assert(worker.syncs > 0);
   worker.syncs--;
   if (answer.status == OrderStatus::kFenced) {
     c.fenced();
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -276,7 +276,9 @@
   cr_expect(phase == workflow::JobPhase::kCompleted);
 }
 
-// Guards against answers lost on all workers at once, beside a take-over.
+// Guards against answers lost on all workers at once, beside a take-over, and
+// against syncs of a forgotten worker that are counted for its successor: it
+// was then synced no more but for overdue reports.
 Test(CellModel, lost_answers_and_a_takeover, .init = Quiet) {
   for (uint64_t seed = 1; seed <= 15; ++seed) {
     Cell cell({.seed = seed});
@@ -295,6 +297,12 @@
       worker.lost_sync_share = 0;
     }
     cell.time.RunUntil(60 * kSecond);
+    const int last = FindOwner(cell);
+    cr_assert_geq(last, 0);
+    const Daemon& daemon = *cell.daemons[static_cast<size_t>(last)];
+    for (const auto& [id, worker] : daemon.controller->fleet) {
+      cr_expect_leq(worker.syncs, 2U, "%s", id.c_str());
+    }
     ExpectSound(cell, true);
   }
 }
