Keep runs that an outdated sync answer does not list; wait for a predecessor's leases

Two syncs of the worker were under way; the answer to the earlier one listed the run, the answer to the later one had been made before the run began and arrived after it. The run counted as confirmed before sync 0, so the second answer dropped it.

Ruled out: timed-out starts (no start_refused for these tasks), rejections, restarts of the workers.

Change: a listed run counts as confirmed for syncs sent from then on. The first answer of a worker sets its lease end to the longest lease that a predecessor can have sent.

--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -38,9 +38,10 @@
 /// Sends a stop for a run. The run occupies its worker until its end is known.
 void StopRun(Controller& controller, Worker& worker, const std::string& name,
              const char* reason);
-/// Called after a worker restart: starts that the previous incarnation did not
-/// confirm may still reach the new one, so a stop is sent for each of them.
-void StopUnconfirmed(Controller& controller, Worker& worker);
+/// Called after a worker restart: starts of runs that the previous incarnation
+/// did not list may have reached the new one, or may still, so a stop is sent
+/// for each of them.
+void StopUnlisted(Controller& controller, Worker& worker);
 /// Stops every run of a job.
 void StopJob(Controller& controller, Job& job, const char* reason);
 /// Stops every run of a gang that is still placed.
@@ -85,10 +86,10 @@
 int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
 /// Handles a worker restart: nothing from the previous incarnation runs on it.
 void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation);
-/// Handles the loss of all confirmed runs on the worker, which have ended
-/// without a report; with `unconfirmed` also of the others.
+/// Handles the loss of all runs that the worker has listed, which have ended
+/// without a report; with `unlisted` also of the others.
 void MarkRunsLost(Controller& controller, Worker& worker, const char* reason,
-                  bool unconfirmed);
+                  bool unlisted);
 /// Updates the stored list of workers that may hold tasks.
 void RecordFleet(Controller& controller);
 /// Stops placing tasks on the worker and records that, so that a successor does
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -253,7 +253,7 @@
   SendStop(c, {worker.info.id, worker.info.incarnation, name, run.run});
 }
 
-void StopUnconfirmed(Controller& c, Worker& worker) {
+void StopUnlisted(Controller& c, Worker& worker) {
   std::vector<RunKey> keys;
   for (auto& [name, run] : worker.runs) {
     run.start_in_doubt = true;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -29,6 +29,10 @@
   if (clock_ms <= 0) return;
   worker.clock_ms = clock_ms;
   worker.clock_read_ms = c.runtime.now();
+  // Before this owner grants a lease, that of a predecessor may still hold.
+  if (worker.lease_end_clock_ms == 0) {
+    worker.lease_end_clock_ms = clock_ms + c.options.lease_ms;
+  }
   worker.lease_expires_ms = LeaseExpiryTime(c, worker);
 }
 
@@ -102,6 +106,7 @@
   run.run = reported.run;
   run.size = SizeOnWorker(SpecOf(task));
   run.confirmed = true;
+  run.listed = true;
   run.syncs_before_confirmed = worker.syncs_sent;
   run.placed_ms = c.runtime.now();
   run.usage = reported.usage;
@@ -150,10 +155,13 @@
   const TaskRef ref = run.task;
   TaskState& task = TaskOf(ref);
   run.start_in_doubt = false;
+  run.listed = true;
   run.usage = reported.usage;
   if (!run.confirmed) {
     run.confirmed = true;
-    run.syncs_before_confirmed = 0;
+    // A sync under way may have been handled before the run began, even if its
+    // answer arrives after this one.
+    run.syncs_before_confirmed = worker.syncs_sent;
     if (task.phase == TaskPhase::kStarting) task.phase = TaskPhase::kRunning;
     ref.job->started = true;
   }
@@ -333,7 +341,7 @@
   worker.synced = false;
   worker.health = WorkerHealth();
   c.fleet_dirty = true;
-  StopUnconfirmed(c, worker);
+  StopUnlisted(c, worker);
 }
 
 TimeMs LeaseExpiryTime(const Controller& c, const Worker& worker) {
@@ -383,10 +391,10 @@
 }
 
 void MarkRunsLost(Controller& c, Worker& worker, const char* reason,
-                  bool unconfirmed) {
+                  bool unlisted) {
   std::vector<std::string> names;
   for (const auto& [name, run] : worker.runs) {
-    if (run.confirmed || unconfirmed) names.push_back(name);
+    if (run.listed || unlisted) names.push_back(name);
   }
   for (const std::string& name : names) {
     const auto found = worker.runs.find(name);
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -42,6 +42,9 @@
   uint32_t run = 0;
   Resources size;
   bool confirmed = false;
+  /// A sync has listed it. Unlike the answer to a start, which does not tell the
+  /// incarnation, that proves on which incarnation of the worker it runs.
+  bool listed = false;
   /// Number of syncs sent to the worker before the start was confirmed. Only
   /// the answer to a later sync is certain to list the run.
   /// `syncs_before_stopped` is the same for the answer to the stop.
@@ -117,7 +120,8 @@
   /// The worker's clock and when it was read; 0 before the first answer.
   int64_t clock_ms = 0;
   TimeMs clock_read_ms = 0;
-  /// Highest lease end sent, on the worker's clock.
+  /// Highest lease end that this owner has sent or a predecessor may have sent,
+  /// on the worker's clock; 0 before the first answer.
   int64_t lease_end_clock_ms = 0;
   /// When every run on it must have ended even if it does not answer.
   TimeMs lease_expires_ms = 0;
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -88,8 +88,13 @@
         if (!*alive) return;
         const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
         if (cell.time.now_ms < daemon.frozen_until_ms) {
-          Deliver(cell, index, alive, daemon.frozen_until_ms - cell.time.now_ms,
-                  callback);
+          TimeMs wait_ms = daemon.frozen_until_ms - cell.time.now_ms;
+          // A loop may serve timers before sockets and sockets in any order.
+          constexpr TimeMs kShuffleMs = 3;
+          if (cell.time.now_ms < daemon.starved_until_ms) {
+            wait_ms += UniformInt(cell.random, 0, kShuffleMs);
+          }
+          Deliver(cell, index, alive, wait_ms, callback);
           return;
         }
         callback();
@@ -145,6 +150,7 @@
   daemon.up = true;
   daemon.start_count++;
   daemon.frozen_until_ms = 0;
+  daemon.starved_until_ms = 0;
   daemon.alive = std::make_shared<bool>(true);
   const auto alive = daemon.alive;
   const Runtime runtime = MakeModelRuntime(cell, index, alive);
@@ -214,6 +220,26 @@
   });
 }
 
+void StarveDaemon(Cell& cell, int index, TimeMs for_ms) {
+  constexpr TimeMs kShortestStallMs = 50;
+  constexpr TimeMs kLongestStallMs = 500;
+  constexpr TimeMs kLongestTurnMs = 60;
+  Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  daemon.starved_until_ms = cell.time.now_ms + for_ms;
+  TimeMs at_ms = 0;
+  while (at_ms < for_ms) {
+    const TimeMs stall_ms =
+        UniformInt(cell.random, kShortestStallMs, kLongestStallMs);
+    cell.time.After(at_ms, [&cell, alive = daemon.alive, index, stall_ms] {
+      if (!*alive) return;
+      Daemon& stalled = *cell.daemons[static_cast<size_t>(index)];
+      stalled.frozen_until_ms =
+          std::max(stalled.frozen_until_ms, cell.time.now_ms + stall_ms);
+    });
+    at_ms += stall_ms + UniformInt(cell.random, 1, kLongestTurnMs);
+  }
+}
+
 int FindOwner(const Cell& cell) {
   int owner = -1;
   uint64_t epoch = 0;
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -128,6 +128,9 @@
   /// lost.
   double lost_order_share = 0;
   double lost_sync_share = 0;
+  /// Upper limit of a random extra delay of each order, sync and answer, so that
+  /// they overtake one another.
+  TimeMs jitter_ms = 0;
   bool listed = true;
   TimeMs clock_offset_ms = 0;
 };
@@ -187,6 +190,9 @@
   /// Callbacks that fall due before this time are deferred to it, as for a
   /// suspended process.
   TimeMs frozen_until_ms = 0;
+  /// Until then the process is short of processor time: it stands still for
+  /// short spells, and what has fallen due meanwhile runs in any order.
+  TimeMs starved_until_ms = 0;
   bool partitioned_from_workers = false;
   std::shared_ptr<bool> alive;
   std::shared_ptr<Leadership> leadership;
@@ -198,6 +204,8 @@
 void KillDaemon(Cell& cell, int index);
 /// Releases ownership, then ends the process.
 void StopDaemon(Cell& cell, int index);
+/// Leaves the daemon short of processor time for `for_ms`.
+void StarveDaemon(Cell& cell, int index, TimeMs for_ms);
 /// Index of the running daemon whose controller has the highest epoch, -1 for
 /// none.
 int FindOwner(const Cell& cell);
--- a/tests/CellModelSeededTest.cpp
+++ b/tests/CellModelSeededTest.cpp
@@ -123,7 +123,29 @@
   }
 }
 
-void RunSeed(uint64_t seed) {
+/// Delays messages between the owner and the workers, and leaves the owner
+/// short of processor time, each for a random span.
+void ScheduleDelays(Cell& cell) {
+  const TimeMs jitter_at_ms = UniformInt(cell.random, 0, 10 * kSecond);
+  const TimeMs jitter_ms = UniformInt(cell.random, 20, 400);
+  cell.time.After(jitter_at_ms, [&cell, jitter_ms] {
+    for (auto& [id, worker] : cell.workers) worker.jitter_ms = jitter_ms;
+  });
+  cell.time.After(jitter_at_ms + UniformInt(cell.random, 500, 8 * kSecond),
+                  [&cell] {
+                    for (auto& [id, w] : cell.workers) w.jitter_ms = 0;
+                  });
+  const TimeMs starved_at_ms = UniformInt(cell.random, 0, 10 * kSecond);
+  const TimeMs starved_ms = UniformInt(cell.random, 500, 6 * kSecond);
+  cell.time.After(starved_at_ms, [&cell, starved_ms] {
+    const int owner = FindOwner(cell);
+    if (owner >= 0) StarveDaemon(cell, owner, starved_ms);
+  });
+}
+
+enum class Delays { kNone, kRandom };
+
+void RunSeed(uint64_t seed, Delays delays) {
   Cell cell({.seed = seed, .permits = seed % 3 == 0});
   cell.time.RunUntil(2 * kSecond);
   SubmitRandomJobs(cell, 12, 5);
@@ -140,23 +162,39 @@
   }
   const int64_t faults = UniformInt(cell.random, 1, 4);
   for (int64_t i = 0; i < faults; ++i) ScheduleRandomFault(cell);
+  if (delays == Delays::kRandom) ScheduleDelays(cell);
   cell.time.RunUntil(70 * kSecond);
   ExpectNoViolations(cell, true);
 }
 
-}  // namespace
-
-// Guards against faults that only show in combination with others.
-// DOTTERELCOVE_SEED runs a single seed, with its log on standard error.
-Test(CellModel, random_faults_violate_no_invariant, .init = DiscardLogs) {
-  constexpr uint64_t kSeeds = 400;
+/// Runs the seeds 1 to `seeds`, or the one that DOTTERELCOVE_SEED names, with
+/// its log on standard error.
+void RunSeeds(uint64_t seeds, Delays delays) {
   if (const char* seed = std::getenv("DOTTERELCOVE_SEED")) {
     SetLogOutput({});
     SetLogLinesPerSecond(1'000'000);
-    RunSeed(std::strtoull(seed, nullptr, 10));
+    RunSeed(std::strtoull(seed, nullptr, 10), delays);
     return;
   }
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) RunSeed(seed);
+  uint64_t first = 1;
+  if (const char* from = std::getenv("DOTTERELCOVE_FIRST_SEED")) {
+    first = std::strtoull(from, nullptr, 10);
+  }
+  for (uint64_t i = 0; i < seeds; ++i) RunSeed(first + i, delays);
+}
+
+}  // namespace
+
+// Guards against faults that only show in combination with others.
+Test(CellModel, random_faults_violate_no_invariant, .init = DiscardLogs) {
+  RunSeeds(400, Delays::kNone);
+}
+
+// Guards against the same faults while messages overtake one another and the
+// owner is short of processor time, as at 350 workers.
+Test(CellModel, random_faults_and_delays_violate_no_invariant,
+     .init = DiscardLogs) {
+  RunSeeds(400, Delays::kRandom);
 }
 
 }  // namespace dotterelcove::model
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -363,4 +363,84 @@
   }
 }
 
+// Guards against a run that is taken for gone because an answer to a sync from
+// before its start arrives after one that lists it: with two syncs under way,
+// the task was placed a second time (seen at 350 workers).
+Test(CellModel, overtaken_sync_answers_drop_no_run, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell({.seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    for (auto& [id, worker] : cell.workers) {
+      worker.jitter_ms = 300;
+      // A start without an answer causes a second sync beside the first.
+      worker.lost_order_share = 0.2;
+    }
+    SubmitRandomJobs(cell, 10, 8);
+    cell.time.RunUntil(14 * kSecond);
+    for (auto& [id, worker] : cell.workers) {
+      worker.jitter_ms = 0;
+      worker.lost_order_share = 0;
+    }
+    cell.time.RunUntil(40 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
+// Guards against a new owner that takes a worker's lease for expired right
+// after its first answer: the predecessor's lease goes on, and the task that
+// was placed again ran twice (seen at 350 workers).
+Test(CellModel, new_owner_waits_for_its_predecessors_leases,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell({.seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    SubmitRandomJobs(cell, 4, 6);
+    cell.time.RunUntil(4 * kSecond);
+    for (auto& [id, worker] : cell.workers) worker.jitter_ms = 300;
+    KillDaemon(cell, FindOwner(cell));
+    while (FindOwner(cell) < 0) cell.time.RunUntil(cell.time.now_ms + 1);
+    // Each worker falls silent around its first answers to the new owner.
+    for (auto& [id, worker] : cell.workers) {
+      cell.time.After(UniformInt(cell.random, 0, 800),
+                      [&worker] { worker.partitioned = true; });
+      cell.time.After(2 * kSecond, [&worker] { worker.partitioned = false; });
+    }
+    cell.time.RunUntil(14 * kSecond);
+    for (auto& [id, worker] : cell.workers) worker.jitter_ms = 0;
+    cell.time.RunUntil(60 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
+// Guards against wrong conclusions of an owner that is short of processor time:
+// it may find the timeout of an order before the answer that has arrived, and
+// handle events in any order, also right after the loss of all processes.
+Test(CellModel, starved_owner_runs_nothing_twice, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    Cell cell({.workers = 4, .seed = seed, .permits = seed % 3 == 0});
+    cell.time.RunUntil(2 * kSecond);
+    SubmitRandomJobs(cell, 10, 8);
+    if (seed % 2 == 0) {
+      cell.time.After(4 * kSecond, [&cell] {
+        for (size_t i = 0; i < cell.daemons.size(); ++i) {
+          KillDaemon(cell, static_cast<int>(i));
+        }
+      });
+      cell.time.After(4 * kSecond + 600, [&cell] {
+        for (size_t i = 0; i < cell.daemons.size(); ++i) {
+          StartDaemon(cell, static_cast<int>(i));
+          StarveDaemon(cell, static_cast<int>(i), 6 * kSecond);
+        }
+      });
+    } else {
+      cell.time.After(kSecond, [&cell] {
+        const int owner = FindOwner(cell);
+        if (owner >= 0) StarveDaemon(cell, owner, 9 * kSecond);
+      });
+    }
+    cell.time.RunUntil(70 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -204,6 +204,26 @@
   return &found->second;
 }
 
+TimeMs HopDelay(Cell& cell, const ModelWorker& worker) {
+  if (worker.jitter_ms == 0) return kHopMs;
+  return kHopMs + UniformInt(cell.random, 0, worker.jitter_ms);
+}
+
+/// Delivers an answer, or none if the daemon reads it after its timeout: a
+/// stalled process may find the timeout before the answer.
+template <class Answer>
+void DeliverAnswer(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
+                   TimeMs delay_ms, TimeMs timeout_at_ms, const Answer& answer,
+                   const std::function<void(Answer)>& done) {
+  Deliver(cell, daemon, alive, delay_ms,
+          [&cell, timeout_at_ms, answer, done] {
+            constexpr double kTimeoutFirst = 0.5;
+            const bool late = cell.time.now_ms > timeout_at_ms;
+            const bool lost = late && Chance(cell) < kTimeoutFirst;
+            done(lost ? Answer{} : answer);
+          });
+}
+
 /// Sends one order over the simulated network. The answer may be lost, and the
 /// order may be carried out late.
 template <class Order, class Answer, class CarryOut>
@@ -230,8 +250,10 @@
     unanswered();
     return;
   }
-  cell.time.After(kHopMs, [&cell, daemon, alive, worker, order, done, carry_out,
-                           unanswered] {
+  const TimeMs timeout_at_ms = cell.time.now_ms + kOrderTimeoutMs;
+  const TimeMs hop_ms = HopDelay(cell, *target);
+  cell.time.After(hop_ms, [&cell, daemon, alive, worker, order, done, carry_out,
+                           unanswered, timeout_at_ms] {
     ModelWorker* there = FindReachable(cell, daemon, worker);
     if (there == nullptr) {
       unanswered();
@@ -242,7 +264,8 @@
       unanswered();
       return;
     }
-    Deliver(cell, daemon, alive, kHopMs, [done, answer] { done(answer); });
+    DeliverAnswer(cell, daemon, alive, HopDelay(cell, *there), timeout_at_ms,
+                  answer, done);
   });
 }
 
@@ -261,16 +284,17 @@
   workflow::SyncAnswer answer = HandleSync(cell, *worker, order);
   const bool now = !answer.ended.empty() || cell.time.now_ms >= until_ms ||
                    answer.status != workflow::OrderStatus::kOk;
+  constexpr TimeMs kSyncSlackMs = 450;
   if (now && worker->lost_sync_share > 0 &&
       Chance(cell) < worker->lost_sync_share) {
-    constexpr TimeMs kSyncSlackMs = 450;
     const TimeMs left_ms = std::max<TimeMs>(until_ms - cell.time.now_ms, 0);
     Deliver(cell, daemon, alive, left_ms + kSyncSlackMs,
             [done] { done(workflow::SyncAnswer{}); });
     return;
   }
   if (now) {
-    Deliver(cell, daemon, alive, kHopMs, [done, answer] { done(answer); });
+    DeliverAnswer(cell, daemon, alive, HopDelay(cell, *worker),
+                  until_ms + kSyncSlackMs, answer, done);
     return;
   }
   constexpr TimeMs kStepMs = 10;
@@ -308,7 +332,8 @@
                                      const workflow::SyncOrder& order,
                                      const workflow::SyncCallback& done) {
     const std::string id = worker.id;
-    cell.time.After(kHopMs, [&cell, daemon, alive, id, order, done] {
+    const TimeMs hop_ms = HopDelay(cell, cell.workers.at(id));
+    cell.time.After(hop_ms, [&cell, daemon, alive, id, order, done] {
       LongPollSync(cell, daemon, alive, id, order,
                    cell.time.now_ms + order.wait_ms,
                    cell.workers.at(id).info.incarnation, done);
