--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -85,8 +85,9 @@
     curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, OnTimer);
     curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
     // libcurl's default cache size scales with the number of calls in progress,
-    // so it closes idle connections that are needed again shortly after.
-    constexpr long kConnectionCacheSize = 1'000;
+    // so it closes idle connections that are needed again shortly after. Beyond
+    // the size of the cache it searches all of it for each call that ends.
+    constexpr long kConnectionCacheSize = 3'000;
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kConnectionCacheSize);
     if (max_connections_per_host > 0) {
       curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
@@ -157,9 +158,22 @@
     }
   }
 
+  CURL* AcquireHandle() {
+    if (this->idle_handles.empty()) return curl_easy_init();
+    CURL* easy = this->idle_handles.back();
+    this->idle_handles.pop_back();
+    return easy;
+  }
+
   void Release(Transfer& transfer) {
     curl_multi_remove_handle(this->multi, transfer.easy);
-    curl_easy_cleanup(transfer.easy);
+    constexpr size_t kMaxIdleHandles = 64;
+    if (this->idle_handles.size() < kMaxIdleHandles) {
+      curl_easy_reset(transfer.easy);
+      this->idle_handles.push_back(transfer.easy);
+    } else {
+      curl_easy_cleanup(transfer.easy);
+    }
     curl_slist_free_all(transfer.header_list);
   }
 
@@ -177,6 +191,8 @@
   Timer timer;
   std::map<curl_socket_t, std::unique_ptr<IoWatch>> watches;
   std::map<uint64_t, std::unique_ptr<Transfer>> transfers;
+  /// Handles kept for the next calls, with the options of a new handle.
+  std::vector<CURL*> idle_handles;
   uint64_t next_id = 1;
 };
 
@@ -188,6 +204,7 @@
     this->state->Release(*transfer);
   }
   this->state->transfers.clear();
+  for (CURL* easy : this->state->idle_handles) curl_easy_cleanup(easy);
   curl_multi_cleanup(this->state->multi);
 }
 
@@ -197,7 +214,7 @@
   transfer->call = std::move(call);
   transfer->callback = std::move(callback);
   transfer->deadline_ms = MonotonicMs() + transfer->call.timeout_ms;
-  transfer->easy = curl_easy_init();
+  transfer->easy = this->state->AcquireHandle();
   CURL* easy = transfer->easy;
   const HttpCall& sent = transfer->call;
   for (const auto& [name, value] : sent.headers) {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -48,10 +48,7 @@
   workflow::VmPort vms;
   /// How long the store has not answered this daemon, 0 while it does.
   std::function<TimeMs()> store_unresponsive_ms;
-  /// Reads the platform's list of workers; gives nothing if the read fails.
-  std::function<void(
-      std::function<void(std::optional<std::vector<workflow::WorkerInfo>>)>)>
-      list_workers;
+  workflow::WorkerListPort list_workers;
 };
 
 /// Answer to a caller's query about a job.
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "workflow/JobTable.h"
 
@@ -26,6 +29,11 @@
   TimeMs leaves_in_ms = -1;
 };
 
+/// Reads the platform's list of workers; gives nothing if the read fails.
+using WorkerListCallback =
+    std::function<void(std::optional<std::vector<WorkerInfo>>)>;
+using WorkerListPort = std::function<void(WorkerListCallback)>;
+
 /// A worker as recorded in the store for the next owner.
 struct RecordedWorker {
   WorkerInfo info;
