Log the owner's load once a second; write the log in whole lines of at most 4 KB

What holds an owner up at 540 workers could not be told from its log.

Change: owner_load names passes, their time, waiting steps, tasks without room and the lag of the periodic check. LogWriter writes whole lines.

--- a/src/telemetry/LogWriter.cpp
+++ b/src/telemetry/LogWriter.cpp
@@ -15,6 +15,19 @@
 /// Delay before retrying a write that failed or would block.
 constexpr TimeMs kRetryMs = 50;
 
+/// Maximum bytes of one write. Readers of the log may take a longer write in
+/// parts or cut it.
+constexpr size_t kMaxWriteBytes = 4'096;
+
+/// The length of the whole lines at the start of `text` that fit into one write,
+/// or of the first line if that alone does not fit.
+size_t WriteLength(const std::string& text) {
+  if (text.size() <= kMaxWriteBytes) return text.size();
+  const size_t last = text.rfind('\n', kMaxWriteBytes - 1);
+  const size_t end = last == std::string::npos ? text.find('\n') : last;
+  return end == std::string::npos ? text.size() : end + 1;
+}
+
 }  // namespace
 
 LogWriter::LogWriter(EventLoop& loop, int fd)
@@ -46,8 +59,8 @@
 
 void LogWriter::Flush() {
   while (!this->buffer.empty()) {
-    const ssize_t written =
-        write(this->fd, this->buffer.data(), this->buffer.size());
+    const size_t length = WriteLength(this->buffer);
+    const ssize_t written = write(this->fd, this->buffer.data(), length);
     if (written < 0 && errno == EINTR) continue;
     if (written <= 0) {
       this->timer.StartAfter(kRetryMs);
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -273,8 +273,35 @@
   RequestSchedule(c);
 }
 
+/// Logs the load once a second, so that a slow owner can be told from slow
+/// workers.
+void LogLoad(Controller& c) {
+  constexpr TimeMs kLoadIntervalMs = 1'000;
+  OwnerLoad& load = c.load;
+  const TimeMs now_ms = c.runtime.now();
+  if (load.last_tick_ms > 0) {
+    load.max_lag_ms =
+        std::max(load.max_lag_ms, now_ms - load.last_tick_ms - kTickMs);
+  }
+  load.last_tick_ms = now_ms;
+  if (now_ms - load.logged_ms < kLoadIntervalMs) return;
+  Log(LogLevel::kInfo, "owner_load",
+      {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
+       F("watched_jobs", c.watched.size()),
+       F("waiting_steps", load.waiting_steps),
+       F("unplaced_tasks", load.unplaced_tasks), F("passes", load.passes),
+       F("pass_ms", load.pass_ms), F("max_pass_ms", load.max_pass_ms),
+       F("max_lag_ms", load.max_lag_ms), F("starts", c.stats.starts),
+       F("syncs", c.stats.syncs), F("permit_requests", c.stats.requests),
+       F("orders_in_doubt", c.stats.orders_in_doubt)});
+  load = OwnerLoad();
+  load.logged_ms = now_ms;
+  load.last_tick_ms = now_ms;
+}
+
 void Tick(Controller& c) {
   c.runtime.after(kTickMs, Guard(c, [](Controller& self) { Tick(self); }));
+  LogLoad(c);
   if (c.suspended) return;
   CheckWorkers(c);
   CheckRecovery(c);
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -81,6 +81,21 @@
   uint64_t orders_in_doubt = 0;
 };
 
+/// The owner's load since it was last logged.
+struct OwnerLoad {
+  TimeMs logged_ms = 0;
+  TimeMs last_tick_ms = 0;
+  /// Longest time by which a periodic check came late, because the process was
+  /// busy or had no processor time.
+  TimeMs max_lag_ms = 0;
+  uint32_t passes = 0;
+  TimeMs pass_ms = 0;
+  TimeMs max_pass_ms = 0;
+  /// Steps that waited in the last pass, and tasks that found no room in it.
+  size_t waiting_steps = 0;
+  size_t unplaced_tasks = 0;
+};
+
 struct Controller : std::enable_shared_from_this<Controller> {
   Runtime runtime;
   RowStore store;
@@ -109,6 +124,7 @@
   TimeMs next_compaction_ms = 0;
   std::map<std::string, QueuePolicy> policies;
   ControllerStats stats;
+  OwnerLoad load;
 
   /// Set once the stored tables have been read.
   bool loaded = false;
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -34,6 +34,8 @@
   int64_t wall_ms = 0;
   /// Made when the pass first needs it.
   std::optional<RoomOrder> room;
+  /// Tasks that found no room so far.
+  size_t unplaced = 0;
 };
 
 // Permits.
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -181,6 +181,7 @@
     unplaced = PlaceTasks(c, step, candidates, need);
   }
   if (unplaced == 0) return;
+  pass.unplaced += unplaced;
   if (job.spec.policy.permits.required) {
     RequestPermits(c, pass,
                    {&job, step.occurrence, step.step, step.tasks.front()}, need,
@@ -223,7 +224,13 @@
     if (!MustWaitForRecovery(c, *job)) PrefetchPermits(c, pass, *job);
   }
   const TimeMs end_ms = c.runtime.now();
-  c.next_pass_ms = end_ms + kPassPauseFactor * (end_ms - pass.now_ms);
+  const TimeMs took_ms = end_ms - pass.now_ms;
+  c.next_pass_ms = end_ms + kPassPauseFactor * took_ms;
+  c.load.passes++;
+  c.load.pass_ms += took_ms;
+  c.load.max_pass_ms = std::max(c.load.max_pass_ms, took_ms);
+  c.load.waiting_steps = steps.size();
+  c.load.unplaced_tasks = pass.unplaced;
 }
 
 }  // namespace
