Index permits by worker slot

Change: a worker has a slot that is not used again; tickets and denials of a step are kept by slot (StepPermits). Counts per worker are made only for steps that limit them. The fleet is a struct with both orders.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -142,7 +142,7 @@
       {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
        F("ended_jobs", c.ended.size()), F("workers", recorded.size())});
   for (const RecordedWorker& known : recorded) {
-    Worker& worker = c.fleet[known.info.id];
+    Worker& worker = AddWorker(c.fleet, known.info.id);
     if (worker.info.id.empty()) {
       worker.info = known.info;
       worker.listed = false;
@@ -240,14 +240,15 @@
 
 void CheckWorkers(Controller& c) {
   const TimeMs now_ms = c.runtime.now();
-  for (auto it = c.fleet.begin(); it != c.fleet.end();) {
-    Worker& worker = it->second;
+  for (auto it = c.fleet.workers.begin(); it != c.fleet.workers.end();) {
+    Worker& worker = (it++)->second;
     CheckLeaseExpiry(c, worker);
     worker.overdue = HasOverdueStart(c, worker);
     if (c.loaded && IsErasable(c, worker)) {
-      Log(LogLevel::kInfo, "worker_removed", {F("worker", it->first)});
+      const std::string id = worker.info.id;
+      Log(LogLevel::kInfo, "worker_removed", {F("worker", id)});
       c.fleet_dirty = true;
-      it = c.fleet.erase(it);
+      RemoveWorker(c.fleet, id);
       continue;
     }
     if (IsSyncDue(c, worker)) {
@@ -257,7 +258,6 @@
       c.stats.hedged_syncs++;
       Sync(c, worker, 0);
     }
-    ++it;
   }
 }
 
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -21,9 +21,9 @@
 void OnFleetRecorded(Controller& c, const FleetRecords& records,
                      uint64_t version) {
   for (const auto& [id, record] : records) {
-    const auto found = c.fleet.find(id);
-    if (found == c.fleet.end()) continue;
-    Worker& worker = found->second;
+    Worker* found = FindWorker(c.fleet, id);
+    if (found == nullptr) continue;
+    Worker& worker = *found;
     if (worker.state_changes != record.state_changes) continue;
     if (!record.cordoned) {
       worker.recorded = true;
@@ -84,7 +84,7 @@
   std::map<std::string, std::vector<RecordedWorker>> by_row;
   FleetRecords records;
   for (const auto& [key, text] : c.fleet_rows) by_row[key];
-  for (const auto& [id, worker] : c.fleet) {
+  for (const auto& [id, worker] : c.fleet.workers) {
     by_row[FleetKeyOf(id)].push_back(
         {worker.info, worker.cordoned, worker.cordoned_version});
     records[id] = {worker.cordoned, worker.state_changes};
@@ -126,14 +126,13 @@
     c.early_fleet = list;
     return;
   }
-  for (auto& [id, worker] : c.fleet) worker.listed = false;
+  for (auto& [id, worker] : c.fleet.workers) worker.listed = false;
   for (const WorkerInfo& info : list) {
-    const auto found = c.fleet.find(info.id);
-    if (found != c.fleet.end()) {
-      ApplyListed(c, found->second, info);
+    if (Worker* known = FindWorker(c.fleet, info.id)) {
+      ApplyListed(c, *known, info);
       continue;
     }
-    Worker& worker = c.fleet[info.id];
+    Worker& worker = AddWorker(c.fleet, info.id);
     worker.info = info;
     c.fleet_dirty = true;
     Log(LogLevel::kInfo, "worker_listed",
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -128,14 +128,13 @@
   AvoidWorker(c, task, worker);
   task.not_before_ms = c.runtime.now() + (kRetryBaseMs << std::min<size_t>(
                                               task.failed_runs.size(), 5));
-  const auto held = c.fleet.find(worker);
-  if (held != c.fleet.end()) {
-    WorkerHealth& health = held->second.health;
+  if (Worker* held = FindWorker(c.fleet, worker)) {
+    WorkerHealth& health = held->health;
     health.failures_in_a_row++;
     constexpr uint32_t kFailuresBeforeQuarantine = 2;
     constexpr TimeMs kFailureQuarantineMs = 1'500;
     if (health.failures_in_a_row >= kFailuresBeforeQuarantine) {
-      Quarantine(c, held->second, kFailureQuarantineMs, "tasks_fail");
+      Quarantine(c, *held, kFailureQuarantineMs, "tasks_fail");
     }
   }
   Job& job = *ref.job;
@@ -146,9 +145,9 @@
 
 void UpdateSlowness(Controller& c, const TaskRef& ref,
                     const std::string& worker) {
-  const auto held = c.fleet.find(worker);
-  if (held == c.fleet.end()) return;
-  WorkerHealth& health = held->second.health;
+  Worker* held = FindWorker(c.fleet, worker);
+  if (held == nullptr) return;
+  WorkerHealth& health = held->health;
   health.failures_in_a_row = 0;
   health.quarantines = 0;
   const TaskState& task = TaskOf(ref);
@@ -193,11 +192,11 @@
                   bool held) {
   const TaskState& task = TaskOf(ref);
   if (held || task.worker.empty()) return;
-  const auto other = c.fleet.find(task.worker);
-  if (other == c.fleet.end()) return;
+  Worker* other = FindWorker(c.fleet, task.worker);
+  if (other == nullptr) return;
   Log(LogLevel::kInfo, "task_done_elsewhere",
       {F("task", MakeTaskName(ref)), F("worker", worker)});
-  StopRun(c, other->second, MakeTaskName(ref), "done_elsewhere");
+  StopRun(c, *other, MakeTaskName(ref), "done_elsewhere");
 }
 
 }  // namespace
@@ -273,7 +272,7 @@
 
 SeenEnds CollectSeen(const Controller& c) {
   SeenEnds seen;
-  for (const auto& [id, worker] : c.fleet) {
+  for (const auto& [id, worker] : c.fleet.workers) {
     if (worker.seen > worker.acked) {
       seen[id] = {worker.info.incarnation, worker.seen};
     }
@@ -284,9 +283,9 @@
 void OnFlushed(Controller& c, const SeenEnds& seen) {
   c.flushing = false;
   for (const auto& [id, end] : seen) {
-    const auto found = c.fleet.find(id);
-    if (found == c.fleet.end()) continue;
-    Worker& worker = found->second;
+    Worker* found = FindWorker(c.fleet, id);
+    if (found == nullptr) continue;
+    Worker& worker = *found;
     if (worker.info.incarnation != end.first) continue;
     worker.acked = std::max(worker.acked, end.second);
     // The next sync was delayed until the ends were stored.
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -33,8 +33,7 @@
 Worker* WorkerOf(Controller& c, const std::string& vm) {
   const auto listed = c.maintenance.vms.find(vm);
   if (listed == c.maintenance.vms.end()) return nullptr;
-  const auto worker = c.fleet.find(listed->second.worker);
-  return worker == c.fleet.end() ? nullptr : &worker->second;
+  return FindWorker(c.fleet, listed->second.worker);
 }
 
 WaveRecord MakeRecord(const WaveState& state) {
@@ -268,7 +267,7 @@
       if (worker != nullptr) planned.insert(worker->info.id);
     }
   }
-  for (auto& [id, worker] : c.fleet) {
+  for (auto& [id, worker] : c.fleet.workers) {
     worker.maintenance_planned = planned.contains(id);
   }
 }
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -32,12 +32,12 @@
 };
 
 FoundRun FindRun(Controller& c, const RunKey& key) {
-  const auto worker = c.fleet.find(key.worker);
-  if (worker == c.fleet.end()) return {};
-  if (worker->second.info.incarnation != key.incarnation) return {};
-  const auto run = worker->second.runs.find(key.task);
-  if (run == worker->second.runs.end() || run->second.run != key.run) return {};
-  return {&worker->second, &run->second};
+  Worker* worker = FindWorker(c.fleet, key.worker);
+  if (worker == nullptr) return {};
+  if (worker->info.incarnation != key.incarnation) return {};
+  const auto run = worker->runs.find(key.task);
+  if (run == worker->runs.end() || run->second.run != key.run) return {};
+  return {worker, &run->second};
 }
 
 /// The time after which the end of a new run is overdue by its estimate, 0 for
@@ -122,7 +122,7 @@
       Unplace(c, key, found, 0);
       return;
     case OrderStatus::kNoTicket:
-      StepOf(task).tickets[key.worker].valid_until_ms = 0;
+      ExpireTicket(StepOf(task).permits, worker.slot);
       Unplace(c, key, found, 0);
       return;
     case OrderStatus::kUnhealthy:
@@ -296,13 +296,13 @@
                   self.fenced();
                   return;
                 }
-                const auto again = self.fleet.find(id);
-                if (again == self.fleet.end()) return;
-                if (again->second.info.incarnation != incarnation) return;
-                if (!again->second.orphans.contains(name)) return;
+                Worker* again = FindWorker(self.fleet, id);
+                if (again == nullptr) return;
+                if (again->info.incarnation != incarnation) return;
+                if (!again->orphans.contains(name)) return;
                 // A sync shows when the run has ended; one may already be in
                 // flight.
-                if (again->second.syncs == 0) Sync(self, again->second, 0);
+                if (again->syncs == 0) Sync(self, *again, 0);
               }));
 }
 
--- a/src/workflow/ControllerPacing.cpp
+++ b/src/workflow/ControllerPacing.cpp
@@ -28,10 +28,10 @@
                   self.fenced();
                   return;
                 }
-                const auto found = self.fleet.find(id);
-                if (found == self.fleet.end()) return;
-                const auto paced = found->second.runs.find(task);
-                if (paced == found->second.runs.end()) return;
+                Worker* found = FindWorker(self.fleet, id);
+                if (found == nullptr) return;
+                const auto paced = (*found).runs.find(task);
+                if (paced == (*found).runs.end()) return;
                 if (paced->second.run != number) return;
                 paced->second.pace_in_flight = false;
                 // A pace whose order was not answered is sent again after the
--- a/src/workflow/ControllerPermits.cpp
+++ b/src/workflow/ControllerPermits.cpp
@@ -32,8 +32,8 @@
   Job* job = FindJob(c.jobs, job_id);
   if (job == nullptr || job != ref.job) return;
   WatchJob(c, *job);
-  StepState& state = StepOf(ref);
-  state.requests--;
+  StepPermits& permits = StepOf(ref).permits;
+  permits.requests--;
   if (c.observe) c.observe("permit", c.runtime.now() - asked_ms);
   Log(LogLevel::kInfo, "permits_answered",
       {F("step", request.step),
@@ -41,7 +41,7 @@
        F("named", request.workers.size()), F("allowed", answer.grants.size()),
        F("asked_by", client), F("took_ms", c.runtime.now() - asked_ms)});
   if (answer.status != PermitStatus::kOk) {
-    state.next_request_ms = c.runtime.now() + kRequestPauseMs;
+    permits.next_request_ms = c.runtime.now() + kRequestPauseMs;
     return;
   }
   std::map<std::string, std::string> granted;
@@ -51,18 +51,19 @@
   // Half a round trip may have passed since the ticket was issued.
   constexpr TimeMs kAnswerAgeMs = 20;
   for (const std::string& id : request.workers) {
+    const Worker* worker = FindWorker(c.fleet, id);
+    if (worker == nullptr) continue;
     const auto grant = granted.find(id);
     if (grant == granted.end()) {
-      state.denied.insert(id);
+      AddDenial(permits, worker->slot);
       continue;
     }
-    Ticket& ticket = state.tickets[id];
+    Ticket ticket;
     ticket.text = grant->second;
     ticket.valid_until_ms = c.runtime.now() + answer.validity_ms - kAnswerAgeMs;
-    const auto worker = c.fleet.find(id);
-    if (worker != c.fleet.end()) {
-      ticket.incarnation = worker->second.info.incarnation;
-    }
+    ticket.incarnation = worker->info.incarnation;
+    ticket.slot = worker->slot;
+    AddTicket(permits, std::move(ticket));
   }
 }
 
@@ -75,12 +76,12 @@
 
 void RequestPermits(Controller& c, SchedulePass& pass, const TaskRef& ref,
                     const PlacementNeed& need, uint32_t tasks) {
-  StepState& state = StepOf(ref);
+  StepPermits& permits = StepOf(ref).permits;
   const TimeMs now_ms = c.runtime.now();
-  if (state.requests > 0 || now_ms < state.next_request_ms) return;
+  if (permits.requests > 0 || now_ms < permits.next_request_ms) return;
   const PermitTerms& terms = ref.job->spec.policy.permits;
   const bool urgent = ref.job->spec.policy.priority == 0;
-  state.next_request_ms =
+  permits.next_request_ms =
       now_ms + (urgent ? kUrgentRequestPauseMs : kRequestPauseMs);
   PermitRequest request;
   request.workers = ChooseWorkersToRequest(RoomOf(c, pass), need, tasks);
@@ -89,14 +90,14 @@
   const TimeMs cost_ms = RequestCostMs(terms, request.workers.size());
   PermitClient* client = ChoosePermitClient(c.permit_clients, cost_ms, now_ms);
   if (client == nullptr) {
-    state.next_request_ms = now_ms + kBusyPauseMs;
+    permits.next_request_ms = now_ms + kBusyPauseMs;
     return;
   }
   const bool slow = cost_ms > kSlowRequestMs;
   client->busy_until_ms = std::max(client->busy_until_ms, now_ms) + cost_ms;
   client->outstanding++;
   if (slow) client->slow++;
-  state.requests++;
+  permits.requests++;
   c.stats.requests++;
   client->request(
       request,
@@ -132,9 +133,10 @@
       const StepSpec& spec = job.spec.steps[i];
       StepState& state = occurrence.steps[i];
       if (spec.after.empty() || state.ready_since_ms >= 0) continue;
-      if (!state.tickets.empty() || state.requests > 0) continue;
-      if (pass.now_ms < state.next_prefetch_ms) continue;
-      state.next_prefetch_ms = pass.now_ms + kPrefetchCheckMs;
+      StepPermits& permits = state.permits;
+      if (!permits.tickets.empty() || permits.requests > 0) continue;
+      if (pass.now_ms < permits.next_prefetch_ms) continue;
+      permits.next_prefetch_ms = pass.now_ms + kPrefetchCheckMs;
       TimeMs begins_in_ms = 0;
       bool near = true;
       for (const uint32_t before : spec.after) {
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -95,17 +95,20 @@
   return is_watched;
 }
 
-std::map<std::string, uint32_t> CountOnWorkers(const StepState& state) {
-  std::map<std::string, uint32_t> counts;
+TaskCounts CountOnWorkers(Controller& c, const StepState& state) {
+  TaskCounts counts;
   for (const TaskState& task : state.tasks) {
-    if (!task.worker.empty()) counts[task.worker]++;
+    if (task.worker.empty()) continue;
+    if (const Worker* worker = FindWorker(c.fleet, task.worker)) {
+      counts[worker]++;
+    }
   }
   return counts;
 }
 
 std::string TicketFor(const StepState& state, const Worker& worker) {
-  const auto found = state.tickets.find(worker.info.id);
-  return found == state.tickets.end() ? std::string() : found->second.text;
+  const Ticket* ticket = FindTicket(state.permits, worker.slot);
+  return ticket == nullptr ? std::string() : ticket->text;
 }
 
 /// Places the gang if all its tasks fit; returns whether they do.
@@ -154,9 +157,9 @@
   if (need.now_ms < state.next_preemption_ms) return;
   state.next_preemption_ms = need.now_ms + kPreemptionPauseMs;
   for (const Victim& victim : ChooseVictims(candidates, need, tasks)) {
-    const auto worker = c.fleet.find(victim.worker);
-    if (worker == c.fleet.end()) continue;
-    StopRun(c, worker->second, victim.task, "preempted");
+    if (Worker* worker = FindWorker(c.fleet, victim.worker)) {
+      StopRun(c, *worker, victim.task, "preempted");
+    }
   }
 }
 
@@ -164,8 +167,8 @@
   Job& job = *step.job;
   StepState& state = job.occurrences.at(step.occurrence).steps[step.step];
   const StepSpec& spec = job.spec.steps[step.step];
-  std::map<std::string, uint32_t> on_worker;
-  if (spec.max_per_worker > 0) on_worker = CountOnWorkers(state);
+  TaskCounts on_worker;
+  if (spec.max_per_worker > 0) on_worker = CountOnWorkers(c, state);
   PlacementNeed need;
   need.job = &job.spec;
   need.step = &spec;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -284,9 +284,9 @@
 
 void OnSyncAnswer(Controller& c, const std::string& id, uint64_t incarnation,
                   uint64_t sync, const SyncAnswer& answer) {
-  const auto found = c.fleet.find(id);
-  if (found == c.fleet.end()) return;
-  Worker& worker = found->second;
+  Worker* found = FindWorker(c.fleet, id);
+  if (found == nullptr) return;
+  Worker& worker = *found;
   assert(worker.syncs > 0);
   worker.syncs--;
   if (answer.status == OrderStatus::kFenced) {
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -12,6 +12,32 @@
 
 }  // namespace
 
+Worker& AddWorker(Fleet& fleet, const std::string& id) {
+  const auto [found, is_new] = fleet.workers.try_emplace(id);
+  Worker& worker = found->second;
+  if (!is_new) return worker;
+  worker.slot = static_cast<uint32_t>(fleet.by_slot.size());
+  fleet.by_slot.push_back(&worker);
+  return worker;
+}
+
+Worker* FindWorker(Fleet& fleet, const std::string& id) {
+  const auto found = fleet.workers.find(id);
+  return found == fleet.workers.end() ? nullptr : &found->second;
+}
+
+const Worker* FindWorker(const Fleet& fleet, const std::string& id) {
+  const auto found = fleet.workers.find(id);
+  return found == fleet.workers.end() ? nullptr : &found->second;
+}
+
+void RemoveWorker(Fleet& fleet, const std::string& id) {
+  const auto found = fleet.workers.find(id);
+  if (found == fleet.workers.end()) return;
+  fleet.by_slot[found->second.slot] = nullptr;
+  fleet.workers.erase(found);
+}
+
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && worker.synced && worker.reachable &&
          !worker.overdue && worker.recorded && !worker.info.draining &&
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -106,6 +106,8 @@
 
 struct Worker {
   WorkerInfo info;
+  /// Its index in `Fleet::by_slot`.
+  uint32_t slot = 0;
   /// Whether the platform lists it. A worker that is no longer listed is kept
   /// until its tasks have ended.
   bool listed = true;
@@ -160,7 +162,20 @@
   bool maintenance_planned = false;
 };
 
-using Fleet = std::map<std::string, Worker>;
+struct Fleet {
+  /// By id.
+  std::map<std::string, Worker> workers;
+  /// By slot, null for a worker that was removed. A slot is not used again, so
+  /// that what is recorded for it never applies to another worker.
+  std::vector<Worker*> by_slot;
+};
+
+/// Adds a worker, or returns the one that has the id already.
+Worker& AddWorker(Fleet& fleet, const std::string& id);
+/// Null if there is none.
+Worker* FindWorker(Fleet& fleet, const std::string& id);
+const Worker* FindWorker(const Fleet& fleet, const std::string& id);
+void RemoveWorker(Fleet& fleet, const std::string& id);
 
 inline Resources FreeOf(const Worker& worker) {
   return worker.info.capacity - worker.used;
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "workflow/StepPermits.h"
 #include "workflow/Workflow.h"
 
 namespace dotterelcove::workflow {
@@ -78,25 +79,10 @@
   TimeMs not_before_ms = 0;
 };
 
-/// A permit to start the tasks of one step on one worker.
-struct Ticket {
-  std::string text;
-  TimeMs valid_until_ms = 0;
-  /// Incarnation of the worker that it was issued for.
-  uint64_t incarnation = 0;
-};
-
 struct StepState {
   std::vector<TaskState> tasks;
   uint32_t done = 0;
-  /// Tickets by worker, and workers that the permit authority denied.
-  std::map<std::string, Ticket> tickets;
-  std::set<std::string> denied;
-  /// Requests to the permit authority in flight.
-  int requests = 0;
-  TimeMs next_request_ms = 0;
-  /// When to check next whether permits should be requested ahead.
-  TimeMs next_prefetch_ms = 0;
+  StepPermits permits;
   /// When runs may be preempted for the step again.
   TimeMs next_preemption_ms = 0;
   TimeMs ready_since_ms = -1;
--- a/src/workflow/Maintenance.cpp
+++ b/src/workflow/Maintenance.cpp
@@ -80,8 +80,8 @@
     if (vm.phase != VmPhase::kWaiting) continue;
     const auto listed = vms.find(name);
     if (listed == vms.end() || listed->second.state != VmState::kUp) continue;
-    const auto worker = fleet.find(listed->second.worker);
-    const int64_t risk = worker == fleet.end() ? 0 : WorkAtRisk(worker->second);
+    const Worker* worker = FindWorker(fleet, listed->second.worker);
+    const int64_t risk = worker == nullptr ? 0 : WorkAtRisk(*worker);
     if (risk >= best_risk) continue;
     best = name;
     best_risk = risk;
--- a/src/workflow/PermitPlan.cpp
+++ b/src/workflow/PermitPlan.cpp
@@ -39,8 +39,8 @@
 
 RoomOrder OrderByRoom(const Fleet& fleet, TimeMs now_ms) {
   RoomOrder order;
-  order.reserve(fleet.size());
-  for (const auto& [id, worker] : fleet) {
+  order.reserve(fleet.workers.size());
+  for (const auto& [id, worker] : fleet.workers) {
     if (IsUsable(worker, now_ms)) order.push_back(&worker);
   }
   std::stable_sort(order.begin(), order.end(),
@@ -53,17 +53,19 @@
 std::vector<std::string> ChooseWorkersToRequest(const RoomOrder& room,
                                                 const PlacementNeed& need,
                                                 uint32_t tasks) {
-  const StepState& state = *need.state;
+  const StepPermits& permits = need.state->permits;
+  const int64_t milli_cores = SizeOnWorker(*need.step).milli_cores;
   std::vector<Candidate> candidates;
   for (const Worker* worker : room) {
-    const std::string& id = worker->info.id;
+    if (FreeOf(*worker).milli_cores < milli_cores) continue;
+    const Permission permission = PermissionFor(permits, worker->slot);
+    if (permission == Permission::kDenied) continue;
     if (!HasRoom(*worker, need)) continue;
     if (!IsUsable(*worker, need.now_ms)) continue;
     if (!IsEligible(*worker, *need.job, *need.step)) continue;
-    if (state.denied.contains(id)) continue;
-    if (HasTicket(state, *worker, need.now_ms)) continue;
-    candidates.push_back(
-        {worker, state.tickets.contains(id), TasksThatFit(*worker, need)});
+    if (HasTicket(*need.state, *worker, need.now_ms)) continue;
+    candidates.push_back({worker, permission == Permission::kGranted,
+                          TasksThatFit(*worker, need)});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -61,11 +61,18 @@
   return worker.info.labels.contains(step.required_label);
 }
 
+namespace {
+
+bool IsUsableFor(const Ticket& ticket, const Worker& worker, TimeMs now_ms) {
+  return ticket.incarnation == worker.info.incarnation &&
+         ticket.valid_until_ms > now_ms + kTicketMarginMs;
+}
+
+}  // namespace
+
 bool HasTicket(const StepState& state, const Worker& worker, TimeMs now_ms) {
-  const auto found = state.tickets.find(worker.info.id);
-  if (found == state.tickets.end()) return false;
-  return found->second.incarnation == worker.info.incarnation &&
-         found->second.valid_until_ms > now_ms + kTicketMarginMs;
+  const Ticket* ticket = FindTicket(state.permits, worker.slot);
+  return ticket != nullptr && IsUsableFor(*ticket, worker, now_ms);
 }
 
 bool HasRoom(const Worker& worker, const PlacementNeed& need) {
@@ -75,7 +82,7 @@
       need.reserve * static_cast<double>(worker.info.capacity.milli_cores));
   if (!Fits(size, free)) return false;
   if (need.step->max_per_worker == 0 || need.on_worker == nullptr) return true;
-  const auto found = need.on_worker->find(worker.info.id);
+  const auto found = need.on_worker->find(&worker);
   return found == need.on_worker->end() ||
          found->second < need.step->max_per_worker;
 }
@@ -87,28 +94,20 @@
          IsEligible(worker, *need.job, *need.step);
 }
 
-/// Adds the planned task to the counts, as if it were placed.
-void Reserve(Worker& worker, const Resources& size,
-             std::map<std::string, uint32_t>& on_worker) {
-  worker.used = worker.used + size;
-  on_worker[worker.info.id]++;
-}
-
 }  // namespace
 
 Candidates FindCandidates(Fleet& fleet, const PlacementNeed& need) {
   Candidates candidates;
   if (!need.job->policy.permits.required) {
-    for (auto& [id, worker] : fleet) {
+    for (auto& [id, worker] : fleet.workers) {
       if (IsCandidate(worker, need)) candidates.push_back(&worker);
     }
     return candidates;
   }
-  for (const auto& [id, ticket] : need.state->tickets) {
-    const auto found = fleet.find(id);
-    if (found == fleet.end() || !IsCandidate(found->second, need)) continue;
-    if (!HasTicket(*need.state, found->second, need.now_ms)) continue;
-    candidates.push_back(&found->second);
+  for (const Ticket& ticket : need.state->permits.tickets) {
+    Worker* worker = fleet.by_slot[ticket.slot];
+    if (worker == nullptr || !IsCandidate(*worker, need)) continue;
+    if (IsUsableFor(ticket, *worker, need.now_ms)) candidates.push_back(worker);
   }
   return candidates;
 }
@@ -131,7 +130,7 @@
 
 StepPlan PlanStep(const Candidates& candidates, PlacementNeed need,
                   const std::vector<uint32_t>& waiting) {
-  std::map<std::string, uint32_t> on_worker;
+  TaskCounts on_worker;
   if (need.on_worker != nullptr) on_worker = *need.on_worker;
   need.on_worker = &on_worker;
   const Resources size = SizeOnWorker(*need.step);
@@ -149,7 +148,8 @@
       plan.unplaced++;
       continue;
     }
-    Reserve(*worker, size, on_worker);
+    worker->used = worker->used + size;
+    if (need.step->max_per_worker > 0) on_worker[worker]++;
     plan.placed.push_back({index, worker});
   }
   for (const PlannedTask& task : plan.placed) {
--- a/src/workflow/Placement.h
+++ b/src/workflow/Placement.h
@@ -17,6 +17,9 @@
 /// room.
 inline constexpr double kSlowWorker = 2.0;
 
+/// Number of tasks on each worker.
+using TaskCounts = std::map<const Worker*, uint32_t>;
+
 /// Constraints on the worker for one task.
 struct PlacementNeed {
   const JobSpec* job = nullptr;
@@ -26,7 +29,7 @@
   const std::set<std::string>* avoid = nullptr;
   /// Number of the step's tasks on each worker; may be null for a step without
   /// a limit per worker.
-  const std::map<std::string, uint32_t>* on_worker = nullptr;
+  const TaskCounts* on_worker = nullptr;
   /// Fraction of each worker's processors to leave free.
   double reserve = 0;
   TimeMs now_ms = 0;
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -179,7 +179,7 @@
   const int owner = FindOwner(cell);
   cr_assert_geq(owner, 0);
   cr_assert(cell.daemons[static_cast<size_t>(owner)]
-                ->controller->fleet.at(unresponsive.info.id)
+                ->controller->fleet.workers.at(unresponsive.info.id)
                 .cordoned);
   KillDaemon(cell, owner);
   cell.time.RunUntil(20 * kSecond);
@@ -311,7 +311,7 @@
     const int last = FindOwner(cell);
     cr_assert_geq(last, 0);
     const Daemon& daemon = *cell.daemons[static_cast<size_t>(last)];
-    for (const auto& [id, worker] : daemon.controller->fleet) {
+    for (const auto& [id, worker] : daemon.controller->fleet.workers) {
       cr_expect_leq(worker.syncs, 2U, "%s", id.c_str());
     }
     ExpectNoViolations(cell, true);
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -17,13 +17,13 @@
 struct Fixture {
   Fleet fleet;
   std::unique_ptr<Job> job;
-  std::map<std::string, uint32_t> on_worker;
+  TaskCounts on_worker;
   PlacementNeed need;
 };
 
-void AddWorker(Fixture& fixture, const std::string& id, int64_t cores,
-               const std::string& rack = "r0") {
-  Worker& worker = fixture.fleet[id];
+void AddUsableWorker(Fixture& fixture, const std::string& id, int64_t cores,
+                     const std::string& rack = "r0") {
+  Worker& worker = AddWorker(fixture.fleet, id);
   worker.info.id = id;
   worker.info.service = "service";
   worker.info.rack = rack;
@@ -100,7 +100,7 @@
   run.run = 1;
   run.size = SizeOnWorker(SpecOf(ref));
   run.confirmed = true;
-  AddRun(fixture.fleet.at(worker), MakeTaskName(ref), run);
+  AddRun(fixture.fleet.workers.at(worker), MakeTaskName(ref), run);
 }
 
 }  // namespace
@@ -136,14 +136,14 @@
 // Guards against placing more on a worker than its capacity.
 Test(Placement, full_workers_are_passed_over) {
   Fixture fixture = MakeFixture(MakeStep(2, 3'000));
-  AddWorker(fixture, "small", 2'000);
-  AddWorker(fixture, "large", 8'000);
-  AddWorker(fixture, "fitting", 4'000);
+  AddUsableWorker(fixture, "small", 2'000);
+  AddUsableWorker(fixture, "large", 8'000);
+  AddUsableWorker(fixture, "fitting", 4'000);
   Worker* chosen = ChooseOne(fixture);
   cr_assert_not_null(chosen);
   cr_expect_str_eq(chosen->info.id.c_str(), "fitting");
-  fixture.fleet.at("fitting").used = {2'000, 0, 0};
-  fixture.fleet.at("large").used = {6'000, 0, 0};
+  fixture.fleet.workers.at("fitting").used = {2'000, 0, 0};
+  fixture.fleet.workers.at("large").used = {6'000, 0, 0};
   cr_expect_null(ChooseOne(fixture));
 }
 
@@ -151,8 +151,8 @@
 // quarantined, or that holds orphaned runs.
 Test(Placement, unusable_workers_are_passed_over) {
   Fixture fixture = MakeFixture(MakeStep(1, 1'000));
-  AddWorker(fixture, "w", 8'000);
-  Worker& worker = fixture.fleet.at("w");
+  AddUsableWorker(fixture, "w", 8'000);
+  Worker& worker = fixture.fleet.workers.at("w");
   cr_expect_not_null(ChooseOne(fixture));
   worker.info.draining = true;
   cr_expect_null(ChooseOne(fixture));
@@ -174,11 +174,11 @@
   step.max_per_worker = 1;
   step.required_label = "b";
   Fixture fixture = MakeFixture(step);
-  AddWorker(fixture, "w", 8'000);
+  AddUsableWorker(fixture, "w", 8'000);
   cr_expect_null(ChooseOne(fixture));
-  fixture.fleet.at("w").info.labels = {"b"};
+  fixture.fleet.workers.at("w").info.labels = {"b"};
   cr_expect_not_null(ChooseOne(fixture));
-  fixture.on_worker["w"] = 1;
+  fixture.on_worker[&fixture.fleet.workers.at("w")] = 1;
   cr_expect_null(ChooseOne(fixture));
 }
 
@@ -188,10 +188,10 @@
   step.gang = true;
   step.same_rack = true;
   Fixture fixture = MakeFixture(step);
-  AddWorker(fixture, "a1", 8'000, "r1");
-  AddWorker(fixture, "b1", 8'000, "r2");
+  AddUsableWorker(fixture, "a1", 8'000, "r1");
+  AddUsableWorker(fixture, "b1", 8'000, "r2");
   cr_expect_not(ChooseGangOf(fixture, 4).has_value());
-  AddWorker(fixture, "b2", 8'000, "r2");
+  AddUsableWorker(fixture, "b2", 8'000, "r2");
   const auto gang = ChooseGangOf(fixture, 4);
   cr_assert(gang.has_value());
   for (const Worker* worker : *gang) {
@@ -205,14 +205,14 @@
 Test(Placement, tickets_expire_and_belong_to_one_incarnation) {
   Fixture fixture = MakeFixture(MakeStep(1, 1'000));
   fixture.job->spec.policy.permits.required = true;
-  AddWorker(fixture, "w", 8'000);
+  AddUsableWorker(fixture, "w", 8'000);
   StepState& state = fixture.job->occurrences.at(0).steps.front();
   cr_expect_null(ChooseOne(fixture));
-  state.tickets["w"] = {"t", kNow + 1'000, 1};
+  AddTicket(state.permits, {"t", kNow + 1'000, 1, 0});
   cr_expect_not_null(ChooseOne(fixture));
-  state.tickets["w"].incarnation = 2;
+  AddTicket(state.permits, {"t", kNow + 1'000, 2, 0});
   cr_expect_null(ChooseOne(fixture));
-  state.tickets["w"] = {"t", kNow, 1};
+  AddTicket(state.permits, {"t", kNow, 1, 0});
   cr_expect_null(ChooseOne(fixture));
 }
 
@@ -223,10 +223,13 @@
   fixture.job->spec.policy.permits.required = true;
   StepState& state = fixture.job->occurrences.at(0).steps.front();
   for (int i = 0; i < 20; ++i)
-    AddWorker(fixture, "w" + std::to_string(i), 4'000);
-  state.denied.insert("w0");
-  fixture.fleet.at("w1").used = {4'000, 0, 0};
-  state.tickets["w2"] = {"old", kNow - 1, 1};
+    AddUsableWorker(fixture, "w" + std::to_string(i), 4'000);
+  const auto slot_of = [&](const char* id) {
+    return fixture.fleet.workers.at(id).slot;
+  };
+  AddDenial(state.permits, slot_of("w0"));
+  fixture.fleet.workers.at("w1").used = {4'000, 0, 0};
+  AddTicket(state.permits, {"old", kNow - 1, 1, slot_of("w2")});
   const auto names = ChooseWorkersToRequest(OrderByRoom(fixture.fleet, kNow),
                                             NeedOf(fixture), 1);
   cr_assert_not(names.empty());
@@ -260,7 +263,7 @@
 // freed.
 Test(Preemption, stops_what_loses_least) {
   Fixture fixture = MakeFixture(MakeStep(1, 4'000));
-  AddWorker(fixture, "w", 8'000);
+  AddUsableWorker(fixture, "w", 8'000);
   StepSpec plain = MakeStep(1, 4'000);
   plain.estimate_ms = 10'000;
   StepSpec saving = plain;
@@ -273,14 +276,15 @@
   const auto victims = ChooseVictimsFor(fixture, 1);
   cr_assert_eq(victims.size(), 1U);
   cr_expect_str_eq(victims.front().task.c_str(), "fedcba9876543210.0.0.0");
-  fixture.fleet.at("w").runs.at(victims.front().task).stop_wanted = true;
+  fixture.fleet.workers.at("w").runs.at(victims.front().task).stop_wanted =
+      true;
   cr_expect(ChooseVictimsFor(fixture, 1).empty());
 }
 
 // Guards against preempting a long-running task.
 Test(Preemption, long_running_runs_stay) {
   Fixture fixture = MakeFixture(MakeStep(1, 4'000));
-  AddWorker(fixture, "w", 4'000);
+  AddUsableWorker(fixture, "w", 4'000);
   StepSpec long_running = MakeStep(1, 4'000);
   long_running.long_running = true;
   const auto job = MakeOneStep(long_running, 2);
