--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -81,6 +81,10 @@
 IoWatch::~IoWatch() { this->Stop(); }
 
 void IoWatch::Start(int fd, int events) {
+  // libev passes each change on to the kernel, also one to the same events.
+  const bool is_same = ev_is_active(&this->watcher) && this->watcher.fd == fd &&
+                       (this->watcher.events & (EV_READ | EV_WRITE)) == events;
+  if (is_same) return;
   this->Stop();
   ev_io_set(&this->watcher, fd, events);
   ev_io_start(this->loop.raw(), &this->watcher);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -124,7 +124,8 @@
   workflow::Controller& c = *this->controller;
   c.runtime = this->runtime;
   c.store = this->ports.store;
-  c.port = this->ports.workers;
+  this->relays = this->MakeRelays();
+  c.port = MakeRelayPort(this->relays);
   c.vm_port = this->ports.vms;
   c.early_waves = this->waves;
   c.options = this->options.controller;
@@ -160,6 +161,7 @@
   // Destroyed later, since the controller may be on the call stack.
   this->runtime.after(0, [old = std::move(this->controller)] {});
   this->controller = nullptr;
+  this->relays = nullptr;
   if (this->peers) this->peers->SendHeartbeats();
 }
 
@@ -188,7 +190,11 @@
       [this, current, alive = this->alive](
           const std::optional<std::vector<workflow::WorkerInfo>>& list) {
         if (!*alive || current->stopped) return;
-        if (list) workflow::UpdateFleet(*current, *list);
+        if (list) {
+          this->relays->enabled =
+              list->size() >= this->options.min_workers_for_relays;
+          workflow::UpdateFleet(*current, *list);
+        }
         this->runtime.after(this->options.list_interval_ms,
                             [this, current, alive] {
                               if (!*alive || this->controller != current)
@@ -251,6 +257,43 @@
       });
 }
 
+WorkerRelaysPtr Node::MakeRelays() {
+  auto made = std::make_shared<WorkerRelays>();
+  made->runtime = this->runtime;
+  made->direct = this->ports.workers;
+  made->ask = [this, alive = this->alive](LinkId link, wire::WorkerCallT call,
+                                          TimeMs timeout_ms,
+                                          PeerAnswer answer) {
+    if (!*alive) return;
+    const uint64_t number = AddCall(this->calls, link, std::move(answer));
+    call.call = number;
+    this->peers->Send(link, std::move(call));
+    this->runtime.after(timeout_ms, [this, number, alive] {
+      if (*alive) EndCall(this->calls, number, nullptr);
+    });
+  };
+  return made;
+}
+
+void Node::AnswerWorkerCall(LinkId link, const wire::WorkerCallT& call) {
+  MakeRelayedCall(this->ports.workers, call,
+                  [this, link, alive = this->alive](wire::WorkerReplyT reply) {
+                    if (*alive) this->peers->Send(link, std::move(reply));
+                  });
+}
+
+void Node::UpdateRelay(const PeerInfo& info,
+                       const wire::HeartbeatT& heartbeat) {
+  if (!this->relays) return;
+  if (!heartbeat.relays_calls || heartbeat.draining) {
+    this->relays->relays.erase(info.link);
+    return;
+  }
+  Relay& relay = this->relays->relays[info.link];
+  relay.process = info.process;
+  relay.zone = info.zone;
+}
+
 void Node::OnPeerConnected(const PeerInfo& info) {
   this->had_peers = true;
   this->last_peer_message_ms = this->runtime.now();
@@ -271,6 +314,7 @@
 }
 
 void Node::OnPeerLost(const PeerInfo& info, LinkEnd reason) {
+  if (this->relays) this->relays->relays.erase(info.link);
   EndCallsOnLink(this->calls, info.link);
   Log(LogLevel::kInfo, "peer_lost",
       {F("peer", info.process), F("reason", NameOf(kLinkEndNames, reason)),
@@ -288,6 +332,7 @@
   wire::HeartbeatT heartbeat;
   heartbeat.config_version = this->config_version;
   heartbeat.draining = this->stopping;
+  heartbeat.relays_calls = true;
   if (!this->controller) return heartbeat;
   const workflow::Controller& c = *this->controller;
   heartbeat.serving = true;
@@ -309,6 +354,7 @@
   if (heartbeat.config_version > this->config_version && this->config_behind) {
     this->config_behind(heartbeat.config_version);
   }
+  this->UpdateRelay(info, heartbeat);
   if (!heartbeat.serving) {
     // The peer has released ownership or has not acquired it yet.
     if (info.link == this->owner_link) {
@@ -379,6 +425,14 @@
     this->AnswerPermitAsk(info.link, *ask);
     return;
   }
+  if (const auto* call = frame.body.AsWorkerCall()) {
+    this->AnswerWorkerCall(info.link, *call);
+    return;
+  }
+  if (const auto* reply = frame.body.AsWorkerReply()) {
+    EndCall(this->calls, reply->call, &frame);
+    return;
+  }
   if (const auto* reply = frame.body.AsPermitReply()) {
     EndCall(this->calls, reply->call, &frame);
     return;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -16,6 +16,7 @@
 #include "loop/EventLoop.h"
 #include "node/JobStore.h"
 #include "node/PeerCalls.h"
+#include "node/WorkerRelay.h"
 #include "peer/PeerNode.h"
 #include "store/Leadership.h"
 #include "telemetry/Metrics.h"
@@ -38,6 +39,9 @@
   workflow::ControllerOptions controller;
   /// Interval at which the owner reads the platform's list of workers.
   TimeMs list_interval_ms = 500;
+  /// From this number of workers on, other daemons make the owner's calls to
+  /// workers.
+  size_t min_workers_for_relays = 150;
 };
 
 /// The daemon's interfaces to the platform.
@@ -98,6 +102,10 @@
   void PollWorkers();
   void CheckIsolation();
   void AnswerPermitAsk(LinkId link, const wire::PermitAskT& ask);
+  void AnswerWorkerCall(LinkId link, const wire::WorkerCallT& call);
+  WorkerRelaysPtr MakeRelays();
+  /// Uses the peer as a relay if its heartbeat says that it is one.
+  void UpdateRelay(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
   workflow::PermitPort MakePeerPermitPort(LinkId link);
   void OnPeerConnected(const PeerInfo& info);
   void OnPeerLost(const PeerInfo& info, LinkEnd reason);
@@ -119,6 +127,8 @@
   std::unique_ptr<PeerNode> peers;
   std::shared_ptr<Leadership> leadership;
   workflow::ControllerPtr controller;
+  /// Of the controller, null while this daemon is not the owner.
+  WorkerRelaysPtr relays;
   std::map<std::string, workflow::QueuePolicy> policies;
   std::vector<workflow::MaintenanceWave> waves;
   uint64_t config_version = 0;
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -124,6 +124,22 @@
 struct SlotReportBuilder;
 struct SlotReportT;
 
+struct WorkerCall;
+struct WorkerCallBuilder;
+struct WorkerCallT;
+
+struct RunReport;
+struct RunReportBuilder;
+struct RunReportT;
+
+struct EndReport;
+struct EndReportBuilder;
+struct EndReportT;
+
+struct WorkerReply;
+struct WorkerReplyBuilder;
+struct WorkerReplyT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -278,6 +294,42 @@
   return EnumNamesSlotResult()[index];
 }
 
+enum class WorkerCallKind : uint8_t {
+  Start = 0,
+  Stop = 1,
+  Pace = 2,
+  Sync = 3,
+  MIN = Start,
+  MAX = Sync
+};
+
+inline const WorkerCallKind (&EnumValuesWorkerCallKind())[4] {
+  static const WorkerCallKind values[] = {
+    WorkerCallKind::Start,
+    WorkerCallKind::Stop,
+    WorkerCallKind::Pace,
+    WorkerCallKind::Sync
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesWorkerCallKind() {
+  static const char * const names[5] = {
+    "Start",
+    "Stop",
+    "Pace",
+    "Sync",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameWorkerCallKind(WorkerCallKind e) {
+  if (flatbuffers::IsOutRange(e, WorkerCallKind::Start, WorkerCallKind::Sync)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesWorkerCallKind()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -303,11 +355,13 @@
   JobQueryReply = 21,
   PermitAsk = 22,
   PermitReply = 23,
+  WorkerCall = 24,
+  WorkerReply = 25,
   MIN = NONE,
-  MAX = PermitReply
+  MAX = WorkerReply
 };
 
-inline const Body (&EnumValuesBody())[24] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -332,13 +386,15 @@
     Body::JobQuery,
     Body::JobQueryReply,
     Body::PermitAsk,
-    Body::PermitReply
+    Body::PermitReply,
+    Body::WorkerCall,
+    Body::WorkerReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[25] = {
+  static const char * const names[27] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -363,13 +419,15 @@
     "JobQueryReply",
     "PermitAsk",
     "PermitReply",
+    "WorkerCall",
+    "WorkerReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::WorkerReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -470,6 +528,14 @@
   static const Body enum_value = Body::PermitReply;
 };
 
+template<> struct BodyTraits<dotterelcove::wire::WorkerCall> {
+  static const Body enum_value = Body::WorkerCall;
+};
+
+template<> struct BodyTraits<dotterelcove::wire::WorkerReply> {
+  static const Body enum_value = Body::WorkerReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -566,6 +632,14 @@
   static const Body enum_value = Body::PermitReply;
 };
 
+template<> struct BodyUnionTraits<dotterelcove::wire::WorkerCallT> {
+  static const Body enum_value = Body::WorkerCall;
+};
+
+template<> struct BodyUnionTraits<dotterelcove::wire::WorkerReplyT> {
+  static const Body enum_value = Body::WorkerReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -780,6 +854,22 @@
     return type == Body::PermitReply ?
       reinterpret_cast<const dotterelcove::wire::PermitReplyT *>(value) : nullptr;
   }
+  dotterelcove::wire::WorkerCallT *AsWorkerCall() {
+    return type == Body::WorkerCall ?
+      reinterpret_cast<dotterelcove::wire::WorkerCallT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::WorkerCallT *AsWorkerCall() const {
+    return type == Body::WorkerCall ?
+      reinterpret_cast<const dotterelcove::wire::WorkerCallT *>(value) : nullptr;
+  }
+  dotterelcove::wire::WorkerReplyT *AsWorkerReply() {
+    return type == Body::WorkerReply ?
+      reinterpret_cast<dotterelcove::wire::WorkerReplyT *>(value) : nullptr;
+  }
+  const dotterelcove::wire::WorkerReplyT *AsWorkerReply() const {
+    return type == Body::WorkerReply ?
+      reinterpret_cast<const dotterelcove::wire::WorkerReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -917,6 +1007,7 @@
   uint64_t sequence = 0;
   int64_t store_age_ms = 0;
   std::vector<std::unique_ptr<dotterelcove::wire::QueueCountT>> pending{};
+  bool relays_calls = false;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -935,7 +1026,8 @@
     VT_DRAINING = 12,
     VT_SEQUENCE = 14,
     VT_STORE_AGE_MS = 16,
-    VT_PENDING = 18
+    VT_PENDING = 18,
+    VT_RELAYS_CALLS = 20
   };
   uint64_t owner_epoch() const {
     return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
@@ -961,6 +1053,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *>(VT_PENDING);
   }
+  bool relays_calls() const {
+    return GetField<uint8_t>(VT_RELAYS_CALLS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
@@ -974,6 +1069,7 @@
            VerifyOffset(verifier, VT_PENDING) &&
            verifier.VerifyVector(pending()) &&
            verifier.VerifyVectorOfTables(pending()) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYS_CALLS, 1) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1009,6 +1105,9 @@
   void add_pending(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending) {
     fbb_.AddOffset(Heartbeat::VT_PENDING, pending);
   }
+  void add_relays_calls(bool relays_calls) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_RELAYS_CALLS, static_cast<uint8_t>(relays_calls), 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1029,7 +1128,8 @@
     bool draining = false,
     uint64_t sequence = 0,
     int64_t store_age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending = 0,
+    bool relays_calls = false) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_sequence(sequence);
@@ -1037,6 +1137,7 @@
   builder_.add_owner_epoch(owner_epoch);
   builder_.add_pending(pending);
   builder_.add_owner_process(owner_process);
+  builder_.add_relays_calls(relays_calls);
   builder_.add_draining(draining);
   builder_.add_serving(serving);
   return builder_.Finish();
@@ -1056,7 +1157,8 @@
     bool draining = false,
     uint64_t sequence = 0,
     int64_t store_age_ms = 0,
-    const std::vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending = nullptr,
+    bool relays_calls = false) {
   auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
   auto pending__ = pending ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>(*pending) : 0;
   return dotterelcove::wire::CreateHeartbeat(
@@ -1068,7 +1170,8 @@
       draining,
       sequence,
       store_age_ms,
-      pending__);
+      pending__,
+      relays_calls);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4061,6 +4164,638 @@
 
 flatbuffers::Offset<SlotReport> CreateSlotReport(flatbuffers::FlatBufferBuilder &_fbb, const SlotReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct WorkerCallT : public flatbuffers::NativeTable {
+  typedef WorkerCall TableType;
+  uint64_t call = 0;
+  dotterelcove::wire::WorkerCallKind kind = dotterelcove::wire::WorkerCallKind::Start;
+  std::string worker{};
+  std::string address{};
+  std::string task{};
+  uint32_t run = 0;
+  std::string payload{};
+  int64_t lease_end_clock_ms = 0;
+  uint64_t token = 0;
+  std::string checkpoint{};
+  std::string ticket{};
+  int32_t percent = 0;
+  uint64_t acked = 0;
+  int64_t wait_ms = 0;
+};
+
+struct WorkerCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerCallT NativeTableType;
+  typedef WorkerCallBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_KIND = 6,
+    VT_WORKER = 8,
+    VT_ADDRESS = 10,
+    VT_TASK = 12,
+    VT_RUN = 14,
+    VT_PAYLOAD = 16,
+    VT_LEASE_END_CLOCK_MS = 18,
+    VT_TOKEN = 20,
+    VT_CHECKPOINT = 22,
+    VT_TICKET = 24,
+    VT_PERCENT = 26,
+    VT_ACKED = 28,
+    VT_WAIT_MS = 30
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  dotterelcove::wire::WorkerCallKind kind() const {
+    return static_cast<dotterelcove::wire::WorkerCallKind>(GetField<uint8_t>(VT_KIND, 0));
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  int64_t lease_end_clock_ms() const {
+    return GetField<int64_t>(VT_LEASE_END_CLOCK_MS, 0);
+  }
+  uint64_t token() const {
+    return GetField<uint64_t>(VT_TOKEN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  int32_t percent() const {
+    return GetField<int32_t>(VT_PERCENT, 0);
+  }
+  uint64_t acked() const {
+    return GetField<uint64_t>(VT_ACKED, 0);
+  }
+  int64_t wait_ms() const {
+    return GetField<int64_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_END_CLOCK_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOKEN, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           VerifyField<int32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ACKED, 8) &&
+           VerifyField<int64_t>(verifier, VT_WAIT_MS, 8) &&
+           verifier.EndTable();
+  }
+  WorkerCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkerCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkerCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkerCallBuilder {
+  typedef WorkerCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_CALL, call, 0);
+  }
+  void add_kind(dotterelcove::wire::WorkerCallKind kind) {
+    fbb_.AddElement<uint8_t>(WorkerCall::VT_KIND, static_cast<uint8_t>(kind), 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(WorkerCall::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(WorkerCall::VT_ADDRESS, address);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(WorkerCall::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(WorkerCall::VT_RUN, run, 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(WorkerCall::VT_PAYLOAD, payload);
+  }
+  void add_lease_end_clock_ms(int64_t lease_end_clock_ms) {
+    fbb_.AddElement<int64_t>(WorkerCall::VT_LEASE_END_CLOCK_MS, lease_end_clock_ms, 0);
+  }
+  void add_token(uint64_t token) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_TOKEN, token, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(WorkerCall::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(WorkerCall::VT_TICKET, ticket);
+  }
+  void add_percent(int32_t percent) {
+    fbb_.AddElement<int32_t>(WorkerCall::VT_PERCENT, percent, 0);
+  }
+  void add_acked(uint64_t acked) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_ACKED, acked, 0);
+  }
+  void add_wait_ms(int64_t wait_ms) {
+    fbb_.AddElement<int64_t>(WorkerCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit WorkerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerCall> CreateWorkerCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    dotterelcove::wire::WorkerCallKind kind = dotterelcove::wire::WorkerCallKind::Start,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    int64_t lease_end_clock_ms = 0,
+    uint64_t token = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0,
+    int32_t percent = 0,
+    uint64_t acked = 0,
+    int64_t wait_ms = 0) {
+  WorkerCallBuilder builder_(_fbb);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_acked(acked);
+  builder_.add_token(token);
+  builder_.add_lease_end_clock_ms(lease_end_clock_ms);
+  builder_.add_call(call);
+  builder_.add_percent(percent);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_payload(payload);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct WorkerCall::Traits {
+  using type = WorkerCall;
+  static auto constexpr Create = CreateWorkerCall;
+};
+
+inline flatbuffers::Offset<WorkerCall> CreateWorkerCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    dotterelcove::wire::WorkerCallKind kind = dotterelcove::wire::WorkerCallKind::Start,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    const char *payload = nullptr,
+    int64_t lease_end_clock_ms = 0,
+    uint64_t token = 0,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr,
+    int32_t percent = 0,
+    uint64_t acked = 0,
+    int64_t wait_ms = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return dotterelcove::wire::CreateWorkerCall(
+      _fbb,
+      call,
+      kind,
+      worker__,
+      address__,
+      task__,
+      run,
+      payload__,
+      lease_end_clock_ms,
+      token,
+      checkpoint__,
+      ticket__,
+      percent,
+      acked,
+      wait_ms);
+}
+
+flatbuffers::Offset<WorkerCall> CreateWorkerCall(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RunReportT : public flatbuffers::NativeTable {
+  typedef RunReport TableType;
+  std::string task{};
+  uint32_t run = 0;
+  std::string checkpoint{};
+  int32_t percent = 0;
+  double usage = 0.0;
+};
+
+struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunReportT NativeTableType;
+  typedef RunReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_CHECKPOINT = 8,
+    VT_PERCENT = 10,
+    VT_USAGE = 12
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  int32_t percent() const {
+    return GetField<int32_t>(VT_PERCENT, 0);
+  }
+  double usage() const {
+    return GetField<double>(VT_USAGE, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<int32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<double>(verifier, VT_USAGE, 8) &&
+           verifier.EndTable();
+  }
+  RunReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RunReportBuilder {
+  typedef RunReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(RunReport::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(RunReport::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(RunReport::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(int32_t percent) {
+    fbb_.AddElement<int32_t>(RunReport::VT_PERCENT, percent, 0);
+  }
+  void add_usage(double usage) {
+    fbb_.AddElement<double>(RunReport::VT_USAGE, usage, 0.0);
+  }
+  explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunReport> CreateRunReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    int32_t percent = 0,
+    double usage = 0.0) {
+  RunReportBuilder builder_(_fbb);
+  builder_.add_usage(usage);
+  builder_.add_percent(percent);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct RunReport::Traits {
+  using type = RunReport;
+  static auto constexpr Create = CreateRunReport;
+};
+
+inline flatbuffers::Offset<RunReport> CreateRunReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    const char *checkpoint = nullptr,
+    int32_t percent = 0,
+    double usage = 0.0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return dotterelcove::wire::CreateRunReport(
+      _fbb,
+      task__,
+      run,
+      checkpoint__,
+      percent,
+      usage);
+}
+
+flatbuffers::Offset<RunReport> CreateRunReport(flatbuffers::FlatBufferBuilder &_fbb, const RunReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EndReportT : public flatbuffers::NativeTable {
+  typedef EndReport TableType;
+  uint64_t number = 0;
+  std::string task{};
+  uint32_t run = 0;
+  uint8_t end = 0;
+  std::string checkpoint{};
+};
+
+struct EndReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndReportT NativeTableType;
+  typedef EndReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TASK = 6,
+    VT_RUN = 8,
+    VT_END = 10,
+    VT_CHECKPOINT = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  uint8_t end() const {
+    return GetField<uint8_t>(VT_END, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<uint8_t>(verifier, VT_END, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           verifier.EndTable();
+  }
+  EndReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndReportBuilder {
+  typedef EndReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(EndReport::VT_NUMBER, number, 0);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(EndReport::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(EndReport::VT_RUN, run, 0);
+  }
+  void add_end(uint8_t end) {
+    fbb_.AddElement<uint8_t>(EndReport::VT_END, end, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(EndReport::VT_CHECKPOINT, checkpoint);
+  }
+  explicit EndReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndReport> CreateEndReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    uint8_t end = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+  EndReportBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  builder_.add_end(end);
+  return builder_.Finish();
+}
+
+struct EndReport::Traits {
+  using type = EndReport;
+  static auto constexpr Create = CreateEndReport;
+};
+
+inline flatbuffers::Offset<EndReport> CreateEndReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    uint8_t end = 0,
+    const char *checkpoint = nullptr) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return dotterelcove::wire::CreateEndReport(
+      _fbb,
+      number,
+      task__,
+      run,
+      end,
+      checkpoint__);
+}
+
+flatbuffers::Offset<EndReport> CreateEndReport(flatbuffers::FlatBufferBuilder &_fbb, const EndReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WorkerReplyT : public flatbuffers::NativeTable {
+  typedef WorkerReply TableType;
+  uint64_t call = 0;
+  uint8_t status = 0;
+  int64_t clock_ms = 0;
+  uint64_t incarnation = 0;
+  std::vector<std::unique_ptr<dotterelcove::wire::RunReportT>> running{};
+  std::vector<std::unique_ptr<dotterelcove::wire::EndReportT>> ended{};
+  WorkerReplyT() = default;
+  WorkerReplyT(const WorkerReplyT &o);
+  WorkerReplyT(WorkerReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  WorkerReplyT &operator=(WorkerReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WorkerReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerReplyT NativeTableType;
+  typedef WorkerReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_STATUS = 6,
+    VT_CLOCK_MS = 8,
+    VT_INCARNATION = 10,
+    VT_RUNNING = 12,
+    VT_ENDED = 14
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  uint8_t status() const {
+    return GetField<uint8_t>(VT_STATUS, 0);
+  }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::RunReport>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::RunReport>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::EndReport>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::EndReport>> *>(VT_ENDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           verifier.EndTable();
+  }
+  WorkerReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkerReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkerReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkerReplyBuilder {
+  typedef WorkerReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(WorkerReply::VT_CALL, call, 0);
+  }
+  void add_status(uint8_t status) {
+    fbb_.AddElement<uint8_t>(WorkerReply::VT_STATUS, status, 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(WorkerReply::VT_CLOCK_MS, clock_ms, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(WorkerReply::VT_INCARNATION, incarnation, 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::RunReport>>> running) {
+    fbb_.AddOffset(WorkerReply::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::EndReport>>> ended) {
+    fbb_.AddOffset(WorkerReply::VT_ENDED, ended);
+  }
+  explicit WorkerReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerReply> CreateWorkerReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint8_t status = 0,
+    int64_t clock_ms = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::RunReport>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::EndReport>>> ended = 0) {
+  WorkerReplyBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_clock_ms(clock_ms);
+  builder_.add_call(call);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct WorkerReply::Traits {
+  using type = WorkerReply;
+  static auto constexpr Create = CreateWorkerReply;
+};
+
+inline flatbuffers::Offset<WorkerReply> CreateWorkerReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint8_t status = 0,
+    int64_t clock_ms = 0,
+    uint64_t incarnation = 0,
+    const std::vector<flatbuffers::Offset<dotterelcove::wire::RunReport>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<dotterelcove::wire::EndReport>> *ended = nullptr) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::RunReport>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::EndReport>>(*ended) : 0;
+  return dotterelcove::wire::CreateWorkerReply(
+      _fbb,
+      call,
+      status,
+      clock_ms,
+      incarnation,
+      running__,
+      ended__);
+}
+
+flatbuffers::Offset<WorkerReply> CreateWorkerReply(flatbuffers::FlatBufferBuilder &_fbb, const WorkerReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   uint64_t hlc = 0;
@@ -4155,6 +4890,12 @@
   const dotterelcove::wire::PermitReply *body_as_PermitReply() const {
     return body_type() == dotterelcove::wire::Body::PermitReply ? static_cast<const dotterelcove::wire::PermitReply *>(body()) : nullptr;
   }
+  const dotterelcove::wire::WorkerCall *body_as_WorkerCall() const {
+    return body_type() == dotterelcove::wire::Body::WorkerCall ? static_cast<const dotterelcove::wire::WorkerCall *>(body()) : nullptr;
+  }
+  const dotterelcove::wire::WorkerReply *body_as_WorkerReply() const {
+    return body_type() == dotterelcove::wire::Body::WorkerReply ? static_cast<const dotterelcove::wire::WorkerReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HLC, 8) &&
@@ -4260,6 +5001,14 @@
   return body_as_PermitReply();
 }
 
+template<> inline const dotterelcove::wire::WorkerCall *Frame::body_as<dotterelcove::wire::WorkerCall>() const {
+  return body_as_WorkerCall();
+}
+
+template<> inline const dotterelcove::wire::WorkerReply *Frame::body_as<dotterelcove::wire::WorkerReply>() const {
+  return body_as_WorkerReply();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4348,7 +5097,8 @@
         config_version(o.config_version),
         draining(o.draining),
         sequence(o.sequence),
-        store_age_ms(o.store_age_ms) {
+        store_age_ms(o.store_age_ms),
+        relays_calls(o.relays_calls) {
   pending.reserve(o.pending.size());
   for (const auto &pending_ : o.pending) { pending.emplace_back((pending_) ? new dotterelcove::wire::QueueCountT(*pending_) : nullptr); }
 }
@@ -4362,6 +5112,7 @@
   std::swap(sequence, o.sequence);
   std::swap(store_age_ms, o.store_age_ms);
   std::swap(pending, o.pending);
+  std::swap(relays_calls, o.relays_calls);
   return *this;
 }
 
@@ -4382,6 +5133,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
   { auto _e = pending(); if (_e) { _o->pending.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending[_i] = std::unique_ptr<dotterelcove::wire::QueueCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relays_calls(); _o->relays_calls = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4400,6 +5152,7 @@
   auto _sequence = _o->sequence;
   auto _store_age_ms = _o->store_age_ms;
   auto _pending = _o->pending.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> (_o->pending.size(), [](size_t i, _VectorArgs *__va) { return CreateQueueCount(*__va->__fbb, __va->__o->pending[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relays_calls = _o->relays_calls;
   return dotterelcove::wire::CreateHeartbeat(
       _fbb,
       _owner_epoch,
@@ -4409,7 +5162,8 @@
       _draining,
       _sequence,
       _store_age_ms,
-      _pending);
+      _pending,
+      _relays_calls);
 }
 
 inline QueueCountT *QueueCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5419,6 +6173,209 @@
       _held);
 }
 
+inline WorkerCallT *WorkerCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WorkerCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WorkerCall::UnPackTo(WorkerCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = payload(); if (_e) _o->payload = _e->str(); }
+  { auto _e = lease_end_clock_ms(); _o->lease_end_clock_ms = _e; }
+  { auto _e = token(); _o->token = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+  { auto _e = acked(); _o->acked = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+}
+
+inline flatbuffers::Offset<WorkerCall> WorkerCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWorkerCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WorkerCall> CreateWorkerCall(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _kind = _o->kind;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
+  auto _lease_end_clock_ms = _o->lease_end_clock_ms;
+  auto _token = _o->token;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  auto _percent = _o->percent;
+  auto _acked = _o->acked;
+  auto _wait_ms = _o->wait_ms;
+  return dotterelcove::wire::CreateWorkerCall(
+      _fbb,
+      _call,
+      _kind,
+      _worker,
+      _address,
+      _task,
+      _run,
+      _payload,
+      _lease_end_clock_ms,
+      _token,
+      _checkpoint,
+      _ticket,
+      _percent,
+      _acked,
+      _wait_ms);
+}
+
+inline RunReportT *RunReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RunReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RunReport::UnPackTo(RunReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+  { auto _e = usage(); _o->usage = _e; }
+}
+
+inline flatbuffers::Offset<RunReport> RunReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RunReport> CreateRunReport(flatbuffers::FlatBufferBuilder &_fbb, const RunReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _percent = _o->percent;
+  auto _usage = _o->usage;
+  return dotterelcove::wire::CreateRunReport(
+      _fbb,
+      _task,
+      _run,
+      _checkpoint,
+      _percent,
+      _usage);
+}
+
+inline EndReportT *EndReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndReport::UnPackTo(EndReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = end(); _o->end = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+}
+
+inline flatbuffers::Offset<EndReport> EndReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndReport> CreateEndReport(flatbuffers::FlatBufferBuilder &_fbb, const EndReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _end = _o->end;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  return dotterelcove::wire::CreateEndReport(
+      _fbb,
+      _number,
+      _task,
+      _run,
+      _end,
+      _checkpoint);
+}
+
+inline WorkerReplyT::WorkerReplyT(const WorkerReplyT &o)
+      : call(o.call),
+        status(o.status),
+        clock_ms(o.clock_ms),
+        incarnation(o.incarnation) {
+  running.reserve(o.running.size());
+  for (const auto &running_ : o.running) { running.emplace_back((running_) ? new dotterelcove::wire::RunReportT(*running_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new dotterelcove::wire::EndReportT(*ended_) : nullptr); }
+}
+
+inline WorkerReplyT &WorkerReplyT::operator=(WorkerReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  std::swap(status, o.status);
+  std::swap(clock_ms, o.clock_ms);
+  std::swap(incarnation, o.incarnation);
+  std::swap(running, o.running);
+  std::swap(ended, o.ended);
+  return *this;
+}
+
+inline WorkerReplyT *WorkerReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WorkerReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WorkerReply::UnPackTo(WorkerReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = clock_ms(); _o->clock_ms = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<dotterelcove::wire::RunReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<dotterelcove::wire::EndReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<WorkerReply> WorkerReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWorkerReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WorkerReply> CreateWorkerReply(flatbuffers::FlatBufferBuilder &_fbb, const WorkerReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _status = _o->status;
+  auto _clock_ms = _o->clock_ms;
+  auto _incarnation = _o->incarnation;
+  auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::RunReport>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateRunReport(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::EndReport>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateEndReport(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelcove::wire::CreateWorkerReply(
+      _fbb,
+      _call,
+      _status,
+      _clock_ms,
+      _incarnation,
+      _running,
+      _ended);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -5548,6 +6505,14 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::WorkerCall: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::WorkerReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5659,6 +6624,14 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::WorkerCall: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerCall *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::WorkerReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5758,6 +6731,14 @@
       auto ptr = reinterpret_cast<const dotterelcove::wire::PermitReplyT *>(value);
       return CreatePermitReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::WorkerCall: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerCallT *>(value);
+      return CreateWorkerCall(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::WorkerReply: {
+      auto ptr = reinterpret_cast<const dotterelcove::wire::WorkerReplyT *>(value);
+      return CreateWorkerReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5856,6 +6837,14 @@
       value = new dotterelcove::wire::PermitReplyT(*reinterpret_cast<dotterelcove::wire::PermitReplyT *>(u.value));
       break;
     }
+    case Body::WorkerCall: {
+      value = new dotterelcove::wire::WorkerCallT(*reinterpret_cast<dotterelcove::wire::WorkerCallT *>(u.value));
+      break;
+    }
+    case Body::WorkerReply: {
+      value = new dotterelcove::wire::WorkerReplyT(*reinterpret_cast<dotterelcove::wire::WorkerReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5978,6 +6967,16 @@
       delete ptr;
       break;
     }
+    case Body::WorkerCall: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::WorkerCallT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::WorkerReply: {
+      auto ptr = reinterpret_cast<dotterelcove::wire::WorkerReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -35,7 +35,6 @@
     c.to_compact[row.key] = end->phase;
   }
   for (const StoreRow& row : loading.jobs.rows) AdmitRow(c, row);
-  for (const auto& [id, job] : c.jobs.jobs) job->from_predecessor = true;
   for (const StoreRow& row : loading.progress.rows) {
     Job* job = FindJob(c.jobs, row.key);
     if (job == nullptr || ApplyProgress(row.value, *job)) continue;
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -157,7 +157,7 @@
   found.run->stops_sent++;
   c.stats.stops++;
   c.port.stop(
-      {found.worker->info.id, found.worker->info.address},
+      AddressOf(*found.worker),
       {key.task, key.run, c.epoch},
       Guard(c, [key](Controller& self, const OrderAnswer& answer) {
         if (answer.status == OrderStatus::kFenced) {
@@ -227,7 +227,7 @@
        F("free_cores", FreeOf(worker).milli_cores),
        F("waited_ms", now_ms - StepOf(placement.task).ready_since_ms),
        F("sync_age_ms", now_ms - worker.clock_read_ms)});
-  c.port.start({worker.info.id, worker.info.address}, order,
+  c.port.start(AddressOf(worker), order,
                Guard(c, [key](Controller& self, const OrderAnswer& answer) {
                  OnStartAnswer(self, key, answer);
                }));
@@ -289,7 +289,7 @@
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
   c.stats.stops++;
-  c.port.stop({id, worker.info.address}, {name, found->second.run, c.epoch},
+  c.port.stop(AddressOf(worker), {name, found->second.run, c.epoch},
               Guard(c, [id, incarnation, name](Controller& self,
                                                const OrderAnswer& answer) {
                 if (answer.status == OrderStatus::kFenced) {
--- a/src/workflow/ControllerPacing.cpp
+++ b/src/workflow/ControllerPacing.cpp
@@ -20,7 +20,7 @@
   run.pace_percent = change.percent;
   run.pace_in_flight = true;
   const std::string id = worker.info.id;
-  c.port.pace({id, worker.info.address},
+  c.port.pace(AddressOf(worker),
               {change.task, run.run, change.percent, c.epoch},
               Guard(c, [id, task = change.task, number = run.run](
                            Controller& self, const OrderAnswer& answer) {
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -32,10 +32,13 @@
   std::vector<uint32_t> tasks;
 };
 
-/// Whether a worker that has not answered yet may still hold a task of the job,
-/// which is the case if the job was accepted before the worker was cordoned.
+/// Whether a worker that has not answered yet may hold a task of the job, which
+/// is the case unless the job was accepted after the worker was cordoned. That
+/// also holds for a job that this owner has just learnt of: until every worker
+/// has seen the higher token, a predecessor that does not know yet that it is
+/// deposed may have placed it.
 bool MustWaitForRecovery(const Controller& c, const Job& job) {
-  if (!job.from_predecessor || !IsRecovering(c)) return false;
+  if (!IsRecovering(c)) return false;
   return std::any_of(
       c.recovery_pending.begin(), c.recovery_pending.end(),
       [&](const auto& worker) { return job.version <= worker.second; });
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -384,7 +384,7 @@
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
   const uint64_t sync = worker.syncs_sent;
-  c.port.sync({id, worker.info.address}, order,
+  c.port.sync(AddressOf(worker), order,
               Guard(c, [id, incarnation, sync](Controller& self,
                                                const SyncAnswer& answer) {
                 OnSyncAnswer(self, id, incarnation, sync, answer);
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "workflow/JobTable.h"
+#include "workflow/Ports.h"
 
 namespace dotterelcove::workflow {
 
@@ -177,6 +178,10 @@
 const Worker* FindWorker(const Fleet& fleet, const std::string& id);
 void RemoveWorker(Fleet& fleet, const std::string& id);
 
+inline WorkerAddress AddressOf(const Worker& worker) {
+  return {worker.info.id, worker.info.address, worker.info.zone};
+}
+
 inline Resources FreeOf(const Worker& worker) {
   return worker.info.capacity - worker.used;
 }
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -112,9 +112,6 @@
   bool cancel_requested = false;
   /// A task of the job has started at some time.
   bool started = false;
-  /// Stored before this owner took over, so a worker may hold a task of it that
-  /// this owner does not know of yet.
-  bool from_predecessor = false;
   /// Store version at which it was accepted.
   uint64_t version = 0;
   /// Progress has changed since the last commit.
--- a/src/workflow/Ports.h
+++ b/src/workflow/Ports.h
@@ -58,6 +58,7 @@
 struct WorkerAddress {
   std::string id;
   std::string address;
+  std::string zone;
 };
 
 struct StartOrder {
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -65,14 +65,19 @@
           [&cell, index, alive] { SendOwnerReports(cell, index, alive); });
 }
 
-void NotifyOwner(Cell& cell, const StoreRow& row) {
-  const int owner = FindOwner(cell);
-  if (owner < 0 || row.version == 0) return;
-  Daemon& daemon = *cell.daemons[static_cast<size_t>(owner)];
-  Deliver(cell, owner, daemon.alive, kHopMs, [&cell, owner, row] {
-    Daemon& there = *cell.daemons[static_cast<size_t>(owner)];
-    if (there.controller) workflow::AdmitRow(*there.controller, row);
-  });
+/// Tells every daemon that takes itself for the owner of a stored row: after a
+/// takeover, an entry process may still know the previous owner only.
+void NotifyOwners(Cell& cell, const StoreRow& row) {
+  if (row.version == 0) return;
+  for (const auto& daemon : cell.daemons) {
+    if (!daemon->up || !daemon->controller) continue;
+    Deliver(cell, daemon->index, daemon->alive, kHopMs,
+            [there = daemon.get(), row] {
+              if (there->controller) {
+                workflow::AdmitRow(*there->controller, row);
+              }
+            });
+  }
 }
 
 }  // namespace
@@ -296,7 +301,7 @@
               submitted.refused = answer == JobAnswer::kRefused;
               submitted.accepted = answer == JobAnswer::kStored;
               submitted.accepted_ms = cell.time.now_ms;
-              if (submitted.accepted) NotifyOwner(cell, row);
+              if (submitted.accepted) NotifyOwners(cell, row);
             });
 }
 
@@ -313,7 +318,7 @@
                        if (submitted.cancelled_ms < 0) {
                          submitted.cancelled_ms = cell.time.now_ms;
                        }
-                       NotifyOwner(cell, row);
+                       NotifyOwners(cell, row);
                      });
 }
 
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -443,4 +443,26 @@
   }
 }
 
+// Guards against a job that is accepted around a takeover and placed by both
+// owners: the previous one, which the store turns away, does not know yet that
+// it is deposed, and the new one placed the job before it had reached every
+// worker (seen at 350 workers).
+Test(CellModel, job_accepted_during_a_takeover_runs_once, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    Cell cell({.workers = 12, .seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    SubmitRandomJobs(cell, 8, 20);
+    const int owner = FindOwner(cell);
+    cr_assert_geq(owner, 0);
+    cell.time.RunUntil(3 * kSecond);
+    for (auto& [id, worker] : cell.workers) worker.jitter_ms = 150;
+    cell.store.faults.refused.insert(owner);
+    cell.time.RunUntil(8 * kSecond);
+    cell.store.faults.refused.clear();
+    for (auto& [id, worker] : cell.workers) worker.jitter_ms = 0;
+    cell.time.RunUntil(40 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -75,7 +75,7 @@
   order.lease_end_clock_ms = 9'000;
   order.token = 7;
   order.ticket = "t";
-  MakeWorkerPort(fake.http).start({"i-1", fake.address()}, order,
+  MakeWorkerPort(fake.http).start({"i-1", fake.address(), ""}, order,
                                   [&](workflow::OrderAnswer answer) {
                                     got = answer;
                                     done = true;
@@ -211,7 +211,7 @@
                  [59, "a.0.0.4", 3, "alone", "s"], [60, "b", 1, "odd", ""]]})";
   workflow::SyncAnswer got;
   bool done = false;
-  MakeWorkerPort(fake.http).sync({"i-1", fake.address()}, {7, 57, 0, 0},
+  MakeWorkerPort(fake.http).sync({"i-1", fake.address(), ""}, {7, 57, 0, 0},
                                  [&](workflow::SyncAnswer answer) {
                                    got = std::move(answer);
                                    done = true;
