Place a job only once ownership is confirmed after its acceptance

Change: an owner places a job only if its own row has a version above the job's: the store then shows that no takeover came before the job was accepted. Admission asks for a commit, permits are requested meanwhile. So no job accepted after a takeover can have been placed before, and such jobs wait for no worker. This also keeps an owner that was paused, or that the store turns away, from starting what it has just been told of.

Tests: CellModel/jobs_accepted_after_a_takeover_wait_for_no_worker fails before; job_accepted_during_a_takeover_runs_once still passes.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -315,6 +315,7 @@
 }  // namespace
 
 void StartController(Controller& c) {
+  c.takeover_version = c.log->row().version;
   const auto loading = std::make_shared<Loading>();
   LoadTable(c, loading, kJobTable, &Loading::jobs);
   LoadTable(c, loading, kProgressTable, &Loading::progress);
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -105,6 +105,9 @@
   ControllerOptions options;
   std::shared_ptr<OwnerCommitter> log;
   uint64_t epoch = 0;
+  /// Store version at which this owner took over. No predecessor has placed a
+  /// job accepted later, see IsOwnershipConfirmed().
+  uint64_t takeover_version = 0;
   /// Called when a worker or the VM service rejects this owner's fencing token
   /// as stale.
   std::function<void()> fenced;
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -38,6 +38,11 @@
   size_t unplaced = 0;
 };
 
+/// Whether this owner has written its row after the job was accepted. The store
+/// then shows that no other process had taken over by the time of acceptance,
+/// so no job is ever placed by two owners that both know it.
+bool IsOwnershipConfirmed(const Controller& controller, const Job& job);
+
 // Permits.
 /// Sends a permit request for the step unless one is in flight or could not
 /// help.
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -58,6 +58,9 @@
   }
   WatchJob(c, *admitted);
   SyncOrphansOf(c, *admitted);
+  if (IsOwnershipConfirmed(c, *admitted)) return;
+  c.log->Commit({}, {},
+                Guard(c, [](Controller& self) { RequestSchedule(self); }));
 }
 
 uint32_t CountFailures(const Job& job, const TaskRef& task) {
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -34,12 +34,10 @@
 };
 
 /// Whether a worker that has not answered yet may hold a task of the job, which
-/// is the case unless the job was accepted after the worker was cordoned. That
-/// also holds for a job that this owner has just learnt of: until every worker
-/// has seen the higher token, a predecessor that does not know yet that it is
-/// deposed may have placed it.
+/// is the case unless the job was accepted after this owner took over, or after
+/// the worker was cordoned.
 bool MustWaitForRecovery(const Controller& c, const Job& job) {
-  if (!IsRecovering(c)) return false;
+  if (job.version > c.takeover_version || !IsRecovering(c)) return false;
   return std::any_of(
       c.recovery_pending.begin(), c.recovery_pending.end(),
       [&](const auto& worker) { return job.version <= worker.second; });
@@ -211,6 +209,16 @@
   }
 }
 
+/// Requests permits for the tasks if the queue requires them.
+void RequestPermitsFor(Controller& c, SchedulePass& pass,
+                       const WaitingStep& step, const PlacementNeed& need,
+                       uint32_t tasks) {
+  if (!step.job->spec.policy.permits.required) return;
+  RequestPermits(c, pass,
+                 {step.job, step.occurrence, step.step, step.tasks.front()},
+                 need, tasks);
+}
+
 void PlaceStep(Controller& c, SchedulePass& pass, const WaitingStep& step) {
   Job& job = *step.job;
   StepState& state = job.occurrences.at(step.occurrence).steps[step.step];
@@ -224,16 +232,18 @@
   need.on_worker = &on_worker;
   need.now_ms = pass.now_ms;
   if (job.spec.policy.priority > 1) need.reserve = kUrgentReserve;
+  if (!IsOwnershipConfirmed(c, job)) {
+    // Permits take as long as the commit that confirms the ownership.
+    RequestPermitsFor(c, pass, step, need,
+                      static_cast<uint32_t>(step.tasks.size()));
+    return;
+  }
   const Candidates candidates = FindCandidates(c.fleet, need);
   const uint32_t unplaced = spec.gang ? PlaceGang(c, step, candidates, need)
                                       : PlaceTasks(c, step, candidates, need);
   if (unplaced == 0) return;
   pass.unplaced += unplaced;
-  if (job.spec.policy.permits.required) {
-    RequestPermits(c, pass,
-                   {&job, step.occurrence, step.step, step.tasks.front()}, need,
-                   unplaced);
-  }
+  RequestPermitsFor(c, pass, step, need, unplaced);
   if (job.spec.policy.priority == 0 && !spec.gang) {
     Preempt(c, candidates, need, state, unplaced);
   }
@@ -282,6 +292,10 @@
 
 }  // namespace
 
+bool IsOwnershipConfirmed(const Controller& c, const Job& job) {
+  return job.version <= c.log->row().version;
+}
+
 void WatchJob(Controller& c, Job& job) {
   c.watched[job.spec.id] = &job;
   RequestSchedule(c);
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -465,4 +465,42 @@
   }
 }
 
+// Guards against a new owner that holds jobs accepted after its takeover back
+// for a worker that does not answer: no earlier owner can have placed them.
+// After the loss of all daemons, everything once waited 5 s for three dead
+// workers.
+Test(CellModel, jobs_accepted_after_a_takeover_wait_for_no_worker,
+     .init = DiscardLogs) {
+  Cell cell({.failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  const workflow::JobSpec earlier =
+      MakeChain(cell, 1, 1, {1'000, 500, 0}, 20 * kSecond);
+  Submit(cell, 0, earlier);
+  cell.time.RunUntil(4 * kSecond);
+  cr_assert_eq(cell.run_records.size(), 1U);
+  ModelWorker& silent = cell.workers.at(cell.run_records.front().worker);
+  silent.partitioned = true;
+  for (size_t i = 0; i < cell.daemons.size(); ++i) {
+    KillDaemon(cell, static_cast<int>(i));
+  }
+  for (size_t i = 0; i < cell.daemons.size(); ++i) {
+    StartDaemon(cell, static_cast<int>(i));
+  }
+  cell.time.RunUntil(6 * kSecond);
+  cr_assert_geq(FindOwner(cell), 0);
+  const workflow::JobSpec later = MakeChain(cell, 1, 3, {1'000, 500, 0}, 200);
+  Submit(cell, 0, later);
+  cell.time.RunUntil(7 * kSecond);
+  size_t done = 0;
+  for (const RunRecord& record : cell.run_records) {
+    const bool is_later = record.task.substr(0, 16) == later.id;
+    if (is_later && record.outcome == "done") ++done;
+  }
+  cr_expect_eq(done, 3U);
+  cr_expect_eq(cell.run_records.size(), 4U, "the earlier job must wait");
+  silent.partitioned = false;
+  cell.time.RunUntil(60 * kSecond);
+  ExpectNoViolations(cell, true);
+}
+
 }  // namespace dotterelcove::model
