Damaged rows cost only themselves; one probe at a time; a release build passes

Entries are decoded one by one; a worker whose entry is damaged counts as not cordoned, an entry without a readable id makes the owner wait for the longest lease. A "sent" that is no number in the owner row threw out of a callback and would have ended the process; it counts as unknown. JobRows/damaged_fleet_entries_cost_only_themselves. - The release of a slot from before an ejection allowed a second probe of the endpoint. A slot remembers whether it is the probe. An urgent run is spared: Preemption/urgent_runs_stay. - g++ 12 warns falsely (-Wrestrict) on a chain of string additions in a release build.

Ruled out: -Wno-restrict for everybody.

--- a/src/operator/FetchEvents.cpp
+++ b/src/operator/FetchEvents.cpp
@@ -12,8 +12,10 @@
   std::string query;
   const auto add = [&](const char* name, const std::string& value) {
     if (value.empty()) return;
-    query += (query.empty() ? "?" : "&") + std::string(name) + "=" +
-             EscapeQuery(value);
+    query += query.empty() ? '?' : '&';
+    query += name;
+    query += '=';
+    query += EscapeQuery(value);
   };
   add("job", filter.job);
   add("task", filter.task);
--- a/src/scheduler/EndpointTable.cpp
+++ b/src/scheduler/EndpointTable.cpp
@@ -90,18 +90,20 @@
   return best;
 }
 
-void EndpointTable::AcquireSlot(const std::string& id) {
+bool EndpointTable::AcquireSlot(const std::string& id) {
   Endpoint& endpoint = this->rows[id];
   endpoint.slots_in_use++;
   if (endpoint.probing) endpoint.probe_in_flight = true;
+  return endpoint.probing;
 }
 
-void EndpointTable::ReleaseSlot(const std::string& id) {
+void EndpointTable::ReleaseSlot(const std::string& id, bool is_probe) {
   const auto found = this->rows.find(id);
   if (found == this->rows.end()) return;
   Endpoint& endpoint = found->second;
   if (endpoint.slots_in_use > 0) endpoint.slots_in_use--;
-  endpoint.probe_in_flight = false;
+  // A slot from before the ejection says nothing about the probe.
+  if (is_probe) endpoint.probe_in_flight = false;
 }
 
 void EndpointTable::RecordResult(const std::string& id, wire::SlotResult result,
--- a/src/scheduler/EndpointTable.h
+++ b/src/scheduler/EndpointTable.h
@@ -47,8 +47,10 @@
   Endpoint* Pick(const std::string& service, bool idempotent, TimeMs now);
   /// Counts one more slot in use. Does not check the state of the endpoint, as
   /// an entry daemon may report a slot that an earlier owner granted.
-  void AcquireSlot(const std::string& id);
-  void ReleaseSlot(const std::string& id);
+  /// Returns whether the request is a probe of an ejected endpoint.
+  bool AcquireSlot(const std::string& id);
+  /// `is_probe` is what AcquireSlot() returned for the slot.
+  void ReleaseSlot(const std::string& id, bool is_probe);
   /// Updates the endpoint's health from the result of a request. `leaving` is
   /// set when the endpoint announced that it leaves.
   void RecordResult(const std::string& id, wire::SlotResult result,
--- a/src/scheduler/RoutedRequest.h
+++ b/src/scheduler/RoutedRequest.h
@@ -61,6 +61,8 @@
   std::string process;
   std::string service;
   TimeMs deadline_ms = 0;
+  /// Probes an endpoint that was ejected.
+  bool is_probe = false;
 };
 
 }  // namespace dotterelcove
--- a/src/scheduler/SlotGrants.cpp
+++ b/src/scheduler/SlotGrants.cpp
@@ -90,11 +90,12 @@
       this->table.Pick(routed.request.service, routed.request.idempotent, now);
   if (endpoint == nullptr) return false;
   const std::string id = endpoint->vm.id;
-  this->table.AcquireSlot(id);
+  const bool is_probe = this->table.AcquireSlot(id);
   routed.phase = RoutedPhase::kGranted;
   routed.grant = {this->epoch, this->next_grant++};
-  this->grants[routed.grant] = {routed.request.job, id, routed.process,
-                                routed.request.service, routed.deadline_ms};
+  this->grants[routed.grant] = {routed.request.job, id,
+                                routed.process,     routed.request.service,
+                                routed.deadline_ms, is_probe};
   this->SendGrant(routed);
   const auto request_class =
       static_cast<RequestClass>(ClassIndex(routed.request.request_class));
@@ -125,7 +126,7 @@
 
 void SlotService::ReleaseSlot(const GrantKey& key) {
   const auto found = this->grants.find(key);
-  this->table.ReleaseSlot(found->second.endpoint);
+  this->table.ReleaseSlot(found->second.endpoint, found->second.is_probe);
   this->grants.erase(found);
 }
 
--- a/src/scheduler/SlotService.cpp
+++ b/src/scheduler/SlotService.cpp
@@ -86,7 +86,7 @@
     const GrantKey key{slot->epoch, slot->grant};
     held.insert(key);
     if (this->grants.contains(key)) continue;
-    this->table.AcquireSlot(slot->endpoint);
+    const bool is_probe = this->table.AcquireSlot(slot->endpoint);
     RoutedRequest& routed = this->requests[slot->job];
     this->LeaveQueue(routed);
     routed.request.job = slot->job;
@@ -99,8 +99,12 @@
     routed.grant = key;
     routed.deadline_ms = now + slot->time_left_ms;
     const auto endpoint = this->table.endpoints().find(slot->endpoint);
-    this->grants[key] = {slot->job, slot->endpoint, process,
-                         endpoint->second.vm.service, routed.deadline_ms};
+    this->grants[key] = {slot->job,
+                         slot->endpoint,
+                         process,
+                         endpoint->second.vm.service,
+                         routed.deadline_ms,
+                         is_probe};
   }
   // A grant that is missing from the report, or its release, was lost in
   // transit.
--- a/src/store/OwnerCommitter.cpp
+++ b/src/store/OwnerCommitter.cpp
@@ -31,7 +31,9 @@
   row.epoch = json["epoch"];
   row.incarnation = json["incarnation"];
   row.sequence = json["sequence"];
-  row.sent_clock_ms = json.value("sent", int64_t{0});
+  const auto sent = json.find("sent");
+  const bool is_dated = sent != json.end() && sent->is_number_integer();
+  row.sent_clock_ms = is_dated ? sent->get<int64_t>() : 0;
   row.process = json["process"];
   row.address = json["address"];
   return true;
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -124,7 +124,15 @@
   std::vector<RecordedWorker> recorded;
   for (const StoreRow& row : loading.fleet.rows) {
     c.fleet_rows[row.key] = row.value;
-    for (RecordedWorker& worker : DecodeFleet(row.value)) {
+    DecodedFleet fleet = DecodeFleet(row.value);
+    if (fleet.unnamed > 0) {
+      Log(LogLevel::kError, "fleet_row_damaged",
+          {F("key", row.key), F("entries", fleet.unnamed),
+           F("version", row.version)});
+      // No worker has this name, so the longest lease is waited out.
+      c.recovery_pending["damaged entry of " + row.key] = UINT64_MAX;
+    }
+    for (RecordedWorker& worker : fleet.workers) {
       if (worker.cordoned && worker.cordoned_version == 0) {
         worker.cordoned_version = row.version;
       }
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -130,9 +130,12 @@
 /// that were free on the worker and the age of its last report.
 std::string DescribePlacement(const Controller& c, uint32_t index, uint32_t run,
                               const Worker& worker) {
-  return std::to_string(index) + ":" + std::to_string(run) + "@" +
-         worker.info.id + "/" + std::to_string(FreeOf(worker).milli_cores) +
-         "/" + std::to_string(c.runtime.now() - worker.clock_read_ms);
+  std::string text = std::to_string(index);
+  text += ':' + std::to_string(run);
+  text += '@' + worker.info.id;
+  text += '/' + std::to_string(FreeOf(worker).milli_cores);
+  text += '/' + std::to_string(c.runtime.now() - worker.clock_read_ms);
+  return text;
 }
 
 /// One line tells all tasks of a step that a pass has placed, so that none has
@@ -164,7 +167,8 @@
   std::string placed;
   for (uint32_t i = 0; i < need.step->count; ++i) {
     Worker* worker = (*workers)[i];
-    placed += (i == 0 ? "" : " ") + DescribePlacement(c, i, run, *worker);
+    if (i > 0) placed += ' ';
+    placed += DescribePlacement(c, i, run, *worker);
     PlaceTask(c, {{step.job, step.occurrence, step.step, i},
                   worker,
                   run,
@@ -184,7 +188,7 @@
   for (const PlannedTask& planned : plan.placed) {
     const TaskState& task = need.state->tasks[planned.index];
     const uint32_t run = NextRun(c, task);
-    if (!placed.empty()) placed += " ";
+    if (!placed.empty()) placed += ' ';
     placed += DescribePlacement(c, planned.index, run, *planned.worker);
     PlaceTask(c, {{step.job, step.occurrence, step.step, planned.index},
                   planned.worker,
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/Hash.h"
+#include "telemetry/Log.h"
 
 namespace dotterelcove::workflow {
 namespace {
@@ -258,23 +259,45 @@
   return json.dump();
 }
 
-std::vector<RecordedWorker> DecodeFleet(const std::string& text) {
-  std::vector<RecordedWorker> workers;
+namespace {
+
+/// Returns false for an entry without a readable id.
+bool DecodeFleetEntry(const Json& entry, RecordedWorker& worker) {
+  if (!entry.is_array() || entry.empty() || !entry[0].is_string()) return false;
+  worker.info.id = entry[0].get<std::string>();
   try {
-    for (const Json& entry : Json::parse(text)) {
-      RecordedWorker worker;
-      worker.info.id = entry.at(0).get<std::string>();
-      worker.info.address = entry.at(1).get<std::string>();
-      worker.info.service = entry.at(2).get<std::string>();
-      worker.info.incarnation = entry.at(3).get<uint64_t>();
-      worker.cordoned = entry.at(4).get<bool>();
-      worker.cordoned_version = entry.at(5).get<uint64_t>();
-      workers.push_back(std::move(worker));
+    RecordedWorker whole = worker;
+    whole.info.address = entry.at(1).get<std::string>();
+    whole.info.service = entry.at(2).get<std::string>();
+    whole.info.incarnation = entry.at(3).get<uint64_t>();
+    whole.cordoned = entry.at(4).get<bool>();
+    whole.cordoned_version = entry.at(5).get<uint64_t>();
+    worker = std::move(whole);
+  } catch (const Json::exception& error) {
+    Log(LogLevel::kError, "fleet_entry_damaged",
+        {F("worker", worker.info.id), F("error", error.what())});
+  }
+  return true;
+}
+
+}  // namespace
+
+DecodedFleet DecodeFleet(const std::string& text) {
+  DecodedFleet fleet;
+  const Json row = Json::parse(text, nullptr, false);
+  if (!row.is_array()) {
+    fleet.unnamed = 1;
+    return fleet;
+  }
+  for (const Json& entry : row) {
+    RecordedWorker worker;
+    if (DecodeFleetEntry(entry, worker)) {
+      fleet.workers.push_back(std::move(worker));
+    } else {
+      fleet.unnamed++;
     }
-  } catch (const Json::exception&) {
-    return {};
   }
-  return workers;
+  return fleet;
 }
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -58,6 +58,14 @@
 /// Encodes the workers of one fleet row, each with what is needed to sync it.
 std::string EncodeFleet(const std::vector<RecordedWorker>& workers);
 /// Returns nothing for a row in which any entry is malformed.
-std::vector<RecordedWorker> DecodeFleet(const std::string& text);
+struct DecodedFleet {
+  std::vector<RecordedWorker> workers;
+  /// Damaged entries from which not even the worker's id can be read; 1 for a
+  /// row that cannot be read at all.
+  size_t unnamed = 0;
+};
+/// A damaged entry whose id can be read counts as a worker that was not
+/// cordoned, so that a new owner waits for its lease.
+DecodedFleet DecodeFleet(const std::string& text);
 
 }  // namespace dotterelcove::workflow
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -200,6 +200,21 @@
   }
 }
 
+// Guards against counting tasks by their indices: the waiting tasks of a step
+// may have gaps between them, and permits are requested for those without room.
+Test(Placement, tasks_without_room_are_counted) {
+  Fixture fixture = MakeFixture(MakeStep(10, 4'000));
+  AddUsableWorker(fixture, "w", 8'000);
+  const PlacementNeed need = NeedOf(fixture);
+  const StepPlan plan =
+      PlanStep(FindCandidates(fixture.fleet, need), need, {1, 4, 5, 9});
+  cr_assert_eq(plan.placed.size(), 2U);
+  cr_expect_eq(plan.placed[0].index, 1U);
+  cr_expect_eq(plan.placed[1].index, 4U);
+  cr_expect_eq(plan.unplaced, 2U);
+  cr_expect_eq(fixture.fleet.workers.at("w").used.milli_cores, 0);
+}
+
 // Guards against using a ticket after it expired or for another incarnation of
 // the worker.
 Test(Placement, tickets_expire_and_belong_to_one_incarnation) {
@@ -281,6 +296,17 @@
   cr_expect(ChooseVictimsFor(fixture, 1).empty());
 }
 
+// Guards against preempting urgent work for other urgent work.
+Test(Preemption, urgent_runs_stay) {
+  Fixture fixture = MakeFixture(MakeStep(1, 4'000));
+  AddUsableWorker(fixture, "w", 4'000);
+  StepSpec urgent = MakeStep(1, 4'000);
+  urgent.estimate_ms = 10'000;
+  const auto job = MakeOneStep(urgent, 0);
+  AddRunningTask(fixture, *job, "w", 0, 10);
+  cr_expect(ChooseVictimsFor(fixture, 1).empty());
+}
+
 // Guards against preempting a long-running task.
 Test(Preemption, long_running_runs_stay) {
   Fixture fixture = MakeFixture(MakeStep(1, 4'000));
@@ -319,6 +345,29 @@
   cr_expect_not(ApplyProgress("{\"occurrences\": 3}", *copy));
 }
 
+// Guards against one damaged entry that hides the other workers of its row, or
+// ends the process: a new owner would not wait for the leases of workers that
+// it does not know of.
+Test(JobRows, damaged_fleet_entries_cost_only_themselves) {
+  RecordedWorker sound;
+  sound.info.id = "i-1";
+  sound.info.address = "10.0.0.1:80";
+  const std::string row = EncodeFleet({sound});
+  const std::string entry = row.substr(1, row.size() - 2);
+  const DecodedFleet damaged =
+      DecodeFleet("[[\"i-2\", 7], " + entry + ", 5, [], {\"a\": 1}]");
+  cr_assert_eq(damaged.workers.size(), 2U);
+  cr_expect_str_eq(damaged.workers[0].info.id.c_str(), "i-2");
+  cr_expect_not(damaged.workers[0].cordoned);
+  cr_expect_str_eq(damaged.workers[1].info.id.c_str(), "i-1");
+  cr_expect_eq(damaged.unnamed, 3U);
+  for (const char* text : {"", "{", "null", "\xff", "{\"a\": [1]}"}) {
+    const DecodedFleet unreadable = DecodeFleet(text);
+    cr_expect(unreadable.workers.empty());
+    cr_expect_eq(unreadable.unnamed, 1U, "%s", text);
+  }
+}
+
 // Guards against a fleet row that exceeds the store's row size: with a single
 // row for all workers, every commit failed at 3,000 workers.
 Test(JobRows, fleet_rows_stay_short) {
@@ -340,7 +389,7 @@
   for (const auto& [key, workers] : rows) {
     const std::string text = EncodeFleet(workers);
     cr_expect_lt(text.size(), kMaxRowBytes);
-    read += DecodeFleet(text).size();
+    read += DecodeFleet(text).workers.size();
   }
   cr_expect_eq(read, kWorkers);
 }
--- a/tests/TelemetryTest.cpp
+++ b/tests/TelemetryTest.cpp
@@ -1,4 +1,6 @@
 #include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -6,6 +8,7 @@
 
 #include "telemetry/Events.h"
 #include "telemetry/Log.h"
+#include "telemetry/LogWriter.h"
 #include "telemetry/Metrics.h"
 
 namespace dotterelcove {
@@ -39,6 +42,40 @@
   cr_expect_eq(AdmitLine(limiter, "busy", 1'006).suppressed, 0);
 }
 
+// Guards against a line that explains a decision and is left out in a burst.
+Test(Log, lines_that_explain_decisions_are_never_left_out) {
+  int64_t written = 0;
+  SetLogOutput([&](const std::string&) { written++; });
+  for (int i = 0; i < 100; ++i)
+    LogAlways(LogLevel::kInfo, "placed", {F("i", i)});
+  SetLogOutput(nullptr);
+  cr_expect_eq(written, 100);
+}
+
+// Guards against lines that a reader of the log gets cut: the users' platform
+// keeps the first 8 KB of a write.
+Test(LogWriter, writes_whole_lines_of_limited_length) {
+  int pipe_ends[2];
+  cr_assert_eq(pipe2(pipe_ends, O_DIRECT | O_CLOEXEC), 0);
+  EventLoop loop;
+  LogWriter writer(loop, pipe_ends[1]);
+  for (int i = 0; i < 100; ++i) {
+    LogAlways(LogLevel::kInfo, "line", {F("text", std::string(200, 'x'))});
+  }
+  writer.Flush();
+  // A packet pipe returns one write at a time.
+  char packet[1 << 16];
+  size_t lines = 0;
+  while (lines < 100) {
+    const ssize_t size = read(pipe_ends[0], packet, sizeof(packet));
+    cr_assert_gt(size, 0);
+    cr_expect_leq(size, 4'096);
+    cr_expect_eq(packet[size - 1], '\n');
+    lines += CountOccurrences(std::string(packet, size), "\n");
+  }
+  cr_expect_eq(lines, 100U);
+}
+
 // Guards against log lines that are not one valid JSON object each.
 Test(Log, writes_one_json_object_a_line) {
   std::vector<std::string> lines;
