--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -340,7 +340,10 @@
   heartbeat.owner_process = this->options.process;
   heartbeat.sequence = c.log->row().sequence;
   heartbeat.store_age_ms = c.log->store_age_ms();
-  for (const auto& [queue, jobs] : workflow::CountPending(c)) {
+  const auto pending = workflow::CountPending(c);
+  if (!pending) return heartbeat;
+  heartbeat.pending_known = true;
+  for (const auto& [queue, jobs] : *pending) {
     auto count = std::make_unique<wire::QueueCountT>();
     count->queue = queue;
     count->jobs = jobs;
@@ -375,6 +378,8 @@
   this->leadership->OnReport(report);
   if (info.link != this->owner_link) return;
   this->owner_store_age_ms = heartbeat.store_age_ms;
+  // A process of an earlier version reports counts without saying so.
+  if (!heartbeat.pending_known && heartbeat.pending.empty()) return;
   this->pending_jobs.clear();
   this->pending_jobs_known = true;
   for (const auto& count : heartbeat.pending) {
--- a/src/node/NodeCallers.cpp
+++ b/src/node/NodeCallers.cpp
@@ -172,10 +172,11 @@
 }
 
 std::optional<uint32_t> Node::PendingJobs(const std::string& queue) const {
-  if (this->controller && this->controller->loaded) {
-    const auto counts = workflow::CountPending(*this->controller);
-    const auto found = counts.find(queue);
-    return found == counts.end() ? 0 : found->second;
+  std::optional<std::map<std::string, uint32_t>> own;
+  if (this->controller) own = workflow::CountPending(*this->controller);
+  if (own) {
+    const auto found = own->find(queue);
+    return found == own->end() ? 0 : found->second;
   }
   if (!this->pending_jobs_known) return std::nullopt;
   const auto found = this->pending_jobs.find(queue);
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -1008,6 +1008,7 @@
   int64_t store_age_ms = 0;
   std::vector<std::unique_ptr<dotterelcove::wire::QueueCountT>> pending{};
   bool relays_calls = false;
+  bool pending_known = false;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1027,7 +1028,8 @@
     VT_SEQUENCE = 14,
     VT_STORE_AGE_MS = 16,
     VT_PENDING = 18,
-    VT_RELAYS_CALLS = 20
+    VT_RELAYS_CALLS = 20,
+    VT_PENDING_KNOWN = 22
   };
   uint64_t owner_epoch() const {
     return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
@@ -1056,6 +1058,9 @@
   bool relays_calls() const {
     return GetField<uint8_t>(VT_RELAYS_CALLS, 0) != 0;
   }
+  bool pending_known() const {
+    return GetField<uint8_t>(VT_PENDING_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
@@ -1070,6 +1075,7 @@
            verifier.VerifyVector(pending()) &&
            verifier.VerifyVectorOfTables(pending()) &&
            VerifyField<uint8_t>(verifier, VT_RELAYS_CALLS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PENDING_KNOWN, 1) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1108,6 +1114,9 @@
   void add_relays_calls(bool relays_calls) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_RELAYS_CALLS, static_cast<uint8_t>(relays_calls), 0);
   }
+  void add_pending_known(bool pending_known) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_PENDING_KNOWN, static_cast<uint8_t>(pending_known), 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1129,7 +1138,8 @@
     uint64_t sequence = 0,
     int64_t store_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending = 0,
-    bool relays_calls = false) {
+    bool relays_calls = false,
+    bool pending_known = false) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_sequence(sequence);
@@ -1137,6 +1147,7 @@
   builder_.add_owner_epoch(owner_epoch);
   builder_.add_pending(pending);
   builder_.add_owner_process(owner_process);
+  builder_.add_pending_known(pending_known);
   builder_.add_relays_calls(relays_calls);
   builder_.add_draining(draining);
   builder_.add_serving(serving);
@@ -1158,7 +1169,8 @@
     uint64_t sequence = 0,
     int64_t store_age_ms = 0,
     const std::vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending = nullptr,
-    bool relays_calls = false) {
+    bool relays_calls = false,
+    bool pending_known = false) {
   auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
   auto pending__ = pending ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>(*pending) : 0;
   return dotterelcove::wire::CreateHeartbeat(
@@ -1171,7 +1183,8 @@
       sequence,
       store_age_ms,
       pending__,
-      relays_calls);
+      relays_calls,
+      pending_known);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5098,7 +5111,8 @@
         draining(o.draining),
         sequence(o.sequence),
         store_age_ms(o.store_age_ms),
-        relays_calls(o.relays_calls) {
+        relays_calls(o.relays_calls),
+        pending_known(o.pending_known) {
   pending.reserve(o.pending.size());
   for (const auto &pending_ : o.pending) { pending.emplace_back((pending_) ? new dotterelcove::wire::QueueCountT(*pending_) : nullptr); }
 }
@@ -5113,6 +5127,7 @@
   std::swap(store_age_ms, o.store_age_ms);
   std::swap(pending, o.pending);
   std::swap(relays_calls, o.relays_calls);
+  std::swap(pending_known, o.pending_known);
   return *this;
 }
 
@@ -5134,6 +5149,7 @@
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
   { auto _e = pending(); if (_e) { _o->pending.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending[_i] = std::unique_ptr<dotterelcove::wire::QueueCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = relays_calls(); _o->relays_calls = _e; }
+  { auto _e = pending_known(); _o->pending_known = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5153,6 +5169,7 @@
   auto _store_age_ms = _o->store_age_ms;
   auto _pending = _o->pending.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> (_o->pending.size(), [](size_t i, _VectorArgs *__va) { return CreateQueueCount(*__va->__fbb, __va->__o->pending[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _relays_calls = _o->relays_calls;
+  auto _pending_known = _o->pending_known;
   return dotterelcove::wire::CreateHeartbeat(
       _fbb,
       _owner_epoch,
@@ -5163,7 +5180,8 @@
       _sequence,
       _store_age_ms,
       _pending,
-      _relays_calls);
+      _relays_calls,
+      _pending_known);
 }
 
 inline QueueCountT *QueueCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -188,8 +188,10 @@
 /// The phase that callers may see, or nothing if the job is not known here.
 std::optional<JobPhase> QueryJob(const Controller& controller,
                                  const std::string& id);
-/// Number of accepted jobs per queue of which no task has started.
-std::map<std::string, uint32_t> CountPending(const Controller& controller);
+/// Number of accepted jobs per queue of which no task has started; nothing
+/// while the stored tables are being read.
+std::optional<std::map<std::string, uint32_t>> CountPending(
+    const Controller& controller);
 
 /// The monotonic time by which all tasks on the worker must have ended if it
 /// does not answer any more: the lease end it was last sent, allowing for its
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -382,7 +382,9 @@
   return job.started ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
-std::map<std::string, uint32_t> CountPending(const Controller& c) {
+std::optional<std::map<std::string, uint32_t>> CountPending(
+    const Controller& c) {
+  if (!c.loaded) return std::nullopt;
   std::map<std::string, uint32_t> pending;
   for (const auto& [id, job] : c.jobs.jobs) {
     if (job->started || IsFinal(job->phase)) continue;
--- a/tests/CellModelTest.cpp
+++ b/tests/CellModelTest.cpp
@@ -503,4 +503,31 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against an owner that reports no waiting jobs while it still reads the
+// stored tables: callers were told 0 with 27 waiting (hunted mix of
+// ub-stepcare).
+Test(CellModel, waiting_jobs_are_unknown_until_the_tables_are_read,
+     .init = DiscardLogs) {
+  Cell cell({.workers = 1, .failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  // The second job waits for the room of the first.
+  for (int i = 0; i < 2; ++i) {
+    Submit(cell, 0, MakeChain(cell, 1, 1, {16'000, 500, 0}, 20 * kSecond));
+    cell.time.RunUntil(cell.time.now_ms + 500);
+  }
+  KillDaemon(cell, FindOwner(cell));
+  bool was_loading = false;
+  while (cell.time.now_ms < 10 * kSecond) {
+    cell.time.RunUntil(cell.time.now_ms + 1);
+    const int owner = FindOwner(cell);
+    if (owner < 0) continue;
+    const auto& c = *cell.daemons[static_cast<size_t>(owner)]->controller;
+    const auto pending = workflow::CountPending(c);
+    cr_assert_eq(pending.has_value(), c.loaded);
+    was_loading = was_loading || !c.loaded;
+    if (pending) cr_assert_eq(pending->at("queue"), 1U);
+  }
+  cr_expect(was_loading);
+}
+
 }  // namespace dotterelcove::model
