--- a/bench/BenchMain.cpp
+++ b/bench/BenchMain.cpp
@@ -20,7 +20,8 @@
 constexpr RowGroup kRowGroups[] = {
     {"decision", AddDecisionRows}, {"packing", AddPackingRows},
     {"waiting", AddWaitingRows},   {"faults", AddFaultRows},
-    {"system", AddSystemRows},     {"capacity", AddCapacityRows}};
+    {"system", AddSystemRows},     {"capacity", AddCapacityRows},
+    {"owner", AddOwnerRows}};
 
 int Run(int argc, char** argv) {
   BenchTable table;
--- a/bench/BenchRows.h
+++ b/bench/BenchRows.h
@@ -12,5 +12,6 @@
 void AddFaultRows(BenchTable& table);
 void AddSystemRows(BenchTable& table);
 void AddCapacityRows(BenchTable& table);
+void AddOwnerRows(BenchTable& table);
 
 }  // namespace dotterelcove::bench
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -110,7 +110,11 @@
           Deliver(cell, index, alive, wait_ms, callback);
           return;
         }
-        callback();
+        if (cell.run_callback) {
+          cell.run_callback(callback);
+        } else {
+          callback();
+        }
       });
 }
 
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -180,6 +180,8 @@
   /// Called for each new owner's controller before it starts, to set ports that
   /// only some tests need.
   std::function<void(workflow::Controller&)> configure_owner;
+  /// If set, runs each callback of a daemon, for measurements.
+  std::function<void(const std::function<void()>&)> run_callback;
 };
 
 /// A daemon process that can be killed and restarted.
