Log ends that match no task, and numbers of ends that are skipped

Callers saw tasks that started again after their end. The hypotheses of docs/incidents/started-again-after-its-end.md could not be told apart by logs: an end of a task that the owner does not know was dropped without a line, and ends that a worker no longer lists were not noticed. No logic changes.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -35,6 +35,11 @@
 
 void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
   if (end.number <= worker.seen) return;
+  if (end.number != worker.seen + 1 && worker.seen > 0) {
+    LogAlways(LogLevel::kError, "ends_missing",
+              {F("worker", worker.info.id), F("seen", worker.seen),
+               F("next", end.number)});
+  }
   worker.seen = end.number;
   RemoveOrphan(c, worker, end.task);
   TaskName name;
@@ -55,7 +60,15 @@
     RemoveRun(worker, end.task);
   }
   const TaskRef task = FindTask(c.jobs, name);
-  if (task.job == nullptr) return;
+  if (task.job == nullptr) {
+    Log(LogLevel::kWarning, "end_without_task",
+        {F("task", end.task), F("run", end.run),
+         F("end", NameOf(kRunEndNames, end.end)), F("number", end.number),
+         F("worker", worker.info.id),
+         F("job_known", FindJob(c.jobs, name.job) != nullptr),
+         F("job_ended", c.ended.contains(name.job))});
+    return;
+  }
   const bool holds = is_held && TaskOf(task).worker == worker.info.id;
   ApplyEnd(c, task, end, worker.info.id, holds);
   if (gang != 0 && end.end != RunEnd::kDone) {
