Keep an end unacknowledged until its task is known

Callers saw a task start again after a run of it had ended done and that end had been acknowledged.

Cause: ApplyReportedEnd advanced the cursor of received ends first and dropped an end whose task it did not find; the next commit then covered it, and the worker forgot it. A task is not found if its job is not known yet, or if it belongs to an occurrence of a recurring job that a predecessor with a faster clock began. Once known, the task waited and was placed.

Change: an end of an unknown job is held, its job row is read, and the end is applied or, if there is no such open job, dropped and then acknowledged. A row that cannot be read keeps it held. A reported occurrence is added whether due or not.

--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -92,6 +92,21 @@
 /// known, so that the runs can be adopted.
 void SyncOrphansOf(Controller& controller, const Job& job);
 
+// Unknown jobs.
+/// The task that a worker reports, or a reference without a job. Adds the
+/// occurrences of a recurring job that a predecessor took for due, since the
+/// clocks of two owners differ.
+TaskRef FindReportedTask(Controller& controller, const TaskName& name);
+/// Keeps the end of a task whose job is not known and looks the job up in the
+/// store. The end is not acknowledged meanwhile: what it reports would be lost,
+/// and the task would run again once the job is known.
+void HoldEnd(Controller& controller, Worker& worker, const ReportedEnd& end);
+/// Reads the row of a job that a worker has reported, until the store answers.
+void LookUpReportedJob(Controller& controller, const std::string& job);
+/// Applies the held ends of a job that has become known. For a job that has
+/// ended or does not exist, they are dropped.
+void SettleHeldEnds(Controller& controller, const std::string& job);
+
 // Jobs.
 /// Returns a task to the waiting phase after its run left the worker without
 /// being done.
@@ -124,6 +139,9 @@
 /// The lease end to send now, on the worker's clock; 0 (no renewal) if the
 /// clock is not known or the controller is suspended.
 int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
+/// Applies a reported end to the worker and, if its task is known, to the task.
+void ApplyReportedEnd(Controller& controller, Worker& worker,
+                      const ReportedEnd& end);
 /// Handles a worker restart: nothing from the previous incarnation runs on it.
 void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation);
 /// Handles the loss of all runs that the worker has listed, which have ended
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -56,6 +56,7 @@
     CloseJob(c, *admitted, JobPhase::kCancelled, "cancelled_by_caller");
     return;
   }
+  SettleHeldEnds(c, row.key);
   WatchJob(c, *admitted);
   SyncOrphansOf(c, *admitted);
   if (IsOwnershipConfirmed(c, *admitted)) return;
@@ -277,9 +278,8 @@
 SeenEnds CollectSeen(const Controller& c) {
   SeenEnds seen;
   for (const auto& [id, worker] : c.fleet.workers) {
-    if (worker.seen > worker.acked) {
-      seen[id] = {worker.info.incarnation, worker.seen};
-    }
+    const uint64_t last = LastSettledEnd(worker);
+    if (last > worker.acked) seen[id] = {worker.info.incarnation, last};
   }
   return seen;
 }
--- a/src/workflow/ControllerOrphans.cpp
+++ b/src/workflow/ControllerOrphans.cpp
@@ -87,7 +87,7 @@
   TaskName name;
   TaskRef task;
   const bool is_task = ParseTaskName(reported.task, name);
-  if (is_task) task = FindTask(c.jobs, name);
+  if (is_task) task = FindReportedTask(c, name);
   if (IsAdoptable(task, reported.run)) {
     Adopt(c, worker, reported, task);
     return true;
@@ -103,6 +103,7 @@
         LogLevel::kWarning, "orphaned_run_found",
         {F("task", reported.task), F("run", reported.run),
          F("worker", worker.info.id), F("job_known", task.job != nullptr)});
+    if (is_task && task.job == nullptr) LookUpReportedJob(c, name.job);
   }
   const bool waits =
       is_task && task.job == nullptr && MayBecomeKnown(c, name, orphan);
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -33,7 +33,7 @@
   worker.lease_expires_ms = LeaseExpiryTime(c, worker);
 }
 
-void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
+void ReceiveEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
   if (end.number <= worker.seen) return;
   if (end.number != worker.seen + 1 && worker.seen > 0) {
     LogAlways(LogLevel::kError, "ends_missing",
@@ -41,41 +41,7 @@
                F("next", end.number)});
   }
   worker.seen = end.number;
-  RemoveOrphan(c, worker, end.task);
-  TaskName name;
-  if (!ParseTaskName(end.task, name)) {
-    Log(LogLevel::kWarning, "end_of_unknown_task",
-        {F("task", end.task), F("worker", worker.info.id)});
-    return;
-  }
-  const auto held = worker.runs.find(end.task);
-  const bool is_held = held != worker.runs.end() && held->second.run == end.run;
-  uint64_t gang = 0;
-  if (is_held) {
-    gang = held->second.gang;
-    if (end.end == RunEnd::kAlone) {
-      Log(LogLevel::kWarning, "gang_start_timed_out",
-          {F("task", end.task), F("run", end.run)});
-    }
-    RemoveRun(worker, end.task);
-  }
-  const TaskRef task = FindTask(c.jobs, name);
-  if (task.job == nullptr) {
-    Log(LogLevel::kWarning, "end_without_task",
-        {F("task", end.task), F("run", end.run),
-         F("end", NameOf(kRunEndNames, end.end)), F("number", end.number),
-         F("worker", worker.info.id),
-         F("job_known", FindJob(c.jobs, name.job) != nullptr),
-         F("job_ended", c.ended.contains(name.job))});
-    return;
-  }
-  const bool holds = is_held && TaskOf(task).worker == worker.info.id;
-  ApplyEnd(c, task, end, worker.info.id, holds);
-  if (gang != 0 && end.end != RunEnd::kDone) {
-    StopGang(c, *task.job, gang, "gang_member_ended");
-  }
-  EraseIfClosed(c, *task.job);
-  RequestSchedule(c);
+  ApplyReportedEnd(c, worker, end);
 }
 
 bool IsStalled(const Controller& c, const TaskRef& ref) {
@@ -291,7 +257,7 @@
   }
   worker.sync_answered = sync;
   UpdateClock(c, worker, answer.clock_ms);
-  for (const ReportedEnd& end : answer.ended) ApplyReportedEnd(c, worker, end);
+  for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
   ApplyReportedRuns(c, worker, answer.running);
   StopUnansweredStarts(c, worker, sync);
@@ -304,6 +270,39 @@
 
 }  // namespace
 
+void ApplyReportedEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
+  RemoveOrphan(c, worker, end.task);
+  TaskName name;
+  if (!ParseTaskName(end.task, name)) {
+    Log(LogLevel::kWarning, "end_of_unknown_task",
+        {F("task", end.task), F("worker", worker.info.id)});
+    return;
+  }
+  const auto held = worker.runs.find(end.task);
+  const bool is_held = held != worker.runs.end() && held->second.run == end.run;
+  uint64_t gang = 0;
+  if (is_held) {
+    gang = held->second.gang;
+    if (end.end == RunEnd::kAlone) {
+      Log(LogLevel::kWarning, "gang_start_timed_out",
+          {F("task", end.task), F("run", end.run)});
+    }
+    RemoveRun(worker, end.task);
+  }
+  const TaskRef task = FindReportedTask(c, name);
+  if (task.job == nullptr) {
+    HoldEnd(c, worker, end);
+    return;
+  }
+  const bool holds = is_held && TaskOf(task).worker == worker.info.id;
+  ApplyEnd(c, task, end, worker.info.id, holds);
+  if (gang != 0 && end.end != RunEnd::kDone) {
+    StopGang(c, *task.job, gang, "gang_member_ended");
+  }
+  EraseIfClosed(c, *task.job);
+  RequestSchedule(c);
+}
+
 void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
   Log(LogLevel::kWarning, "worker_restarted",
       {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
@@ -311,6 +310,7 @@
   MarkRunsLost(c, worker, "worker_restarted", false);
   worker.info.incarnation = incarnation;
   RemoveOrphans(c, worker);
+  worker.held_ends.clear();
   worker.seen = 0;
   worker.acked = 0;
   worker.ack_sent = 0;
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -141,6 +141,10 @@
   /// stored and may be acknowledged.
   uint64_t seen = 0;
   uint64_t acked = 0;
+  /// Received ends of jobs that this owner does not know, by rising number.
+  /// They are acknowledged once their job is known, or the store has shown that
+  /// there is no such open job.
+  std::vector<ReportedEnd> held_ends;
   /// Highest acknowledgment in the last sync sent.
   uint64_t ack_sent = 0;
   std::map<std::string, PlacedRun> runs;
@@ -187,6 +191,13 @@
   return worker.info.capacity - worker.used;
 }
 
+/// Number of the last end that may be acknowledged once the owner's changes are
+/// stored.
+inline uint64_t LastSettledEnd(const Worker& worker) {
+  if (worker.held_ends.empty()) return worker.seen;
+  return worker.held_ends.front().number - 1;
+}
+
 /// Whether new tasks may be placed on the worker at all.
 bool IsUsable(const Worker& worker, TimeMs now_ms);
 
--- a/src/workflow/JobTable.cpp
+++ b/src/workflow/JobTable.cpp
@@ -83,6 +83,14 @@
   return job;
 }
 
+namespace {
+
+uint32_t NextOccurrence(const Job& job) {
+  return job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
+}
+
+}  // namespace
+
 bool AddDueOccurrences(Job& job, int64_t wall_ms) {
   if (job.spec.occurrences == 0) {
     if (!job.occurrences.empty()) return false;
@@ -91,8 +99,7 @@
   }
   bool added = false;
   while (true) {
-    const uint32_t next =
-        job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
+    const uint32_t next = NextOccurrence(job);
     if (next >= job.spec.occurrences) return added;
     const int64_t due_wall_ms =
         job.spec.first_start_wall_ms + next * job.spec.interval_ms;
@@ -105,6 +112,14 @@
   }
 }
 
+bool AddOccurrencesUpTo(Job& job, uint32_t number) {
+  if (number >= job.spec.occurrences) return false;
+  for (uint32_t next = NextOccurrence(job); next <= number; ++next) {
+    job.occurrences.emplace(next, MakeOccurrence(job.spec));
+  }
+  return true;
+}
+
 bool IsStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) {
   for (const uint32_t before : job.spec.steps[step].after) {
     if (occurrence.steps[before].done < job.spec.steps[before].count) {
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -176,6 +176,10 @@
 /// added.
 bool AddDueOccurrences(Job& job, int64_t wall_ms);
 
+/// Adds the occurrences up to `number` that are missing, whether due or not;
+/// returns false for a number that the job does not have.
+bool AddOccurrencesUpTo(Job& job, uint32_t number);
+
 /// Whether every step that `step` depends on is done.
 bool IsStepReady(const Job& job, const Occurrence& occurrence, uint32_t step);
 
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -21,7 +21,10 @@
                          const std::shared_ptr<bool>& alive) {
   Runtime runtime;
   runtime.now = [&cell] { return cell.time.now_ms; };
-  runtime.wall_ms = [&cell] { return cell.time.now_ms; };
+  runtime.wall_ms = [&cell, daemon] {
+    return cell.time.now_ms +
+           cell.daemons[static_cast<size_t>(daemon)]->wall_offset_ms;
+  };
   runtime.after = [&cell, daemon, alive](TimeMs delay_ms,
                                          std::function<void()> callback) {
     Deliver(cell, daemon, alive, delay_ms, std::move(callback));
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -196,6 +196,8 @@
   /// short spells, and what has fallen due meanwhile runs in any order.
   TimeMs starved_until_ms = 0;
   bool partitioned_from_workers = false;
+  /// What its time of day differs from the true one by.
+  int64_t wall_offset_ms = 0;
   std::shared_ptr<bool> alive;
   std::shared_ptr<Leadership> leadership;
   workflow::ControllerPtr controller;
--- /dev/null
+++ b/tests/CellModelReportsTest.cpp
@@ -0,0 +1,115 @@
+// Reports of workers that an owner must not drop while it acknowledges them.
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "tests/CellModelDays.h"
+
+namespace dotterelcove::model {
+namespace {
+
+/// Puts the end of a run that no daemon of the model has started on a worker.
+void ReportForeignEnd(Cell& cell, const std::string& id,
+                      const std::string& task) {
+  ModelWorker& worker = cell.workers.at(id);
+  RunRecord record;
+  record.task = task;
+  record.run = 1;
+  record.worker = id;
+  record.payload = cell.jobs.at(task.substr(0, 16)).spec.payload;
+  record.begin_ms = cell.time.now_ms - 200;
+  record.end_ms = cell.time.now_ms;
+  record.outcome = "done";
+  worker.ends.push_back({worker.next_end++, task, 1, workflow::RunEnd::kDone,
+                         cell.run_records.size()});
+  cell.run_records.push_back(record);
+}
+
+/// Stores a job as accepted without telling the owner.
+workflow::JobSpec StoreSilently(Cell& cell) {
+  workflow::JobSpec spec = MakeChain(cell, 1, 1, {1'000, 500, 0}, 300);
+  spec.accepted_wall_ms = cell.time.now_ms;
+  CallerJob& job = cell.jobs[spec.id];
+  job.spec = spec;
+  job.accepted = true;
+  const StoreRow row{workflow::kJobTable, spec.id, workflow::EncodeJob(spec),
+                     ++cell.store.version, false};
+  cell.store.rows[{row.table, row.key}] = row;
+  cell.store.history.push_back({row.version, row});
+  return spec;
+}
+
+size_t CountRuns(const Cell& cell, const std::string& task) {
+  size_t runs = 0;
+  for (const RunRecord& record : cell.run_records) {
+    if (record.task == task) ++runs;
+  }
+  return runs;
+}
+
+}  // namespace
+
+// Guards against an end that is acknowledged and forgotten because the owner
+// does not know its job yet: once the job's row was read, the task ran again.
+Test(CellModel, end_of_a_job_not_known_yet_is_kept, .init = DiscardLogs) {
+  Cell cell({.failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  // A task on each worker, so that ends are reported at once.
+  Submit(cell, 0, MakeChain(cell, 1, 6, {16'000, 500, 0}, 4 * kSecond));
+  cell.time.RunUntil(3 * kSecond);
+  const workflow::JobSpec spec = StoreSilently(cell);
+  ReportForeignEnd(cell, "w0", spec.id + ".0.0.0");
+  cell.time.RunUntil(20 * kSecond);
+  cr_expect_eq(CountRuns(cell, spec.id + ".0.0.0"), 1U);
+  ExpectNoViolations(cell, true);
+}
+
+// Guards against held ends that are never acknowledged: that of a job whose row
+// is gone no longer matters.
+Test(CellModel, end_of_a_job_without_a_row_is_acknowledged,
+     .init = DiscardLogs) {
+  Cell cell({.failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 6, {16'000, 500, 0}, 4 * kSecond));
+  cell.time.RunUntil(3 * kSecond);
+  const workflow::JobSpec spec = StoreSilently(cell);
+  cell.store.rows.erase({workflow::kJobTable, spec.id});
+  cell.store.history.pop_back();
+  cell.jobs.at(spec.id).accepted = false;
+  ReportForeignEnd(cell, "w0", spec.id + ".0.0.0");
+  cell.time.RunUntil(5 * kSecond);
+  cr_expect(cell.run_records.back().acknowledged);
+  cr_expect(cell.workers.at("w0").ends.empty());
+}
+
+// Guards against the same for an occurrence of a recurring job that is not due
+// by the new owner's clock, which lags behind that of its predecessor.
+Test(CellModel, occurrence_begun_by_a_predecessor_runs_once,
+     .init = DiscardLogs) {
+  constexpr int64_t kLagMs = 3'000;
+  for (const TimeMs run_ms : {TimeMs{300}, TimeMs{4'000}}) {
+    Cell cell({.failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    const int owner = FindOwner(cell);
+    cr_assert_geq(owner, 0);
+    for (const auto& daemon : cell.daemons) {
+      if (daemon->index != owner) daemon->wall_offset_ms = -kLagMs;
+    }
+    workflow::JobSpec spec = MakeChain(cell, 1, 3, {1'000, 500, 0}, run_ms);
+    spec.occurrences = 2;
+    spec.first_start_wall_ms = cell.time.now_ms + 500;
+    spec.interval_ms = 10 * kSecond;
+    Submit(cell, owner, spec);
+    while (CountRuns(cell, spec.id + ".0.0.0") == 0) {
+      cell.time.RunUntil(cell.time.now_ms + 1);
+      cr_assert_lt(cell.time.now_ms, 4 * kSecond);
+    }
+    cell.time.RunUntil(cell.time.now_ms + 10);
+    KillDaemon(cell, owner);
+    cell.time.RunUntil(30 * kSecond);
+    cr_expect_eq(CountRuns(cell, spec.id + ".0.0.0"), 1U);
+    ExpectNoViolations(cell, false);
+  }
+}
+
+}  // namespace dotterelcove::model
