Raise the fencing token with each incarnation of a worker

Cause: a worker forgets the stops it has received, its token and its numbers of ends when it restarts.

Change: the token of calls to a worker is the epoch and, below it, a number that rises with each restart that the owner notices. The first sync of the new incarnation carries it, so later arrivals are refused. A refusal of a token that the owner has itself replaced is no sign of a new owner.

Rolling upgrade: a daemon of an older version that takes over after one of this version is refused by the workers and gives ownership up again.

Evidence: late_start_is_refused_by_a_later_incarnation failed before with 'overlapping runs' and 'starts again after its success was acknowledged'. What arrives between the restart and the first sync after it is not covered.

--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -133,6 +133,15 @@
 void EraseIfClosed(Controller& controller, Job& job);
 
 // Workers.
+/// The fencing token of calls to the worker. It rises with each incarnation, so
+/// that a call meant for an earlier one, which arrives after the restart, does
+/// nothing: it would start a task that has been placed again, or acknowledge
+/// ends that were never received.
+uint64_t TokenFor(const Controller& controller, const Worker& worker);
+/// A worker has rejected `token`. The owner is deposed unless it has itself
+/// used a higher one since.
+void OnTokenRejected(Controller& controller, const std::string& worker,
+                     uint64_t token);
 /// Sends a sync: it renews the worker's lease, acknowledges ends and asks what
 /// runs there. The worker may hold the answer for `wait_ms` until a run ends.
 void Sync(Controller& controller, Worker& worker, TimeMs wait_ms);
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -24,6 +24,8 @@
   uint64_t incarnation = 0;
   std::string task;
   uint32_t run = 0;
+  /// Fencing token of the order.
+  uint64_t token = 0;
 };
 
 struct FoundRun {
@@ -89,7 +91,7 @@
 void OnStartAnswer(Controller& c, const RunKey& key,
                    const OrderAnswer& answer) {
   if (answer.status == OrderStatus::kFenced) {
-    c.fenced();
+    OnTokenRejected(c, key.worker, key.token);
     return;
   }
   const FoundRun found = FindRun(c, key);
@@ -157,10 +159,10 @@
   found.run->stops_sent++;
   c.stats.stops++;
   c.port.stop(
-      AddressOf(*found.worker), {key.task, key.run, c.epoch},
+      AddressOf(*found.worker), {key.task, key.run, key.token},
       Guard(c, [key](Controller& self, const OrderAnswer& answer) {
         if (answer.status == OrderStatus::kFenced) {
-          self.fenced();
+          OnTokenRejected(self, key.worker, key.token);
           return;
         }
         const FoundRun again = FindRun(self, key);
@@ -211,14 +213,14 @@
   const bool was_idle = worker.runs.empty();
   AddRun(worker, name, run);
   c.stats.starts++;
-  const RunKey key{worker.info.id, worker.info.incarnation, name,
-                   placement.run};
+  const RunKey key{worker.info.id, worker.info.incarnation, name, placement.run,
+                   TokenFor(c, worker)};
   StartOrder order;
   order.task = name;
   order.run = placement.run;
   order.payload = placement.task.job->spec.payload;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
-  order.token = c.epoch;
+  order.token = key.token;
   order.checkpoint = placement.checkpoint;
   order.ticket = placement.ticket;
   c.port.start(AddressOf(worker), order,
@@ -244,7 +246,8 @@
   Log(LogLevel::kInfo, "task_stopping",
       {F("task", name), F("run", run.run), F("worker", worker.info.id),
        F("reason", reason)});
-  SendStop(c, {worker.info.id, worker.info.incarnation, name, run.run});
+  SendStop(c, {worker.info.id, worker.info.incarnation, name, run.run,
+               TokenFor(c, worker)});
 }
 
 void StopUnlisted(Controller& c, Worker& worker) {
@@ -256,7 +259,8 @@
     run.stop_answered = false;
     TaskState& task = TaskOf(run.task);
     if (task.phase != TaskPhase::kDone) task.phase = TaskPhase::kStopping;
-    keys.push_back({worker.info.id, worker.info.incarnation, name, run.run});
+    keys.push_back({worker.info.id, worker.info.incarnation, name, run.run,
+                    TokenFor(c, worker)});
   }
   for (const RunKey& key : keys) SendStop(c, key);
 }
--- a/src/workflow/ControllerOrphans.cpp
+++ b/src/workflow/ControllerOrphans.cpp
@@ -56,11 +56,12 @@
   c.stats.stops++;
   const std::string id = worker.info.id;
   const uint64_t incarnation = worker.info.incarnation;
-  c.port.stop(AddressOf(worker), {name, orphan.run, c.epoch},
-              Guard(c, [id, incarnation, name](Controller& self,
-                                               const OrderAnswer& answer) {
+  const uint64_t token = TokenFor(c, worker);
+  c.port.stop(AddressOf(worker), {name, orphan.run, token},
+              Guard(c, [id, incarnation, name, token](
+                           Controller& self, const OrderAnswer& answer) {
                 if (answer.status == OrderStatus::kFenced) {
-                  self.fenced();
+                  OnTokenRejected(self, id, token);
                   return;
                 }
                 Worker* again = FindWorker(self.fleet, id);
--- a/src/workflow/ControllerPacing.cpp
+++ b/src/workflow/ControllerPacing.cpp
@@ -20,12 +20,12 @@
   run.pace_percent = change.percent;
   run.pace_in_flight = true;
   const std::string id = worker.info.id;
-  c.port.pace(AddressOf(worker),
-              {change.task, run.run, change.percent, c.epoch},
-              Guard(c, [id, task = change.task, number = run.run](
+  const uint64_t token = TokenFor(c, worker);
+  c.port.pace(AddressOf(worker), {change.task, run.run, change.percent, token},
+              Guard(c, [id, task = change.task, number = run.run, token](
                            Controller& self, const OrderAnswer& answer) {
                 if (answer.status == OrderStatus::kFenced) {
-                  self.fenced();
+                  OnTokenRejected(self, id, token);
                   return;
                 }
                 Worker* found = FindWorker(self.fleet, id);
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -227,41 +227,50 @@
   worker.next_sync_ms = c.runtime.now() + delay_ms;
 }
 
-void OnSyncAnswer(Controller& c, const std::string& id, uint64_t incarnation,
-                  uint64_t sync, const SyncAnswer& answer) {
-  Worker* found = FindWorker(c.fleet, id);
+/// What identifies a sync when its answer arrives.
+struct SentSync {
+  std::string worker;
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+  uint64_t token = 0;
+};
+
+void OnSyncAnswer(Controller& c, const SentSync& sent,
+                  const SyncAnswer& answer) {
+  Worker* found = FindWorker(c.fleet, sent.worker);
   if (found == nullptr) return;
   Worker& worker = *found;
   assert(worker.syncs > 0);
   worker.syncs--;
   if (answer.status == OrderStatus::kFenced) {
-    c.fenced();
+    OnTokenRejected(c, sent.worker, sent.token);
     return;
   }
   if (answer.status != OrderStatus::kOk) {
     // The answer to a newer sync takes precedence.
-    if (sync > worker.sync_answered) OnSyncFailed(c, worker, answer.status);
+    if (sent.number > worker.sync_answered)
+      OnSyncFailed(c, worker, answer.status);
     return;
   }
   const bool restarted =
       answer.incarnation != 0 && answer.incarnation != worker.info.incarnation;
-  if (restarted || worker.info.incarnation != incarnation) {
+  if (restarted || worker.info.incarnation != sent.incarnation) {
     if (restarted) OnRestarted(c, worker, answer.incarnation);
     Sync(c, worker, 0);
     return;
   }
   // An answer overtaken by a newer one is outdated.
-  if (sync < worker.sync_answered) {
+  if (sent.number < worker.sync_answered) {
     ContinueSyncing(c, worker);
     return;
   }
-  worker.sync_answered = sync;
+  worker.sync_answered = sent.number;
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
   ApplyReportedRuns(c, worker, answer.running);
-  StopUnansweredStarts(c, worker, sync);
-  DropAbsentRuns(c, worker, answer, sync);
+  StopUnansweredStarts(c, worker, sent.number);
+  DropAbsentRuns(c, worker, answer, sent.number);
   OnSynced(c, worker);
   PaceFillers(c, worker);
   FlushProgress(c);
@@ -303,12 +312,31 @@
   RequestSchedule(c);
 }
 
+uint64_t TokenFor(const Controller& c, const Worker& worker) {
+  // More than the restarts that one owner can notice.
+  constexpr uint64_t kTokensPerEpoch = 1U << 20U;
+  return c.epoch * kTokensPerEpoch + worker.token_increment;
+}
+
+void OnTokenRejected(Controller& c, const std::string& worker, uint64_t token) {
+  const Worker* found = FindWorker(c.fleet, worker);
+  if (found == nullptr) return;
+  if (token >= TokenFor(c, *found)) {
+    c.fenced();
+    return;
+  }
+  Log(LogLevel::kInfo, "late_call_refused",
+      {F("worker", worker), F("token", token),
+       F("current", TokenFor(c, *found))});
+}
+
 void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
   Log(LogLevel::kWarning, "worker_restarted",
       {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
        F("incarnation", incarnation)});
   MarkRunsLost(c, worker, "worker_restarted", false);
   worker.info.incarnation = incarnation;
+  worker.token_increment = ++c.worker_restarts;
   RemoveOrphans(c, worker);
   worker.held_ends.clear();
   worker.seen = 0;
@@ -349,7 +377,7 @@
   worker.syncs++;
   worker.syncs_sent++;
   SyncOrder order;
-  order.token = c.epoch;
+  order.token = TokenFor(c, worker);
   // The worker may have restarted; an old acknowledgment must not discard ends
   // of the new incarnation.
   order.acked = worker.reachable ? worker.acked : 0;
@@ -358,13 +386,11 @@
   order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
   worker.ack_sent = order.acked;
   c.stats.syncs++;
-  const std::string id = worker.info.id;
-  const uint64_t incarnation = worker.info.incarnation;
-  const uint64_t sync = worker.syncs_sent;
+  const SentSync sent{worker.info.id, worker.info.incarnation,
+                      worker.syncs_sent, order.token};
   c.port.sync(AddressOf(worker), order,
-              Guard(c, [id, incarnation, sync](Controller& self,
-                                               const SyncAnswer& answer) {
-                OnSyncAnswer(self, id, incarnation, sync, answer);
+              Guard(c, [sent](Controller& self, const SyncAnswer& answer) {
+                OnSyncAnswer(self, sent, answer);
               }));
 }
 
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -112,4 +112,24 @@
   }
 }
 
+// Guards against a start that is carried out late, on a worker that has
+// restarted meanwhile and forgotten the stop of that run: the task then ran in
+// two places.
+Test(CellModel, late_start_is_refused_by_a_later_incarnation,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell({.seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    for (auto& [id, worker] : cell.workers) worker.delayed_order_share = 1;
+    Submit(cell, 0, MakeChain(cell, 1, 4, {1'000, 500, 0}, 14 * kSecond));
+    cell.time.RunUntil(2 * kSecond + 50);
+    for (auto& [id, worker] : cell.workers) worker.delayed_order_share = 0;
+    // The starts are given up and their tasks run elsewhere by then.
+    cell.time.RunUntil(3 * kSecond + 500);
+    RestartWorker(cell, "w0");
+    cell.time.RunUntil(60 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
