Ignore answers to syncs sent to an earlier incarnation

Callers could see a task run twice after its worker had restarted.

Cause: whether a worker has restarted was decided before whether the answer is outdated. An answer that the earlier incarnation had given, and that arrived after one of the present incarnation, counted as another restart: the runs listed since were taken for lost and placed again while they went on.

Change: an overtaken answer is dropped first, and an answer to a sync that was sent to another incarnation only causes a new sync.

Evidence: answer_of_an_earlier_incarnation_is_outdated failed before with a further start of the task. Ruled out: deciding by the order of syncs alone, since two syncs under way may be answered by different incarnations in any order.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -252,19 +252,23 @@
       OnSyncFailed(c, worker, answer.status);
     return;
   }
-  const bool restarted =
-      answer.incarnation != 0 && answer.incarnation != worker.info.incarnation;
-  if (restarted || worker.info.incarnation != sent.incarnation) {
-    if (restarted) OnRestarted(c, worker, answer.incarnation);
-    Sync(c, worker, 0);
-    return;
-  }
   // An answer overtaken by a newer one is outdated.
   if (sent.number < worker.sync_answered) {
     ContinueSyncing(c, worker);
     return;
   }
   worker.sync_answered = sent.number;
+  // The worker was known as another incarnation when the sync was sent, and
+  // that one may have answered it.
+  if (worker.info.incarnation != sent.incarnation) {
+    Sync(c, worker, 0);
+    return;
+  }
+  if (answer.incarnation != 0 && answer.incarnation != sent.incarnation) {
+    OnRestarted(c, worker, answer.incarnation);
+    Sync(c, worker, 0);
+    return;
+  }
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -1,7 +1,10 @@
 // Reports of workers that an owner must not drop while it acknowledges them.
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/CellModelDays.h"
 
@@ -132,4 +135,64 @@
   }
 }
 
+namespace {
+
+/// Passes the syncs of a cell's owners on and can hold their answers back.
+struct SyncTap {
+  /// Answers from this worker are held, empty for none.
+  std::string held_worker;
+  std::vector<std::function<void()>> held;
+  std::vector<workflow::SyncOrder> orders;
+};
+
+void InstallTap(Cell& cell, SyncTap& tap) {
+  cell.configure_owner = [&tap](workflow::Controller& c) {
+    c.port.sync = [&tap, direct = c.port.sync](
+                      const workflow::WorkerAddress& worker,
+                      const workflow::SyncOrder& order,
+                      const workflow::SyncCallback& done) {
+      tap.orders.push_back(order);
+      if (worker.id != tap.held_worker) {
+        direct(worker, order, done);
+        return;
+      }
+      direct(worker, order, [&tap, done](const workflow::SyncAnswer& answer) {
+        tap.held.push_back([done, answer] { done(answer); });
+      });
+    };
+  };
+}
+
+}  // namespace
+
+// Guards against an answer that a worker gave before its restart and that
+// arrives after one of its new incarnation: the owner took the worker for
+// restarted once more, and placed what runs there a second time.
+Test(CellModel, answer_of_an_earlier_incarnation_is_outdated,
+     .init = DiscardLogs) {
+  SyncTap tap;
+  Cell cell({.daemons = 1, .workers = 2, .failure_share = 0});
+  InstallTap(cell, tap);
+  KillDaemon(cell, 0);
+  StartDaemon(cell, 0);
+  cell.time.RunUntil(5 * kSecond);
+  // Each task takes a whole worker. The second one ends once the first is
+  // placed on the new incarnation of its worker.
+  const TimeMs begun_ms = cell.time.now_ms;
+  Submit(cell, 0, MakeChain(cell, 1, 1, {16'000, 500, 0}, 10 * kSecond));
+  cell.time.RunUntil(begun_ms + 300);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {16'000, 500, 0}, 2'500));
+  cell.time.RunUntil(begun_ms + kSecond);
+  cr_assert_eq(cell.run_records.size(), 2U);
+  tap.held_worker = cell.run_records.front().worker;
+  while (tap.held.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
+  RestartWorker(cell, std::exchange(tap.held_worker, ""));
+  cell.time.RunUntil(begun_ms + 3'000);
+  cr_assert_eq(cell.run_records.size(), 3U);
+  tap.held.front()();
+  cell.time.RunUntil(begun_ms + 30 * kSecond);
+  cr_expect_eq(cell.run_records.size(), 3U);
+  ExpectNoViolations(cell, true);
+}
+
 }  // namespace dotterelcove::model
