Send each acknowledgment only until it is answered

Callers could see a task start again after its end had been acknowledged, when a worker restarted unnoticed.

Cause: every sync repeated the last acknowledgment, and a relayed sync without a result was repeated with it up to 1.75 s later. Ends are numbered anew after a restart, so a sync that was the first to reach the new incarnation discarded ends that no owner had received.

Change: an acknowledgment that the worker has answered is not sent again, and the repetition of a relayed sync carries none.

What remains: a restart that happens between an answer and the sync that acknowledges it.

--- a/src/node/WorkerRelay.cpp
+++ b/src/node/WorkerRelay.cpp
@@ -178,6 +178,8 @@
                 // The worker may be well and only its relay slow or cut off.
                 workflow::SyncOrder again = order;
                 again.wait_ms = 0;
+                // The worker may have restarted since the order was made.
+                again.acked = 0;
                 relays->direct.sync(worker, again, done);
               });
 }
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -233,6 +233,7 @@
   uint64_t incarnation = 0;
   uint64_t number = 0;
   uint64_t token = 0;
+  uint64_t acked = 0;
 };
 
 void OnSyncAnswer(Controller& c, const SentSync& sent,
@@ -269,6 +270,7 @@
     Sync(c, worker, 0);
     return;
   }
+  worker.ack_delivered = std::max(worker.ack_delivered, sent.acked);
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
@@ -345,7 +347,7 @@
   worker.held_ends.clear();
   worker.seen = 0;
   worker.acked = 0;
-  worker.ack_sent = 0;
+  worker.ack_delivered = 0;
   worker.clock_ms = 0;
   worker.lease_end_clock_ms = 0;
   worker.synced = false;
@@ -382,16 +384,16 @@
   worker.syncs_sent++;
   SyncOrder order;
   order.token = TokenFor(c, worker);
-  // The worker may have restarted; an old acknowledgment must not discard ends
-  // of the new incarnation.
-  order.acked = worker.reachable ? worker.acked : 0;
+  // The worker may have restarted, and an old acknowledgment would discard ends
+  // of the new incarnation. So each is sent only until it has been answered.
+  const bool is_due = worker.reachable && worker.acked > worker.ack_delivered;
+  order.acked = is_due ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
   // A worker that did not answer must not hold the answer back.
   order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
-  worker.ack_sent = order.acked;
   c.stats.syncs++;
   const SentSync sent{worker.info.id, worker.info.incarnation,
-                      worker.syncs_sent, order.token};
+                      worker.syncs_sent, order.token, order.acked};
   c.port.sync(AddressOf(worker), order,
               Guard(c, [sent](Controller& self, const SyncAnswer& answer) {
                 OnSyncAnswer(self, sent, answer);
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -165,6 +165,27 @@
 
 }  // namespace
 
+// Guards against an acknowledgment that is repeated with each sync: one that
+// reached a worker after an unnoticed restart discarded ends that the owner had
+// not received, and their tasks ran again.
+Test(CellModel, an_acknowledgment_is_sent_until_it_is_answered,
+     .init = DiscardLogs) {
+  SyncTap tap;
+  Cell cell({.workers = 1, .failure_share = 0});
+  InstallTap(cell, tap);
+  KillDaemon(cell, 0);
+  StartDaemon(cell, 0);
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 300));
+  cell.time.RunUntil(10 * kSecond);
+  cr_expect(cell.workers.at("w0").ends.empty());
+  size_t acknowledging = 0;
+  for (const workflow::SyncOrder& order : tap.orders) {
+    if (order.acked > 0) ++acknowledging;
+  }
+  cr_expect_eq(acknowledging, 1U);
+}
+
 // Guards against an answer that a worker gave before its restart and that
 // arrives after one of its new incarnation: the owner took the worker for
 // restarted once more, and placed what runs there a second time.
