Never send an order to a worker twice

Callers could see a task start again after a run of it had ended done.

Cause: libcurl sends a request again by itself when a reused connection turns out to be dead before the answer. A start that the worker had carried out then reached it a second time; if its run had ended meanwhile, or the worker had become unhealthy, the second one was refused, the refusal counted as 'nothing was done', and the task was placed anew although its end was still to come.

Evidence: HttpClient/call_to_be_sent_once_is_not_resent failed before (3 requests in place of 2).

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -23,6 +23,8 @@
   bool too_large = false;
   /// On the monotonic clock; no request is sent from then on.
   TimeMs deadline_ms = 0;
+  /// Times that libcurl has begun to send the request.
+  int attempts = 0;
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
@@ -56,9 +58,14 @@
 /// Called when a connection is ready, right before the request is written.
 /// Rejects a request whose deadline has passed. Without it, after a pause of
 /// the process since Send(), libcurl would write an expired request if its
-/// connection was established in the meantime.
+/// connection was established in the meantime. Rejects the second attempt of a
+/// call that is to be sent once.
 int OnBeforeRequest(void* context, char*, char*, int, int) {
-  const auto* transfer = static_cast<const Transfer*>(context);
+  auto* transfer = static_cast<Transfer*>(context);
+  transfer->attempts++;
+  if (transfer->call.send_once && transfer->attempts > 1) {
+    return CURL_PREREQFUNC_ABORT;
+  }
   return MonotonicMs() < transfer->deadline_ms ? CURL_PREREQFUNC_OK
                                                : CURL_PREREQFUNC_ABORT;
 }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -48,6 +48,9 @@
   /// request when a reused connection turns out to be dead, so calls that must
   /// not reach the server twice set this.
   bool fresh_connection = false;
+  /// Fails instead of resending. Unlike with `fresh_connection`, a connection
+  /// may be reused.
+  bool send_once = false;
 };
 
 struct HttpResult {
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -183,6 +183,27 @@
   }
 }
 
+// Guards against an order that reaches a worker a second time: a run that the
+// first one began may have ended by then, so the second is refused, and the
+// task was placed again although its end was still to be reported.
+Test(HttpClient, call_to_be_sent_once_is_not_resent) {
+  for (const bool once : {true, false}) {
+    EventLoop loop;
+    HttpClient client(loop);
+    ScriptedServer server(loop);
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    server.close_after = 1;
+    const HttpCall call = {.method = "POST",
+                           .url = server.url(),
+                           .headers = {},
+                           .body = "x",
+                           .send_once = once};
+    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kNone);
+    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kBroken);
+    cr_expect_eq(server.requests, once ? 2 : 3);
+  }
+}
+
 // Guards against a request sent after its deadline because the process was
 // paused between queueing and sending it.
 Test(EndpointClient, nothing_is_sent_after_the_deadline) {
