Apply the kept ends of a job one by one

All kept ends of a job were taken out of the list before the first was applied. Applying one starts a commit, which then covered the others as well although it did not hold them; they were acknowledged up to one commit early, and an owner killed between ran their tasks again.

Evidence: ends_kept_for_a_job_are_stored_before_they_are_acknowledged failed before with 'starts again after its success was acknowledged'.

--- a/src/workflow/ControllerUnknownJobs.cpp
+++ b/src/workflow/ControllerUnknownJobs.cpp
@@ -2,6 +2,7 @@
 // accepted before this owner took over and its row is not read yet, or a
 // predecessor with another clock began an occurrence earlier.
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "telemetry/Log.h"
@@ -19,16 +20,19 @@
        F("worker", worker.info.id), F("job_ended", job_ended)});
 }
 
-/// Removes and returns the worker's held ends of one job.
-std::vector<ReportedEnd> TakeHeldEnds(Worker& worker, const std::string& job) {
-  std::vector<ReportedEnd> taken;
-  std::erase_if(worker.held_ends, [&](const ReportedEnd& end) {
-    TaskName name;
-    if (!ParseTaskName(end.task, name) || name.job != job) return false;
-    taken.push_back(end);
-    return true;
-  });
-  return taken;
+/// Removes and returns the first held end of the job. A commit that is made
+/// while the ends are applied one by one must not cover those still held.
+std::optional<ReportedEnd> TakeHeldEnd(Worker& worker, const std::string& job) {
+  const auto found =
+      std::find_if(worker.held_ends.begin(), worker.held_ends.end(),
+                   [&](const ReportedEnd& end) {
+                     TaskName name;
+                     return ParseTaskName(end.task, name) && name.job == job;
+                   });
+  if (found == worker.held_ends.end()) return std::nullopt;
+  ReportedEnd end = std::move(*found);
+  worker.held_ends.erase(found);
+  return end;
 }
 
 void OnLookedUp(Controller& c, const std::string& job,
@@ -91,12 +95,12 @@
   const bool is_known = FindJob(c.jobs, job) != nullptr;
   bool any = false;
   for (auto& [id, worker] : c.fleet.workers) {
-    for (const ReportedEnd& end : TakeHeldEnds(worker, job)) {
+    while (const std::optional<ReportedEnd> end = TakeHeldEnd(worker, job)) {
       any = true;
       if (is_known) {
-        ApplyReportedEnd(c, worker, end);
+        ApplyReportedEnd(c, worker, *end);
       } else {
-        LogDropped(worker, end, c.ended.contains(job));
+        LogDropped(worker, *end, c.ended.contains(job));
       }
     }
   }
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -29,8 +29,8 @@
 }
 
 /// Stores a job as accepted without telling the owner.
-workflow::JobSpec StoreSilently(Cell& cell) {
-  workflow::JobSpec spec = MakeChain(cell, 1, 1, {1'000, 500, 0}, 300);
+workflow::JobSpec StoreSilently(Cell& cell, uint32_t tasks) {
+  workflow::JobSpec spec = MakeChain(cell, 1, tasks, {1'000, 500, 0}, 300);
   spec.accepted_wall_ms = cell.time.now_ms;
   CallerJob& job = cell.jobs[spec.id];
   job.spec = spec;
@@ -60,7 +60,7 @@
   // A task on each worker, so that ends are reported at once.
   Submit(cell, 0, MakeChain(cell, 1, 6, {16'000, 500, 0}, 4 * kSecond));
   cell.time.RunUntil(3 * kSecond);
-  const workflow::JobSpec spec = StoreSilently(cell);
+  const workflow::JobSpec spec = StoreSilently(cell, 1);
   ReportForeignEnd(cell, "w0", spec.id + ".0.0.0");
   cell.time.RunUntil(20 * kSecond);
   cr_expect_eq(CountRuns(cell, spec.id + ".0.0.0"), 1U);
@@ -75,7 +75,7 @@
   cell.time.RunUntil(2 * kSecond);
   Submit(cell, 0, MakeChain(cell, 1, 6, {16'000, 500, 0}, 4 * kSecond));
   cell.time.RunUntil(3 * kSecond);
-  const workflow::JobSpec spec = StoreSilently(cell);
+  const workflow::JobSpec spec = StoreSilently(cell, 1);
   cell.store.rows.erase({workflow::kJobTable, spec.id});
   cell.store.history.pop_back();
   cell.jobs.at(spec.id).accepted = false;
@@ -216,4 +216,26 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against an end that is acknowledged before it is stored: of two ends
+// kept for one job, the first commit covered both but held the first only.
+Test(CellModel, ends_kept_for_a_job_are_stored_before_they_are_acknowledged,
+     .init = DiscardLogs) {
+  Cell cell({.failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 6, {16'000, 500, 0}, 4 * kSecond));
+  cell.time.RunUntil(3 * kSecond);
+  const workflow::JobSpec spec = StoreSilently(cell, 2);
+  const size_t first = cell.run_records.size();
+  ReportForeignEnd(cell, "w0", spec.id + ".0.0.0");
+  ReportForeignEnd(cell, "w0", spec.id + ".0.0.1");
+  while (!cell.run_records[first + 1].acknowledged) {
+    cell.time.RunUntil(cell.time.now_ms + 1);
+    cr_assert_lt(cell.time.now_ms, 8 * kSecond);
+  }
+  KillDaemon(cell, FindOwner(cell));
+  cell.time.RunUntil(30 * kSecond);
+  cr_expect_eq(CountRuns(cell, spec.id + ".0.0.1"), 1U);
+  ExpectNoViolations(cell, true);
+}
+
 }  // namespace dotterelcove::model
