Give a worker that is listed again a token of its own

A worker that was taken off the list and listed again under its id got the highest token used so far, which may be the one of its earlier incarnation, so late calls to that one were obeyed.

--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -122,7 +122,8 @@
   /// The workers that list an orphaned run of a task, by task. The task is not
   /// placed meanwhile.
   std::map<std::string, std::set<std::string>> orphaned;
-  /// Restarts of workers that this owner has noticed.
+  /// Incarnations of workers that this owner has learnt of. Each has its own
+  /// fencing token, see TokenFor().
   uint64_t worker_restarts = 0;
   /// Jobs that workers have reported and that are being looked up in the store.
   std::set<std::string> job_lookups;
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -135,7 +135,7 @@
     Worker& worker = AddWorker(c.fleet, info.id);
     worker.info = info;
     // It may have been known before, with any of the tokens used so far.
-    worker.token_increment = c.worker_restarts;
+    worker.token_increment = ++c.worker_restarts;
     c.fleet_dirty = true;
     Log(LogLevel::kInfo, "worker_listed",
         {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -238,4 +238,27 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against a late call to a worker that was taken off the list and is
+// listed again under its id: it had been given no higher token.
+Test(CellModel, worker_listed_again_refuses_late_calls, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell({.workers = 2, .seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    ModelWorker& worker = cell.workers.at("w0");
+    worker.delayed_order_share = 1;
+    cell.workers.at("w1").listed = false;
+    cell.time.RunUntil(3 * kSecond);
+    Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 20 * kSecond));
+    cell.time.RunUntil(3 * kSecond + 100);
+    cell.workers.at("w1").listed = true;
+    CrashWorker(cell, "w0");
+    worker.listed = false;
+    cell.time.RunUntil(8 * kSecond);
+    worker.listed = true;
+    RestartWorker(cell, "w0");
+    cell.time.RunUntil(40 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
