Take an acknowledgment for delivered only if the answer shows it

A relayed sync that is repeated directly carries no acknowledgment, but its answer counted for the whole call. The acknowledgment was not sent again before the next end; the worker answered every long poll at once, and an idle one listed its ends for ever.

Evidence: an_acknowledgment_that_was_left_out_is_sent_again failed before.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -270,7 +270,11 @@
     Sync(c, worker, 0);
     return;
   }
-  worker.ack_delivered = std::max(worker.ack_delivered, sent.acked);
+  // A relayed sync may have been repeated without its acknowledgment.
+  const bool is_acked =
+      answer.ended.empty() || answer.ended.front().number > sent.acked;
+  if (is_acked)
+    worker.ack_confirmed = std::max(worker.ack_confirmed, sent.acked);
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
@@ -347,7 +351,7 @@
   worker.held_ends.clear();
   worker.seen = 0;
   worker.acked = 0;
-  worker.ack_delivered = 0;
+  worker.ack_confirmed = 0;
   worker.clock_ms = 0;
   worker.lease_end_clock_ms = 0;
   worker.synced = false;
@@ -385,8 +389,8 @@
   SyncOrder order;
   order.token = TokenFor(c, worker);
   // The worker may have restarted, and an old acknowledgment would discard ends
-  // of the new incarnation. So each is sent only until it has been answered.
-  const bool is_due = worker.reachable && worker.acked > worker.ack_delivered;
+  // of the new incarnation. So each is sent only until it is confirmed.
+  const bool is_due = worker.reachable && worker.acked > worker.ack_confirmed;
   order.acked = is_due ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
   // A worker that did not answer must not hold the answer back.
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -148,8 +148,8 @@
   /// They are acknowledged once their job is known, or the store has shown that
   /// there is no such open job.
   std::vector<ReportedEnd> held_ends;
-  /// Highest acknowledgment in a sync that was answered.
-  uint64_t ack_delivered = 0;
+  /// Highest acknowledgment that an answer has shown to be carried out.
+  uint64_t ack_confirmed = 0;
   std::map<std::string, PlacedRun> runs;
   /// Runs that this owner did not place and does not hold, by task.
   std::map<std::string, OrphanedRun> orphans;
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -261,4 +261,32 @@
   }
 }
 
+// Guards against an acknowledgment that is taken for delivered although the
+// call was repeated without it, as a relayed sync is: the worker listed its
+// ends for ever.
+Test(CellModel, an_acknowledgment_that_was_left_out_is_sent_again,
+     .init = DiscardLogs) {
+  Cell cell({.workers = 1, .failure_share = 0});
+  int left_out = 0;
+  cell.configure_owner = [&left_out](workflow::Controller& c) {
+    c.port.sync = [&left_out, direct = c.port.sync](
+                      const workflow::WorkerAddress& worker,
+                      workflow::SyncOrder order,
+                      const workflow::SyncCallback& done) {
+      if (order.acked > 0 && left_out == 0) {
+        left_out++;
+        order.acked = 0;
+      }
+      direct(worker, order, done);
+    };
+  };
+  KillDaemon(cell, 0);
+  StartDaemon(cell, 0);
+  cell.time.RunUntil(2 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 300));
+  cell.time.RunUntil(10 * kSecond);
+  cr_expect_eq(left_out, 1);
+  cr_expect(cell.workers.at("w0").ends.empty());
+}
+
 }  // namespace dotterelcove::model
