Conclude nothing from a cut list of ends

Callers could see a task start again after a run of it had ended done, when commits stalled for so long that a worker had 500 unacknowledged ends.

Cause: a worker lists 500 ends at a time. A run whose end lay beyond was neither running nor ended, so it counted as gone and its task was placed again; its end was acknowledged later. The hold of orphaned runs and a takeover's wait for the worker ended in the same way.

Change: an answer with that many ends is used for what it lists, and absence in it proves nothing. The model cuts its lists as well, which it did not: no test could show this.

Evidence: run_whose_end_is_not_listed_yet_is_kept failed before with 'starts again after its success was acknowledged'.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -279,9 +279,11 @@
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
   ApplyReportedRuns(c, worker, answer.running);
-  StopUnansweredStarts(c, worker, sent.number);
-  DropAbsentRuns(c, worker, answer, sent.number);
-  OnSynced(c, worker);
+  if (ListsAllEnds(answer)) {
+    StopUnansweredStarts(c, worker, sent.number);
+    DropAbsentRuns(c, worker, answer, sent.number);
+    OnSynced(c, worker);
+  }
   PaceFillers(c, worker);
   FlushProgress(c);
   ContinueSyncing(c, worker);
--- a/src/workflow/Ports.h
+++ b/src/workflow/Ports.h
@@ -2,6 +2,7 @@
 /// platform's adapter and the tests' fakes implement them.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -142,6 +143,15 @@
 };
 using SyncCallback = std::function<void(SyncAnswer)>;
 
+/// A worker lists at most this many ends in one answer.
+inline constexpr size_t kMaxEndsPerAnswer = 500;
+
+/// Whether the answer tells how each run has ended that it does not list as
+/// running. If not, nothing follows from the absence of a run.
+inline bool ListsAllEnds(const SyncAnswer& answer) {
+  return answer.ended.size() < kMaxEndsPerAnswer;
+}
+
 struct WorkerPort {
   std::function<void(const WorkerAddress&, const StartOrder&, OrderCallback)>
       start;
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -289,4 +289,29 @@
   cr_expect(cell.workers.at("w0").ends.empty());
 }
 
+// Guards against a run that counts as gone because its end did not fit into an
+// answer: its task was started again, although it was done.
+Test(CellModel, run_whose_end_is_not_listed_yet_is_kept, .init = DiscardLogs) {
+  Cell cell({.workers = 1, .failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  const workflow::JobSpec spec =
+      MakeChain(cell, 1, 1, {1'000, 500, 0}, kSecond);
+  Submit(cell, 0, spec);
+  cell.time.RunUntil(2 * kSecond + 500);
+  cr_assert_eq(cell.run_records.size(), 1U);
+  // While the store is down, ends of a job that is not known stay listed.
+  const workflow::JobSpec other =
+      StoreSilently(cell, workflow::kMaxEndsPerAnswer);
+  cell.store.faults.down = true;
+  for (size_t i = 0; i < workflow::kMaxEndsPerAnswer; ++i) {
+    ReportForeignEnd(cell, "w0", other.id + ".0.0." + std::to_string(i));
+  }
+  cell.time.RunUntil(6 * kSecond);
+  cell.store.faults.down = false;
+  cell.time.RunUntil(30 * kSecond);
+  cr_expect_eq(CountRuns(cell, spec.id + ".0.0.0"), 1U);
+  cr_expect(cell.workers.at("w0").ends.empty());
+  ExpectNoViolations(cell, true);
+}
+
 }  // namespace dotterelcove::model
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -195,6 +195,7 @@
     answer.running.push_back({task, run.run, "", std::min(percent, 100), -1});
   }
   for (const auto& end : worker.ends) {
+    if (answer.ended.size() >= workflow::kMaxEndsPerAnswer) break;
     answer.ended.push_back({end.number, end.task, end.run, end.end, ""});
   }
   return answer;
