Take an unexpected status of a worker for an unknown outcome

Every status but the documented ones counted as 'nothing was done', so a 500 or 502 after a start that was carried out placed the task again while its run went on. Only 400, 409, 421, 429 and 503 promise that.

Evidence: PlatformWorkers/each_refusal_has_its_meaning, extended by three statuses, failed before.

--- a/tests/platform/AdapterTest.cpp
+++ b/tests/platform/AdapterTest.cpp
@@ -180,7 +180,11 @@
       {421, "", workflow::OrderStatus::kOtherIncarnation},
       {429, "", workflow::OrderStatus::kUnhealthy},
       {503, "", workflow::OrderStatus::kUnhealthy},
-      {400, "", workflow::OrderStatus::kMalformed}};
+      {400, "", workflow::OrderStatus::kMalformed},
+      // Whoever answers so may have carried the order out.
+      {500, "", workflow::OrderStatus::kUnknown},
+      {502, "", workflow::OrderStatus::kUnknown},
+      {504, "", workflow::OrderStatus::kUnknown}};
   FakeServer fake;
   for (const Case& each : cases) {
     fake.status = each.status;
