Give up tasks that crash their workers, and find them with few crashes

Cause: nothing counted the crashes. MarkRunsLost put a task back without a trace, beside as many others as fit, and a crashed worker was noticed by the expiry of its lease, 4.0 s after its last answer.

Change: - A worker whose address answers as another worker has ended: its runs are lost at once, and no job of a takeover waits for it. Unless it was to leave, it crashed under them. The same holds for a restart under its id, and for runs that lapsed before. A lapse, a cut or a stop is no crash. - The crashes are kept per task with what the run was doing, stored before its next start, and read at a takeover. A gang counts those under any member. - A task whose run had just started, or was not confirmed, when its worker crashed or fell silent is a suspect. Suspects are placed one to a worker, where the least work is at risk, and nothing is started there until the worker has been heard of 300 ms later. At most a quarter of the workers has one at a time. - A job fails for a task under which two workers have crashed, the last of them on such a probation; for three crashes just after the start; or for four.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -200,7 +200,8 @@
   if (worker.reachable) return;
   if (worker.runs.empty() && worker.orphans.empty()) return;
   if (worker.clock_ms == 0 || c.runtime.now() < worker.lease_expires_ms) return;
-  MarkRunsLost(c, worker, "lease_lapsed", true);
+  KeepLapsedRuns(c, worker);
+  MarkRunsLost(c, worker, RunLoss::kLeaseExpired, RunSet::kAll);
   RemoveOrphans(c, worker);
   worker.synced = false;
   RequestSchedule(c);
@@ -233,6 +234,15 @@
                      });
 }
 
+/// Whether a probation is over but the worker has not been heard of since.
+bool IsProbationDue(const Controller& c, const Worker& worker) {
+  constexpr TimeMs kIntervalMs = 200;
+  const TimeMs now_ms = c.runtime.now();
+  return worker.reachable && now_ms >= worker.probation_until_ms &&
+         worker.heard_ms < worker.probation_until_ms &&
+         now_ms - worker.last_hedge_ms >= kIntervalMs;
+}
+
 /// Whether the next sync is due.
 bool IsSyncDue(const Controller& c, const Worker& worker) {
   // An unreachable worker gets a second sync beside one that may wait for long.
@@ -256,13 +266,14 @@
     if (c.loaded && IsErasable(c, worker)) {
       const std::string id = worker.info.id;
       Log(LogLevel::kInfo, "worker_removed", {F("worker", id)});
+      RecordLikelyCrashes(c, worker);
       c.fleet_dirty = true;
       RemoveWorker(c.fleet, id);
       continue;
     }
     if (IsSyncDue(c, worker)) {
       Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
-    } else if (IsReportOverdue(c, worker)) {
+    } else if (IsReportOverdue(c, worker) || IsProbationDue(c, worker)) {
       worker.last_hedge_ms = now_ms;
       c.stats.hedged_syncs++;
       Sync(c, worker, 0);
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -132,6 +132,31 @@
 /// Erases a closed job once no run refers to it.
 void EraseIfClosed(Controller& controller, Job& job);
 
+// Crashes.
+/// Records that a worker crashed under a run of the task. A task that is to
+/// blame is given up and its job fails; any other waits until this is stored.
+void RecordCrash(Controller& controller, const TaskRef& task, uint32_t run,
+                 CrashPhase phase, const Worker& worker);
+/// Handles a worker that has ended: its address answers as another worker. All
+/// its runs are gone, and it crashed under them unless it was to leave.
+void OnWorkerGone(Controller& controller, Worker& worker);
+/// Keeps the worker's runs, which lapse now, in case it turns out to have
+/// crashed.
+void KeepLapsedRuns(Controller& controller, Worker& worker);
+/// The worker is known to have crashed: it did so under its lapsed runs.
+void RecordLapsedCrashes(Controller& controller, Worker& worker);
+/// The worker has left the list without an answer: it crashed under those of
+/// its lapsed runs that had just started. The others may have run on, cut off.
+void RecordLikelyCrashes(Controller& controller, Worker& worker);
+/// The crashes under a task; for a gang those under any member, since its runs
+/// begin and end together.
+TaskCrashes CrashesUnder(const TaskRef& task);
+/// Whether the task's next run must be on probation.
+bool IsSuspect(const TaskRef& task);
+/// Whether the worker was to end anyway.
+bool IsLeaving(const Worker& worker);
+CrashPhase PhaseAtCrash(const Worker& worker, const PlacedRun& run);
+
 // Workers.
 /// The fencing token of calls to the worker. It rises with each incarnation, so
 /// that a call meant for an earlier one, which arrives after the restart, does
@@ -153,10 +178,17 @@
                       const ReportedEnd& end);
 /// Handles a worker restart: nothing from the previous incarnation runs on it.
 void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation);
-/// Handles the loss of all runs that the worker has listed, which have ended
-/// without a report; with `unlisted` also of the others.
-void MarkRunsLost(Controller& controller, Worker& worker, const char* reason,
-                  bool unlisted);
+/// Why runs ended without a report.
+enum class RunLoss : uint8_t { kLeaseExpired, kCrash, kWorkerLeft };
+inline constexpr auto kRunLossNames =
+    MakeNameTable<RunLoss>({{RunLoss::kLeaseExpired, "lease_lapsed"},
+                            {RunLoss::kCrash, "worker_crashed"},
+                            {RunLoss::kWorkerLeft, "worker_left"}});
+/// Which runs of a worker are meant: all, or those that a sync has listed.
+enum class RunSet : uint8_t { kAll, kListed };
+/// Handles the loss of runs that have ended without a report.
+void MarkRunsLost(Controller& controller, Worker& worker, RunLoss loss,
+                  RunSet set);
 /// Updates the stored list of workers that may hold tasks.
 void RecordFleet(Controller& controller);
 /// Stops placing tasks on the worker and records that, so that a successor does
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -300,6 +300,14 @@
   FlushProgress(c);
 }
 
+void OnCrashesStored(Controller& c, const std::string& id) {
+  Job* job = FindJob(c.jobs, id);
+  // A later crash of the same job is in the next commit.
+  if (job == nullptr || c.dirty.contains(job)) return;
+  job->has_unstored_crashes = false;
+  WatchJob(c, *job);
+}
+
 void OnClosed(Controller& c, const std::string& id) {
   Job* job = FindJob(c.jobs, id);
   if (job == nullptr) return;
@@ -324,6 +332,7 @@
   if (c.dirty.empty() && seen.empty()) return;
   std::vector<RowPut> puts;
   std::vector<std::string> closing;
+  std::vector<std::string> stored;
   size_t taken = 0;
   while (!c.dirty.empty() && taken < kMaxJobsPerFlush) {
     Job* job = *c.dirty.begin();
@@ -331,6 +340,7 @@
     ++taken;
     if (!IsFinal(job->phase)) {
       puts.push_back({kProgressTable, job->spec.id, EncodeProgress(*job)});
+      if (job->has_unstored_crashes) stored.push_back(job->spec.id);
       continue;
     }
     puts.push_back({kProgressTable, job->spec.id,
@@ -345,7 +355,9 @@
     return;
   }
   c.log->Commit(std::move(puts), {},
-                Guard(c, [covered, closing](Controller& self) {
+                Guard(c, [covered, closing, stored](Controller& self) {
+                  for (const std::string& id : stored)
+                    OnCrashesStored(self, id);
                   for (const std::string& id : closing) OnClosed(self, id);
                   OnFlushed(self, covered);
                 }));
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -70,7 +70,7 @@
   Worker* worker = WorkerOf(c, name);
   if (worker == nullptr || !worker->maintenance_planned) return;
   // The maintenance ends this incarnation of the worker and all its runs.
-  MarkRunsLost(c, *worker, "vm_in_maintenance", true);
+  MarkRunsLost(c, *worker, RunLoss::kWorkerLeft, RunSet::kAll);
   worker->reachable = false;
   worker->synced = false;
 }
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -97,6 +97,10 @@
   const FoundRun found = FindRun(c, key);
   if (found.run == nullptr) return;
   Worker& worker = *found.worker;
+  const bool is_heard = answer.status != OrderStatus::kUnknown &&
+                        answer.status != OrderStatus::kNotSent &&
+                        answer.status != OrderStatus::kOtherIncarnation;
+  if (is_heard) worker.heard_ms = c.runtime.now();
   if (c.observe) {
     c.observe("start_order", c.runtime.now() - found.run->placed_ms);
   }
@@ -209,6 +213,10 @@
   run.placed_ms = now_ms;
   run.expected_end_ms = ExpectedEnd(SpecOf(placement.task), now_ms);
   run.gang = placement.gang;
+  if (IsSuspect(placement.task)) {
+    run.on_probation = true;
+    worker.probation_until_ms = now_ms + kProbationMs;
+  }
   const std::string name = MakeTaskName(placement.task);
   const bool was_idle = worker.runs.empty();
   AddRun(worker, name, run);
@@ -253,6 +261,7 @@
 void StopUnlisted(Controller& c, Worker& worker) {
   std::vector<RunKey> keys;
   for (auto& [name, run] : worker.runs) {
+    if (!IsLeaving(worker)) run.crash = PhaseAtCrash(worker, run);
     run.start_in_doubt = true;
     run.stop_wanted = true;
     run.stop_in_flight = false;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -51,13 +51,14 @@
   bool any = false;
 };
 
-Waiting FindWaiting(const StepSpec& spec, const StepState& state,
-                    TimeMs now_ms) {
+Waiting FindWaiting(const Job& job, const StepSpec& spec,
+                    const StepState& state, TimeMs now_ms) {
   Waiting waiting;
   for (uint32_t i = 0; i < state.tasks.size(); ++i) {
     const TaskState& task = state.tasks[i];
     if (task.phase != TaskPhase::kWaiting) continue;
     waiting.any = true;
+    if (job.has_unstored_crashes && !task.crashes.empty()) continue;
     if (now_ms >= task.not_before_ms) waiting.ready.push_back(i);
   }
   if (spec.gang && waiting.ready.size() < state.tasks.size()) {
@@ -94,7 +95,7 @@
         continue;
       }
       if (state.ready_since_ms < 0) state.ready_since_ms = pass.now_ms;
-      Waiting waiting = FindWaiting(job.spec.steps[i], state, pass.now_ms);
+      Waiting waiting = FindWaiting(job, job.spec.steps[i], state, pass.now_ms);
       is_watched = is_watched || waiting.any;
       RemoveOrphanedTasks(c, {&job, number, i, 0}, waiting.ready);
       if (waiting.ready.empty()) continue;
@@ -180,10 +181,61 @@
   return 0;
 }
 
+/// Number of workers with a run on probation.
+size_t CountProbations(const Fleet& fleet, TimeMs now_ms) {
+  return static_cast<size_t>(std::count_if(
+      fleet.workers.begin(), fleet.workers.end(),
+      [&](const auto& entry) { return IsOnProbation(entry.second, now_ms); }));
+}
+
+/// Places suspects one by one, each on the worker with the least work to lose.
+/// Their number at a time is limited, so that they never take the whole fleet
+/// down. Returns the number of those that found no room.
+uint32_t PlaceSuspects(Controller& c, const WaitingStep& step,
+                       const std::vector<uint32_t>& suspects,
+                       const Candidates& candidates, PlacementNeed need) {
+  size_t left = MaxProbations(c.fleet.workers.size());
+  left -= std::min(left, CountProbations(c.fleet, need.now_ms));
+  uint32_t unplaced = 0;
+  std::string placed;
+  for (const uint32_t index : suspects) {
+    if (left == 0) break;
+    const TaskState& task = need.state->tasks[index];
+    need.avoid = need.now_ms < task.avoid_until_ms ? &task.avoid : nullptr;
+    Worker* worker = ChooseLeastAtRisk(candidates, need);
+    if (worker == nullptr) {
+      unplaced++;
+      continue;
+    }
+    left--;
+    const uint32_t run = NextRun(c, task);
+    if (!placed.empty()) placed += ' ';
+    placed += DescribePlacement(c, index, run, *worker);
+    PlaceTask(c, {{step.job, step.occurrence, step.step, index},
+                  worker,
+                  run,
+                  task.checkpoint,
+                  TicketFor(*need.state, *worker),
+                  0});
+  }
+  LogPlaced(c, step, placed, unplaced);
+  return unplaced;
+}
+
 /// Places the tasks that fit; returns the number of those that do not.
 uint32_t PlaceTasks(Controller& c, const WaitingStep& step,
                     const Candidates& candidates, const PlacementNeed& need) {
-  const StepPlan plan = PlanStep(candidates, need, step.tasks);
+  std::vector<uint32_t> suspects;
+  std::vector<uint32_t> others;
+  for (const uint32_t index : step.tasks) {
+    const TaskRef task{step.job, step.occurrence, step.step, index};
+    (IsSuspect(task) ? suspects : others).push_back(index);
+  }
+  uint32_t without_room = 0;
+  if (!suspects.empty()) {
+    without_room = PlaceSuspects(c, step, suspects, candidates, need);
+  }
+  const StepPlan plan = PlanStep(candidates, need, others);
   std::string placed;
   for (const PlannedTask& planned : plan.placed) {
     const TaskState& task = need.state->tasks[planned.index];
@@ -198,7 +250,7 @@
                   0});
   }
   LogPlaced(c, step, placed, plan.unplaced);
-  return plan.unplaced;
+  return plan.unplaced + without_room;
 }
 
 /// Preempts runs to make room for urgent tasks that could not be placed.
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -142,8 +142,13 @@
               {F("task", name), F("run", worker.runs[name].run),
                F("worker", worker.info.id), F("sync", sync),
                F("stopped", worker.runs[name].stop_answered)});
+    const uint32_t number = worker.runs[name].run;
+    const std::optional<CrashPhase> crash = worker.runs[name].crash;
     RemoveRun(worker, name);
-    if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
+    if (TaskOf(task).worker == worker.info.id) {
+      ReleaseTask(c, task);
+      if (crash) RecordCrash(c, task, number, *crash, worker);
+    }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_absent");
     EraseIfClosed(c, *task.job);
   }
@@ -175,6 +180,14 @@
   }
 }
 
+/// What runs on the worker is known, so no job waits for it any longer.
+void EndRecoveryOf(Controller& c, const Worker& worker) {
+  if (c.recovery_pending.erase(worker.info.id) == 0) return;
+  if (!c.recovery_pending.empty()) return;
+  Log(LogLevel::kInfo, "recovery_complete", {F("epoch", c.epoch)});
+  RequestSchedule(c);
+}
+
 void OnSynced(Controller& c, Worker& worker) {
   if (!worker.synced) {
     Log(LogLevel::kInfo, "worker_synced",
@@ -183,13 +196,10 @@
   }
   worker.synced = true;
   worker.reachable = true;
+  worker.lapsed.clear();
   worker.sync_failures = 0;
   UncordonWorker(c, worker);
-  if (c.recovery_pending.erase(worker.info.id) > 0 &&
-      c.recovery_pending.empty()) {
-    Log(LogLevel::kInfo, "recovery_complete", {F("epoch", c.epoch)});
-    RequestSchedule(c);
-  }
+  EndRecoveryOf(c, worker);
 }
 
 void ContinueSyncing(Controller& c, Worker& worker) {
@@ -221,9 +231,15 @@
   worker.reachable = false;
   CordonWorker(c, worker);
   StopUnansweredStarts(c, worker, 0);
-  if (status == OrderStatus::kOtherIncarnation) worker.synced = false;
+  if (status == OrderStatus::kOtherIncarnation) {
+    worker.synced = false;
+    OnWorkerGone(c, worker);
+    EndRecoveryOf(c, worker);
+  }
+  // Not much longer each time: once another worker answers at the address, the
+  // runs of this one are known to be gone.
   const TimeMs delay_ms =
-      kSyncRetryMs * std::min<TimeMs>(worker.sync_failures, 4);
+      kSyncRetryMs * std::min<TimeMs>(worker.sync_failures, 2);
   worker.next_sync_ms = c.runtime.now() + delay_ms;
 }
 
@@ -273,8 +289,10 @@
   // A relayed sync may have been repeated without its acknowledgment.
   const bool is_acked =
       answer.ended.empty() || answer.ended.front().number > sent.acked;
-  if (is_acked)
+  if (is_acked) {
     worker.ack_confirmed = std::max(worker.ack_confirmed, sent.acked);
+  }
+  worker.heard_ms = c.runtime.now();
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
@@ -346,7 +364,10 @@
   Log(LogLevel::kWarning, "worker_restarted",
       {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
        F("incarnation", incarnation)});
-  MarkRunsLost(c, worker, "worker_restarted", false);
+  RecordLapsedCrashes(c, worker);
+  MarkRunsLost(c, worker,
+               IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
+               RunSet::kListed);
   worker.info.incarnation = incarnation;
   worker.token_increment = ++c.worker_restarts;
   RemoveOrphans(c, worker);
@@ -406,23 +427,28 @@
               }));
 }
 
-void MarkRunsLost(Controller& c, Worker& worker, const char* reason,
-                  bool unlisted) {
+void MarkRunsLost(Controller& c, Worker& worker, RunLoss loss, RunSet set) {
   std::vector<std::string> names;
   for (const auto& [name, run] : worker.runs) {
-    if (run.listed || unlisted) names.push_back(name);
+    if (run.listed || set == RunSet::kAll) names.push_back(name);
   }
   for (const std::string& name : names) {
     const auto found = worker.runs.find(name);
     if (found == worker.runs.end()) continue;
     const TaskRef task = found->second.task;
     const uint64_t gang = found->second.gang;
+    const uint32_t run = found->second.run;
+    const CrashPhase phase = PhaseAtCrash(worker, found->second);
     LogAlways(LogLevel::kWarning, "task_lost",
-              {F("task", name), F("run", found->second.run),
-               F("worker", worker.info.id), F("reason", reason),
+              {F("task", name), F("run", run), F("worker", worker.info.id),
+               F("reason", NameOf(kRunLossNames, loss)),
                F("sync_age_ms", c.runtime.now() - worker.clock_read_ms)});
     RemoveRun(worker, name);
-    if (TaskOf(task).worker == worker.info.id) ReleaseTask(c, task);
+    const bool was_held = TaskOf(task).worker == worker.info.id;
+    if (was_held) ReleaseTask(c, task);
+    if (was_held && loss == RunLoss::kCrash) {
+      RecordCrash(c, task, run, phase, worker);
+    }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_lost");
     EraseIfClosed(c, *task.job);
   }
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "workflow/Crashes.h"
 #include "workflow/JobTable.h"
 #include "workflow/Ports.h"
 
@@ -67,6 +68,11 @@
   bool stop_answered = false;
   uint64_t syncs_before_stopped = 0;
   TimeMs placed_ms = 0;
+  /// Its worker starts nothing else until the probation is over.
+  bool on_probation = false;
+  /// Its worker has restarted and does not list it so far: how it ended if the
+  /// restart ended it.
+  std::optional<CrashPhase> crash;
   /// When its end should have been reported, by its estimate or its reported
   /// progress; 0 for unknown.
   TimeMs expected_end_ms = 0;
@@ -85,6 +91,13 @@
   const char* stop_reason = "";
 };
 
+/// A run that counts as ended because its worker's lease has expired.
+struct LapsedRun {
+  std::string task;
+  uint32_t run = 0;
+  CrashPhase phase = CrashPhase::kUnconfirmed;
+};
+
 /// A run that the owner did not place and cannot adopt, at least not yet.
 struct OrphanedRun {
   uint32_t run = 0;
@@ -153,6 +166,14 @@
   std::map<std::string, PlacedRun> runs;
   /// Runs that this owner did not place and does not hold, by task.
   std::map<std::string, OrphanedRun> orphans;
+  /// Runs that lapsed since the worker last answered. If it turns out to have
+  /// crashed, it crashed under them.
+  std::vector<LapsedRun> lapsed;
+  /// When any call to it was last answered.
+  TimeMs heard_ms = 0;
+  /// Nothing is placed on it before this time, so that a crash shows which task
+  /// is to blame.
+  TimeMs probation_until_ms = 0;
   Resources used;
   /// Processor demand of its fillers, which `used` does not include.
   int64_t filler_milli_cores = 0;
@@ -201,6 +222,13 @@
   return worker.held_ends.front().number - 1;
 }
 
+/// Whether a suspect has been started on the worker and it has not shown yet
+/// that it survived that.
+inline bool IsOnProbation(const Worker& worker, TimeMs now_ms) {
+  return now_ms < worker.probation_until_ms ||
+         worker.heard_ms < worker.probation_until_ms;
+}
+
 /// Whether new tasks may be placed on the worker at all.
 bool IsUsable(const Worker& worker, TimeMs now_ms);
 
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -115,6 +115,24 @@
   return spec;
 }
 
+Json CrashesToJson(const TaskCrashes& crashes) {
+  Json json = Json::object();
+  for (const auto& [run, phase] : crashes) {
+    json[std::to_string(run)] = NameOf(kCrashPhaseNames, phase);
+  }
+  return json;
+}
+
+TaskCrashes CrashesFromJson(const Json& json) {
+  TaskCrashes crashes;
+  for (const auto& [run, name] : json.items()) {
+    const auto phase = ValueOf(kCrashPhaseNames, name.get<std::string>());
+    crashes[static_cast<uint32_t>(std::stoul(run))] =
+        phase.value_or(CrashPhase::kUnconfirmed);
+  }
+  return crashes;
+}
+
 Json StepProgressToJson(const StepState& step) {
   std::string done;
   Json others = Json::object();
@@ -123,11 +141,11 @@
     done += task.phase == TaskPhase::kDone ? '1' : '0';
     if (task.phase == TaskPhase::kDone) continue;
     const bool untouched = task.ended_run == 0 && task.checkpoint.empty() &&
-                           task.failed_runs.empty();
+                           task.failed_runs.empty() && task.crashes.empty();
     if (untouched) continue;
     // Only ended runs are stored: the next owner adopts those that still run.
     others[std::to_string(i)] = {task.ended_run, task.failed_runs,
-                                 task.checkpoint};
+                                 task.checkpoint, CrashesToJson(task.crashes)};
   }
   return {done, others};
 }
@@ -148,6 +166,8 @@
     task.run = task.ended_run;
     task.failed_runs = value.at(1).get<std::set<uint32_t>>();
     task.checkpoint = value.at(2).get<std::string>();
+    // Rows of older versions end here.
+    if (value.size() > 3) task.crashes = CrashesFromJson(value.at(3));
   }
 }
 
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "workflow/Crashes.h"
 #include "workflow/StepPermits.h"
 #include "workflow/Workflow.h"
 
@@ -61,6 +62,11 @@
   /// Numbers of the runs that failed. A set of run numbers counts each end
   /// once, in whichever order owners receive them.
   std::set<uint32_t> failed_runs;
+  /// Its runs during which their worker crashed.
+  TaskCrashes crashes;
+  /// A run of it had not run for long when its worker fell silent, which may
+  /// have been a crash.
+  bool may_have_crashed_worker = false;
   /// Worker that holds it, empty while waiting or done.
   std::string worker;
   /// Latest checkpoint, empty for none.
@@ -116,6 +122,9 @@
   uint64_t version = 0;
   /// Progress has changed since the last commit.
   bool dirty = false;
+  /// Crashes under its tasks are not stored yet. Those tasks wait until they
+  /// are, so that no owner starts them more often than allowed.
+  bool has_unstored_crashes = false;
   /// The commit of the job's outcome is pending or in flight.
   bool closing = false;
   bool closed = false;
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -76,6 +76,7 @@
 }
 
 bool HasRoom(const Worker& worker, const PlacementNeed& need) {
+  if (IsOnProbation(worker, need.now_ms)) return false;
   const Resources size = SizeOnWorker(*need.step);
   Resources free = FreeOf(worker);
   free.milli_cores -= static_cast<int64_t>(
@@ -128,6 +129,42 @@
   return best;
 }
 
+namespace {
+
+/// The work that is lost if the worker crashes, in core-milliseconds.
+int64_t WorkAtRisk(const Worker& worker, TimeMs now_ms) {
+  // A task that lasts, or a gang, is interrupted for about this long.
+  constexpr TimeMs kInterruptionMs = 5'000;
+  int64_t work = 0;
+  for (const auto& [name, run] : worker.runs) {
+    const StepSpec& spec = SpecOf(run.task);
+    const bool is_dear = spec.long_running || spec.gang;
+    const TimeMs ran_ms = std::max<TimeMs>(now_ms - run.placed_ms, 0);
+    work += std::max<int64_t>(spec.size.milli_cores, 1) *
+            (is_dear ? kInterruptionMs : ran_ms);
+  }
+  return work;
+}
+
+}  // namespace
+
+Worker* ChooseLeastAtRisk(const Candidates& candidates,
+                          const PlacementNeed& need) {
+  Worker* best = nullptr;
+  int64_t least = std::numeric_limits<int64_t>::max();
+  for (Worker* worker : candidates) {
+    if (!HasRoom(*worker, need)) continue;
+    if (need.avoid != nullptr && need.avoid->contains(worker->info.id)) {
+      continue;
+    }
+    const int64_t work = WorkAtRisk(*worker, need.now_ms);
+    if (work >= least) continue;
+    best = worker;
+    least = work;
+  }
+  return best;
+}
+
 StepPlan PlanStep(const Candidates& candidates, PlacementNeed need,
                   const std::vector<uint32_t>& waiting) {
   TaskCounts on_worker;
--- a/src/workflow/Placement.h
+++ b/src/workflow/Placement.h
@@ -54,6 +54,11 @@
 /// The best of the candidates for one task, or nullptr if none is suitable.
 Worker* ChooseWorker(const Candidates& candidates, const PlacementNeed& need);
 
+/// The candidate on which the least work would be lost if it crashed, or
+/// nullptr if none is suitable.
+Worker* ChooseLeastAtRisk(const Candidates& candidates,
+                          const PlacementNeed& need);
+
 struct PlannedTask {
   uint32_t index = 0;
   Worker* worker = nullptr;
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -146,6 +146,8 @@
   std::string final_state;
   /// Every run of its tasks fails.
   bool always_fails = false;
+  /// Its first task crashes every worker that starts it.
+  bool crashes_workers = false;
 };
 
 struct CellOptions {
@@ -158,6 +160,9 @@
   bool permits = false;
   double allowed_share = 0.5;
   double failure_share = 0.02;
+  /// A worker that a task has crashed returns under another id, at the same
+  /// address.
+  bool new_id_after_crash = false;
 };
 
 struct Daemon;
@@ -216,6 +221,8 @@
 
 /// Ends the worker and all its runs.
 void CrashWorker(Cell& cell, const std::string& id);
+/// Crashes the worker. It is back after some seconds.
+void CrashForSeconds(Cell& cell, const std::string& id);
 /// Crashes the worker and starts it again under the same id.
 void RestartWorker(Cell& cell, const std::string& id);
 
--- a/tests/CellModelJudge.cpp
+++ b/tests/CellModelJudge.cpp
@@ -79,6 +79,32 @@
   }
 }
 
+/// A task that crashes its workers is given up in time, and no other task is
+/// given up under which fewer than two workers have crashed.
+void CheckCrashes(const Cell& cell, Violations& violations) {
+  constexpr uint32_t kCrashes = 3;
+  constexpr uint32_t kFurtherStarts = 3;
+  std::map<std::string, std::pair<uint32_t, uint32_t>> counts;
+  for (const RunRecord& record : cell.run_records) {
+    auto& [crashes, further] = counts[record.task];
+    if (crashes >= kCrashes && ++further == kFurtherStarts) {
+      violations.push_back(record.task + " starts " +
+                           std::to_string(kFurtherStarts) +
+                           " times more after three crashes");
+    }
+    if (record.outcome == "gone") ++crashes;
+  }
+  for (const auto& [id, job] : cell.jobs) {
+    if (StoredState(cell, id) != "failed" || job.always_fails) continue;
+    if (cell.options.failure_share > 0) continue;
+    const bool has_cause = std::any_of(
+        counts.begin(), counts.end(), [&id = id](const auto& entry) {
+          return entry.first.starts_with(id) && entry.second.first >= 2;
+        });
+    if (!has_cause) violations.push_back("job " + id + " failed without cause");
+  }
+}
+
 /// Returns whether every task of the step had succeeded by `at_ms`.
 bool IsStepDone(const Cell& cell, const CallerJob& job, uint32_t step,
                 TimeMs at_ms) {
@@ -178,6 +204,7 @@
   CheckRunNumbers(cell, violations);
   CheckCapacity(cell, violations);
   CheckStarts(cell, violations);
+  CheckCrashes(cell, violations);
   CheckCompleted(cell, violations);
   if (at_end) CheckEnds(cell, violations);
   return violations;
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -102,6 +102,25 @@
   return job->second.spec.steps.at(name.step).size;
 }
 
+/// Schedules the crash of the worker if the run of a task that crashes its
+/// workers has just begun on it.
+void ScheduleCrash(Cell& cell, const ModelWorker& worker,
+                   const workflow::StartOrder& order) {
+  constexpr TimeMs kCrashDelayMs = 10;
+  workflow::TaskName name;
+  workflow::ParseTaskName(order.task, name);
+  const auto job = cell.jobs.find(name.job);
+  if (job == cell.jobs.end() || !job->second.crashes_workers) return;
+  if (name.step != 0 || name.index != 0) return;
+  cell.time.After(kCrashDelayMs, [&cell, id = worker.info.id, task = order.task,
+                                  run = order.run] {
+    const ModelWorker& there = cell.workers.at(id);
+    const auto found = there.running.find(task);
+    if (found == there.running.end() || found->second.run != run) return;
+    CrashForSeconds(cell, id);
+  });
+}
+
 workflow::OrderAnswer HandleStart(Cell& cell, int daemon, ModelWorker& worker,
                                   const workflow::StartOrder& order) {
   Advance(cell, worker);
@@ -138,6 +157,7 @@
   record.size = SizeOf(cell, order.task);
   cell.run_records.push_back(record);
   worker.running[order.task] = run;
+  ScheduleCrash(cell, worker, order);
   return {workflow::OrderStatus::kOk, clock_ms};
 }
 
@@ -211,6 +231,28 @@
   return &found->second;
 }
 
+/// Whether another worker answers at the address of one that has crashed.
+bool IsReplaced(const Cell& cell, const std::string& id) {
+  const auto gone = cell.workers.find(id);
+  if (gone == cell.workers.end() || gone->second.up) return false;
+  return std::any_of(
+      cell.workers.begin(), cell.workers.end(), [&](const auto& entry) {
+        return entry.second.up &&
+               entry.second.info.address == gone->second.info.address;
+      });
+}
+
+/// Tells the caller that the worker it means is not there any more.
+template <class Answer>
+void RefuseAsOther(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
+                   const std::function<void(Answer)>& done) {
+  Deliver(cell, daemon, alive, 2 * kHopMs, [done] {
+    Answer answer;
+    answer.status = workflow::OrderStatus::kOtherIncarnation;
+    done(answer);
+  });
+}
+
 TimeMs HopDelay(Cell& cell, const ModelWorker& worker) {
   if (worker.jitter_ms == 0) return kHopMs;
   return kHopMs + UniformInt(cell.random, 0, worker.jitter_ms);
@@ -240,6 +282,10 @@
   const auto unanswered = [&cell, daemon, alive, done] {
     Deliver(cell, daemon, alive, kOrderTimeoutMs, [done] { done(Answer{}); });
   };
+  if (target == nullptr && IsReplaced(cell, worker)) {
+    RefuseAsOther(cell, daemon, alive, done);
+    return;
+  }
   if (target == nullptr) {
     unanswered();
     return;
@@ -281,6 +327,10 @@
                   TimeMs until_ms, uint64_t incarnation,
                   const workflow::SyncCallback& done) {
   ModelWorker* worker = FindReachable(cell, daemon, id);
+  if (worker == nullptr && IsReplaced(cell, id)) {
+    RefuseAsOther(cell, daemon, alive, done);
+    return;
+  }
   // A restart of the worker breaks the connection of a pending sync.
   if (worker == nullptr || worker->info.incarnation != incarnation) {
     Deliver(cell, daemon, alive, kOrderTimeoutMs,
@@ -382,6 +432,27 @@
   worker.up = false;
 }
 
+void CrashForSeconds(Cell& cell, const std::string& id) {
+  constexpr TimeMs kShortestMs = 2'500;
+  constexpr TimeMs kLongestMs = 4'500;
+  constexpr TimeMs kListedMs = 4'500;
+  CrashWorker(cell, id);
+  const TimeMs down_ms = UniformInt(cell.random, kShortestMs, kLongestMs);
+  if (!cell.options.new_id_after_crash) {
+    cell.time.After(down_ms, [&cell, id] { RestartWorker(cell, id); });
+    return;
+  }
+  cell.time.After(kListedMs,
+                  [&cell, id] { cell.workers.at(id).listed = false; });
+  cell.time.After(down_ms, [&cell, id] {
+    ModelWorker next;
+    next.info = cell.workers.at(id).info;
+    next.info.id += "+";
+    next.clock_offset_ms = 1'000 - cell.time.now_ms;
+    cell.workers[next.info.id] = next;
+  });
+}
+
 void RestartWorker(Cell& cell, const std::string& id) {
   CrashWorker(cell, id);
   ModelWorker& worker = cell.workers.at(id);
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -332,6 +332,7 @@
   step.tasks[2].ended_run = 3;
   step.tasks[2].failed_runs = {1, 3};
   step.tasks[2].checkpoint = "save";
+  step.tasks[2].crashes = {{2, CrashPhase::kOnProbation}};
   const auto copy = MakeOneStep(MakeStep(3, 1'000));
   cr_assert(ApplyProgress(EncodeProgress(*job), *copy));
   const StepState& read = copy->occurrences.at(0).steps.front();
@@ -342,6 +343,7 @@
   cr_expect_eq(read.tasks[2].run, 3U);
   cr_expect_eq(read.tasks[2].failed_runs.size(), 2U);
   cr_expect_str_eq(read.tasks[2].checkpoint.c_str(), "save");
+  cr_expect(read.tasks[2].crashes == step.tasks[2].crashes);
   cr_expect_not(ApplyProgress("{\"occurrences\": 3}", *copy));
 }
 
