End the probation of a worker that is lost with its suspect

A worker that was lost for good during a probation was never heard of again, so its probation lasted for ever and used up the limit of a small fleet; suspects waited without end.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -428,6 +428,9 @@
 }
 
 void MarkRunsLost(Controller& c, Worker& worker, RunLoss loss, RunSet set) {
+  // The runs that the worker is on probation for are gone as well. It may never
+  // be heard of again, and would count against the limit of probations.
+  worker.probation_until_ms = 0;
   std::vector<std::string> names;
   for (const auto& [name, run] : worker.runs) {
     if (run.listed || set == RunSet::kAll) names.push_back(name);
--- a/tests/CellModelCrashTest.cpp
+++ b/tests/CellModelCrashTest.cpp
@@ -103,6 +103,23 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against suspects that wait for ever because a worker that was lost for
+// good with a suspect counts against the limit (seed 8199 of the random
+// faults).
+Test(CellModel, worker_lost_on_probation_holds_no_suspect_up,
+     .init = DiscardLogs) {
+  Cell cell({.workers = 4, .failure_share = 0});
+  cell.time.RunUntil(2 * kSecond);
+  SubmitCrashingJobs(cell, 1);
+  while (cell.run_records.empty() || cell.run_records.back().run < 2) {
+    cell.time.RunUntil(cell.time.now_ms + 1);
+    cr_assert_lt(cell.time.now_ms, 15 * kSecond);
+  }
+  CrashWorker(cell, cell.run_records.back().worker);
+  cell.time.RunUntil(40 * kSecond);
+  ExpectNoViolations(cell, true);
+}
+
 // Guards against tasks that are given up because their workers were cut off or
 // stopped with them, which is no crash.
 Test(CellModel, cut_workers_do_not_count_as_crashed, .init = DiscardLogs) {
