Blame a task only for a crash that no other run can have caused

- A suspect is on probation only if all other runs of its worker had survived their start; such workers are preferred.
Only the last crash decides.
- A run that had just started and lapsed counts as unconfirmed and is stored before its task starts again; it is confirmed once another worker answers at the address, and dropped once the worker answers.
A worker that never returns is counted in this way.
- Runs taken over from a predecessor are not suspects.
A gang counts its strongest evidence.
A task that lasts, and a gang, that run for 5 s are cleared: they would be given up for the ordinary crashes of their whole life.
- The limit of suspects counts the workers in use, a third of them, at least two.
- A failed sync counts only for the incarnation and address that it was sent to.
- A worker that lists 500 ends counts as reachable, so that they are acknowledged; before, one that had failed a sync was locked out.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -200,8 +200,7 @@
   if (worker.reachable) return;
   if (worker.runs.empty() && worker.orphans.empty()) return;
   if (worker.clock_ms == 0 || c.runtime.now() < worker.lease_expires_ms) return;
-  KeepLapsedRuns(c, worker);
-  MarkRunsLost(c, worker, RunLoss::kLeaseExpired, RunSet::kAll);
+  LapseRuns(c, worker);
   RemoveOrphans(c, worker);
   worker.synced = false;
   RequestSchedule(c);
@@ -266,7 +265,6 @@
     if (c.loaded && IsErasable(c, worker)) {
       const std::string id = worker.info.id;
       Log(LogLevel::kInfo, "worker_removed", {F("worker", id)});
-      RecordLikelyCrashes(c, worker);
       c.fleet_dirty = true;
       RemoveWorker(c.fleet, id);
       continue;
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -79,8 +79,6 @@
   uint64_t hedged_syncs = 0;
   uint64_t requests = 0;
   uint64_t orders_in_doubt = 0;
-  /// Crashes of workers, counted for each task that ran there.
-  uint64_t crashes = 0;
 };
 
 /// The owner's load since it was last logged.
--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -1,4 +1,5 @@
 // Crashes of workers: which runs they ended, and which tasks are given up.
+#include <algorithm>
 #include <utility>
 
 #include "telemetry/Log.h"
@@ -18,15 +19,15 @@
 
 }  // namespace
 
-bool IsSuspect(const TaskRef& task) {
-  return TaskOf(task).may_have_crashed_worker || IsSuspect(CrashesUnder(task));
-}
+bool IsSuspect(const TaskRef& task) { return IsSuspect(CrashesUnder(task)); }
 
 bool IsLeaving(const Worker& worker) {
   return worker.info.draining || worker.maintenance_planned;
 }
 
 CrashPhase PhaseAtCrash(const Worker& worker, const PlacedRun& run) {
+  if (run.crash) return *run.crash;
+  if (run.is_adopted) return CrashPhase::kRunning;
   return PhaseAtCrash(run.confirmed || run.listed, run.on_probation,
                       worker.heard_ms - run.placed_ms);
 }
@@ -35,7 +36,10 @@
   if (!SpecOf(task).gang) return TaskOf(task).crashes;
   TaskCrashes crashes;
   for (const TaskState& member : StepOf(task).tasks) {
-    crashes.insert(member.crashes.begin(), member.crashes.end());
+    for (const auto& [run, phase] : member.crashes) {
+      CrashPhase& strongest = crashes[run];
+      strongest = std::max(strongest, phase);
+    }
   }
   return crashes;
 }
@@ -45,8 +49,9 @@
   Job& job = *task.job;
   TaskState& state = TaskOf(task);
   if (state.phase == TaskPhase::kDone || IsFinal(job.phase)) return;
-  if (!state.crashes.emplace(run, phase).second) return;
-  c.stats.crashes++;
+  const auto [known, is_new] = state.crashes.emplace(run, phase);
+  if (!is_new && known->second >= phase) return;
+  known->second = phase;
   const TaskCrashes crashes = CrashesUnder(task);
   LogAlways(LogLevel::kWarning, "worker_crashed_under_task",
             {F("task", MakeTaskName(task)), F("run", run),
@@ -76,15 +81,27 @@
   RequestSchedule(c);
 }
 
-void KeepLapsedRuns(Controller& c, Worker& worker) {
+void ForgetCrashes(Controller& c, const TaskRef& task) {
+  TaskState& state = TaskOf(task);
+  if (state.crashes.empty()) return;
+  state.crashes.clear();
+  MarkDirty(c, *task.job);
+}
+
+void LapseRuns(Controller& c, Worker& worker) {
+  const size_t earlier = worker.lapsed.size();
   for (const auto& [name, run] : worker.runs) {
-    TaskState& task = TaskOf(run.task);
-    if (task.worker != worker.info.id) continue;
-    const CrashPhase phase = PhaseAtCrash(worker, run);
-    if (phase != CrashPhase::kRunning) task.may_have_crashed_worker = true;
-    worker.lapsed.push_back({name, run.run, phase});
+    if (TaskOf(run.task).worker != worker.info.id) continue;
+    worker.lapsed.push_back({name, run.run, PhaseAtCrash(worker, run)});
+  }
+  MarkRunsLost(c, worker, RunLoss::kLeaseExpired, RunSet::kAll);
+  if (IsLeaving(worker)) return;
+  for (size_t i = earlier; i < worker.lapsed.size(); ++i) {
+    const LapsedRun& run = worker.lapsed[i];
+    const TaskRef task = FindOpenTask(c, run.task);
+    if (task.job == nullptr || run.phase == CrashPhase::kRunning) continue;
+    RecordCrash(c, task, run.run, CrashPhase::kUnconfirmed, worker);
   }
-  RequestSchedule(c);
 }
 
 void RecordLapsedCrashes(Controller& c, Worker& worker) {
@@ -97,12 +114,12 @@
   }
 }
 
-void RecordLikelyCrashes(Controller& c, Worker& worker) {
-  std::erase_if(worker.lapsed, [](const LapsedRun& run) {
-    return run.phase == CrashPhase::kRunning ||
-           run.phase == CrashPhase::kUnconfirmed;
-  });
-  RecordLapsedCrashes(c, worker);
+void DropLapsedCrashes(Controller& c, Worker& worker) {
+  for (const LapsedRun& run : std::exchange(worker.lapsed, {})) {
+    const TaskRef task = FindOpenTask(c, run.task);
+    if (task.job == nullptr) continue;
+    if (TaskOf(task).crashes.erase(run.run) > 0) MarkDirty(c, *task.job);
+  }
 }
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -140,14 +140,18 @@
 /// Handles a worker that has ended: its address answers as another worker. All
 /// its runs are gone, and it crashed under them unless it was to leave.
 void OnWorkerGone(Controller& controller, Worker& worker);
-/// Keeps the worker's runs, which lapse now, in case it turns out to have
-/// crashed.
-void KeepLapsedRuns(Controller& controller, Worker& worker);
+/// Clears the crashes under a task that has run for so long since that it is
+/// not to blame for them. Without this, a task that lasts would be given up for
+/// the ordinary crashes of its whole life.
+void ForgetCrashes(Controller& controller, const TaskRef& task);
+/// Handles the expiry of the worker's lease: its runs have ended. A run that
+/// had just started may have crashed it, which is recorded as unconfirmed until
+/// the worker is heard of or known to be gone.
+void LapseRuns(Controller& controller, Worker& worker);
 /// The worker is known to have crashed: it did so under its lapsed runs.
 void RecordLapsedCrashes(Controller& controller, Worker& worker);
-/// The worker has left the list without an answer: it crashed under those of
-/// its lapsed runs that had just started. The others may have run on, cut off.
-void RecordLikelyCrashes(Controller& controller, Worker& worker);
+/// The worker has answered: it did not crash under its lapsed runs.
+void DropLapsedCrashes(Controller& controller, Worker& worker);
 /// The crashes under a task; for a gang those under any member, since its runs
 /// begin and end together.
 TaskCrashes CrashesUnder(const TaskRef& task);
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -214,7 +214,7 @@
   run.expected_end_ms = ExpectedEnd(SpecOf(placement.task), now_ms);
   run.gang = placement.gang;
   if (IsSuspect(placement.task)) {
-    run.on_probation = true;
+    run.on_probation = HaveAllSurvivedStart(worker);
     worker.probation_until_ms = now_ms + kProbationMs;
   }
   const std::string name = MakeTaskName(placement.task);
@@ -261,7 +261,7 @@
 void StopUnlisted(Controller& c, Worker& worker) {
   std::vector<RunKey> keys;
   for (auto& [name, run] : worker.runs) {
-    if (!IsLeaving(worker)) run.crash = PhaseAtCrash(worker, run);
+    if (!IsLeaving(worker) && !run.crash) run.crash = PhaseAtCrash(worker, run);
     run.start_in_doubt = true;
     run.stop_wanted = true;
     run.stop_in_flight = false;
--- a/src/workflow/ControllerOrphans.cpp
+++ b/src/workflow/ControllerOrphans.cpp
@@ -41,6 +41,7 @@
   run.listed = true;
   run.syncs_before_confirmed = worker.syncs_sent;
   run.placed_ms = c.runtime.now();
+  run.is_adopted = true;
   run.usage = reported.usage;
   // The predecessor may have changed its pace.
   run.pace_known = false;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -181,11 +181,17 @@
   return 0;
 }
 
-/// Number of workers with a run on probation.
-size_t CountProbations(const Fleet& fleet, TimeMs now_ms) {
-  return static_cast<size_t>(std::count_if(
-      fleet.workers.begin(), fleet.workers.end(),
-      [&](const auto& entry) { return IsOnProbation(entry.second, now_ms); }));
+/// How many more of the workers in use may get a suspect now.
+size_t CountFreeProbations(const Fleet& fleet, TimeMs now_ms) {
+  size_t in_use = 0;
+  size_t on_probation = 0;
+  for (const auto& [id, worker] : fleet.workers) {
+    if (!worker.reachable) continue;
+    ++in_use;
+    if (IsOnProbation(worker, now_ms)) ++on_probation;
+  }
+  const size_t limit = MaxProbations(in_use);
+  return limit - std::min(limit, on_probation);
 }
 
 /// Places suspects one by one, each on the worker with the least work to lose.
@@ -194,8 +200,7 @@
 uint32_t PlaceSuspects(Controller& c, const WaitingStep& step,
                        const std::vector<uint32_t>& suspects,
                        const Candidates& candidates, PlacementNeed need) {
-  size_t left = MaxProbations(c.fleet.workers.size());
-  left -= std::min(left, CountProbations(c.fleet, need.now_ms));
+  size_t left = CountFreeProbations(c.fleet, need.now_ms);
   uint32_t unplaced = 0;
   std::string placed;
   for (const uint32_t index : suspects) {
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -79,6 +79,11 @@
   run.start_in_doubt = false;
   run.listed = true;
   run.usage = reported.usage;
+  constexpr TimeMs kSurvivedMs = 5'000;
+  const bool lasts = SpecOf(ref).long_running || SpecOf(ref).gang;
+  if (lasts && c.runtime.now() - run.placed_ms >= kSurvivedMs) {
+    ForgetCrashes(c, ref);
+  }
   if (!run.confirmed) {
     run.confirmed = true;
     // A sync under way may have been handled before the run began, even if its
@@ -195,9 +200,6 @@
     RequestSchedule(c);
   }
   worker.synced = true;
-  worker.reachable = true;
-  worker.lapsed.clear();
-  worker.sync_failures = 0;
   UncordonWorker(c, worker);
   EndRecoveryOf(c, worker);
 }
@@ -250,6 +252,7 @@
   uint64_t number = 0;
   uint64_t token = 0;
   uint64_t acked = 0;
+  std::string address;
 };
 
 void OnSyncAnswer(Controller& c, const SentSync& sent,
@@ -264,9 +267,13 @@
     return;
   }
   if (answer.status != OrderStatus::kOk) {
+    // A failure says nothing about a worker that has restarted or moved since.
+    const bool is_current = sent.incarnation == worker.info.incarnation &&
+                            sent.address == worker.info.address;
     // The answer to a newer sync takes precedence.
-    if (sent.number > worker.sync_answered)
+    if (is_current && sent.number > worker.sync_answered) {
       OnSyncFailed(c, worker, answer.status);
+    }
     return;
   }
   // An answer overtaken by a newer one is outdated.
@@ -293,6 +300,9 @@
     worker.ack_confirmed = std::max(worker.ack_confirmed, sent.acked);
   }
   worker.heard_ms = c.runtime.now();
+  worker.reachable = true;
+  worker.sync_failures = 0;
+  DropLapsedCrashes(c, worker);
   UpdateClock(c, worker, answer.clock_ms);
   for (const ReportedEnd& end : answer.ended) ReceiveEnd(c, worker, end);
   if (c.stopped) return;
@@ -419,8 +429,9 @@
   // A worker that did not answer must not hold the answer back.
   order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
   c.stats.syncs++;
-  const SentSync sent{worker.info.id, worker.info.incarnation,
-                      worker.syncs_sent, order.token, order.acked};
+  const SentSync sent{worker.info.id,    worker.info.incarnation,
+                      worker.syncs_sent, order.token,
+                      order.acked,       worker.info.address};
   c.port.sync(AddressOf(worker), order,
               Guard(c, [sent](Controller& self, const SyncAnswer& answer) {
                 OnSyncAnswer(self, sent, answer);
--- a/src/workflow/Crashes.cpp
+++ b/src/workflow/Crashes.cpp
@@ -7,17 +7,13 @@
 
 /// No task is given up before this many workers have crashed under it.
 constexpr size_t kMinCrashes = 2;
-/// A task that had just started at this many crashes is to blame, even if it
-/// was never alone.
+/// A task of which no run got beyond its start at this many crashes is to
+/// blame, even if it was never alone and not all of them are certain.
 constexpr size_t kMaxEarlyCrashes = 3;
-/// A task is not started again after this many crashes, whoever is to blame. A
-/// crash that falls into a takeover may go uncounted.
+/// A task is not started again after this many crashes, whoever is to blame.
+/// Crashes that fall into a takeover may go uncounted.
 constexpr size_t kMaxCrashes = 4;
 
-bool IsEarly(CrashPhase phase) {
-  return phase == CrashPhase::kJustStarted || phase == CrashPhase::kOnProbation;
-}
-
 }  // namespace
 
 CrashPhase PhaseAtCrash(bool is_confirmed, bool is_on_probation,
@@ -36,20 +32,19 @@
 bool MustGiveUp(const TaskCrashes& crashes) {
   size_t certain = 0;
   size_t early = 0;
-  bool was_alone = false;
   for (const auto& [run, phase] : crashes) {
     if (phase != CrashPhase::kUnconfirmed) ++certain;
-    if (IsEarly(phase)) ++early;
-    was_alone = was_alone || phase == CrashPhase::kOnProbation;
+    if (phase != CrashPhase::kRunning) ++early;
   }
   if (crashes.size() >= kMaxCrashes) return true;
-  if (certain < kMinCrashes) return false;
-  return was_alone || early >= kMaxEarlyCrashes;
+  if (certain > 0 && early >= kMaxEarlyCrashes) return true;
+  return certain >= kMinCrashes &&
+         crashes.rbegin()->second == CrashPhase::kOnProbation;
 }
 
 size_t MaxProbations(size_t workers) {
-  constexpr size_t kOneIn = 4;
-  return std::max<size_t>(workers / kOneIn, 1);
+  constexpr size_t kOneIn = 3;
+  return std::max<size_t>(workers / kOneIn, 2);
 }
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/Crashes.h
+++ b/src/workflow/Crashes.h
@@ -1,7 +1,6 @@
 /// Decisions about tasks that were running on a worker when it crashed. They
-/// answer a task that crashes every worker that starts it, beside the many that
-/// only ran beside it: such a task is found and given up after few crashes, and
-/// the others go on.
+/// find a task that crashes every worker that starts it after few crashes, and
+/// let the tasks that only ran beside it go on.
 #pragma once
 
 #include <cstddef>
@@ -15,13 +14,14 @@
 
 /// What a run was doing when its worker crashed.
 enum class CrashPhase : uint8_t {
-  /// Its start was not confirmed, so it may not have begun.
+  /// Its start was not confirmed, so it may not have begun, or the worker may
+  /// not have crashed.
   kUnconfirmed,
   /// It had run for longer than `kProbationMs`.
   kRunning,
   /// It had begun within the last `kProbationMs`.
   kJustStarted,
-  /// The same, on a worker on which nothing began after it.
+  /// The same, as a suspect, while no other run there could be to blame.
   kOnProbation,
 };
 inline constexpr auto kCrashPhaseNames =
@@ -45,10 +45,10 @@
 bool IsSuspect(const TaskCrashes& crashes);
 
 /// Whether the task is to be given up: at least two workers have crashed under
-/// it, and it is to blame or has used up its crashes.
+/// it and it is to blame, or it has used up its crashes.
 bool MustGiveUp(const TaskCrashes& crashes);
 
-/// Largest number of workers with a run on probation, in a fleet of `workers`.
+/// Largest number of workers with a suspect at a time, of `workers` in use.
 size_t MaxProbations(size_t workers);
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "workflow/Fleet.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterelcove::workflow {
@@ -45,6 +46,13 @@
          now_ms >= worker.health.quarantined_until_ms;
 }
 
+bool HaveAllSurvivedStart(const Worker& worker) {
+  return std::all_of(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
+        return worker.heard_ms - entry.second.placed_ms >= kProbationMs;
+      });
+}
+
 Resources SizeOnWorker(const StepSpec& step) {
   Resources size = step.size;
   if (step.filler) size.milli_cores = 0;
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -68,8 +68,11 @@
   bool stop_answered = false;
   uint64_t syncs_before_stopped = 0;
   TimeMs placed_ms = 0;
-  /// Its worker starts nothing else until the probation is over.
+  /// Of a suspect: it began after all other runs of its worker had survived
+  /// their start, and nothing else is started until it has.
   bool on_probation = false;
+  /// A predecessor started it, so its age is not known.
+  bool is_adopted = false;
   /// Its worker has restarted and does not list it so far: how it ended if the
   /// restart ended it.
   std::optional<CrashPhase> crash;
@@ -169,7 +172,7 @@
   /// Runs that lapsed since the worker last answered. If it turns out to have
   /// crashed, it crashed under them.
   std::vector<LapsedRun> lapsed;
-  /// When any call to it was last answered.
+  /// When a sync or a start was last answered by the worker.
   TimeMs heard_ms = 0;
   /// Nothing is placed on it before this time, so that a crash shows which task
   /// is to blame.
@@ -222,6 +225,10 @@
   return worker.held_ends.front().number - 1;
 }
 
+/// Whether the worker has been heard of long enough after the start of each of
+/// its runs that none of them is likely to crash it.
+bool HaveAllSurvivedStart(const Worker& worker);
+
 /// Whether a suspect has been started on the worker and it has not shown yet
 /// that it survived that.
 inline bool IsOnProbation(const Worker& worker, TimeMs now_ms) {
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -64,9 +64,6 @@
   std::set<uint32_t> failed_runs;
   /// Its runs during which their worker crashed.
   TaskCrashes crashes;
-  /// A run of it had not run for long when its worker fell silent, which may
-  /// have been a crash.
-  bool may_have_crashed_worker = false;
   /// Worker that holds it, empty while waiting or done.
   std::string worker;
   /// Latest checkpoint, empty for none.
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <numeric>
 #include <string_view>
+#include <utility>
 
 namespace dotterelcove::workflow {
 namespace {
@@ -138,10 +139,10 @@
   int64_t work = 0;
   for (const auto& [name, run] : worker.runs) {
     const StepSpec& spec = SpecOf(run.task);
-    const bool is_dear = spec.long_running || spec.gang;
+    const bool is_costly = spec.long_running || spec.gang;
     const TimeMs ran_ms = std::max<TimeMs>(now_ms - run.placed_ms, 0);
     work += std::max<int64_t>(spec.size.milli_cores, 1) *
-            (is_dear ? kInterruptionMs : ran_ms);
+            (is_costly ? kInterruptionMs : ran_ms);
   }
   return work;
 }
@@ -151,16 +152,18 @@
 Worker* ChooseLeastAtRisk(const Candidates& candidates,
                           const PlacementNeed& need) {
   Worker* best = nullptr;
-  int64_t least = std::numeric_limits<int64_t>::max();
+  // Where all runs have survived their start, a crash shows who is to blame.
+  std::pair<bool, int64_t> least{true, std::numeric_limits<int64_t>::max()};
   for (Worker* worker : candidates) {
     if (!HasRoom(*worker, need)) continue;
     if (need.avoid != nullptr && need.avoid->contains(worker->info.id)) {
       continue;
     }
-    const int64_t work = WorkAtRisk(*worker, need.now_ms);
-    if (work >= least) continue;
+    const std::pair<bool, int64_t> risk{!HaveAllSurvivedStart(*worker),
+                                        WorkAtRisk(*worker, need.now_ms)};
+    if (risk >= least) continue;
     best = worker;
-    least = work;
+    least = risk;
   }
   return best;
 }
--- a/src/workflow/Preemption.cpp
+++ b/src/workflow/Preemption.cpp
@@ -59,6 +59,7 @@
 /// even then.
 std::optional<Option> MakeOption(const Worker& worker,
                                  const PlacementNeed& need) {
+  if (IsOnProbation(worker, need.now_ms)) return std::nullopt;
   Option option;
   option.worker = &worker;
   const Resources size = SizeOnWorker(*need.step);
