Shorten the probation to 150 ms

A suspect waits for a worker whose runs have all survived their start, and such workers are rare while many crash.

--- a/src/workflow/Crashes.h
+++ b/src/workflow/Crashes.h
@@ -32,7 +32,7 @@
 
 /// How long nothing else is started on a worker after a suspect. A worker that
 /// crashes meanwhile crashed under the suspect.
-inline constexpr TimeMs kProbationMs = 300;
+inline constexpr TimeMs kProbationMs = 150;
 
 /// The crashes under one task, by run number.
 using TaskCrashes = std::map<uint32_t, CrashPhase>;
