--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -45,11 +45,11 @@
   int64_t connect_timeout_ms = 1'000;
   size_t max_response_bytes = 16 << 20;
   /// Opens a new connection instead of reusing one. libcurl silently resends a
-  /// request when a reused connection turns out to be dead, so calls that must
-  /// not reach the server twice set this.
+  /// request when a reused connection turns out to be dead; on a new one it
+  /// does not.
   bool fresh_connection = false;
-  /// Fails instead of resending. Unlike with `fresh_connection`, a connection
-  /// may be reused.
+  /// Fails with an unknown outcome instead of resending. A connection may be
+  /// reused.
   bool send_once = false;
 };
 
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -100,12 +100,12 @@
 /// Keeps the end of a task whose job is not known and looks the job up in the
 /// store. The end is not acknowledged meanwhile: what it reports would be lost,
 /// and the task would run again once the job is known.
-void HoldEnd(Controller& controller, Worker& worker, const ReportedEnd& end);
+void DeferEnd(Controller& controller, Worker& worker, const ReportedEnd& end);
 /// Reads the row of a job that a worker has reported, until the store answers.
 void LookUpReportedJob(Controller& controller, const std::string& job);
-/// Applies the held ends of a job that has become known. For a job that has
+/// Applies the deferred ends of a job that has become known. For a job that has
 /// ended or does not exist, they are dropped.
-void SettleHeldEnds(Controller& controller, const std::string& job);
+void ApplyDeferredEnds(Controller& controller, const std::string& job);
 
 // Jobs.
 /// Returns a task to the waiting phase after its run left the worker without
@@ -177,7 +177,8 @@
 /// The lease end to send now, on the worker's clock; 0 (no renewal) if the
 /// clock is not known or the controller is suspended.
 int64_t MakeLeaseEnd(Controller& controller, Worker& worker);
-/// Applies a reported end to the worker and, if its task is known, to the task.
+/// Applies a reported end to the worker and to the task. The end of a task that
+/// is not known is deferred.
 void ApplyReportedEnd(Controller& controller, Worker& worker,
                       const ReportedEnd& end);
 /// Handles a worker restart: nothing from the previous incarnation runs on it.
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -56,7 +56,7 @@
     CloseJob(c, *admitted, JobPhase::kCancelled, "cancelled_by_caller");
     return;
   }
-  SettleHeldEnds(c, row.key);
+  ApplyDeferredEnds(c, row.key);
   WatchJob(c, *admitted);
   SyncOrphansOf(c, *admitted);
   if (IsOwnershipConfirmed(c, *admitted)) return;
--- a/src/workflow/ControllerUnknownJobs.cpp
+++ b/src/workflow/ControllerUnknownJobs.cpp
@@ -20,18 +20,19 @@
        F("worker", worker.info.id), F("job_ended", job_ended)});
 }
 
-/// Removes and returns the first held end of the job. A commit that is made
-/// while the ends are applied one by one must not cover those still held.
-std::optional<ReportedEnd> TakeHeldEnd(Worker& worker, const std::string& job) {
+/// Removes and returns the first deferred end of the job. A commit that is made
+/// while the ends are applied one by one must not cover those still deferred.
+std::optional<ReportedEnd> TakeDeferredEnd(Worker& worker,
+                                           const std::string& job) {
   const auto found =
-      std::find_if(worker.held_ends.begin(), worker.held_ends.end(),
+      std::find_if(worker.deferred_ends.begin(), worker.deferred_ends.end(),
                    [&](const ReportedEnd& end) {
                      TaskName name;
                      return ParseTaskName(end.task, name) && name.job == job;
                    });
-  if (found == worker.held_ends.end()) return std::nullopt;
+  if (found == worker.deferred_ends.end()) return std::nullopt;
   ReportedEnd end = std::move(*found);
-  worker.held_ends.erase(found);
+  worker.deferred_ends.erase(found);
   return end;
 }
 
@@ -50,7 +51,7 @@
   // cannot, so the ends of its job stay unacknowledged.
   const bool is_unreadable = !answer.rows.empty() && !c.ended.contains(job) &&
                              FindJob(c.jobs, job) == nullptr;
-  if (!is_unreadable) SettleHeldEnds(c, job);
+  if (!is_unreadable) ApplyDeferredEnds(c, job);
 }
 
 }  // namespace
@@ -67,7 +68,7 @@
   return FindTask(c.jobs, name);
 }
 
-void HoldEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
+void DeferEnd(Controller& c, Worker& worker, const ReportedEnd& end) {
   TaskName name;
   const bool is_task = ParseTaskName(end.task, name);
   if (!is_task || c.ended.contains(name.job) ||
@@ -79,7 +80,7 @@
             {F("task", end.task), F("run", end.run),
              F("end", NameOf(kRunEndNames, end.end)), F("number", end.number),
              F("worker", worker.info.id)});
-  worker.held_ends.push_back(end);
+  worker.deferred_ends.push_back(end);
   LookUpReportedJob(c, name.job);
 }
 
@@ -91,11 +92,12 @@
                    }));
 }
 
-void SettleHeldEnds(Controller& c, const std::string& job) {
+void ApplyDeferredEnds(Controller& c, const std::string& job) {
   const bool is_known = FindJob(c.jobs, job) != nullptr;
   bool any = false;
   for (auto& [id, worker] : c.fleet.workers) {
-    while (const std::optional<ReportedEnd> end = TakeHeldEnd(worker, job)) {
+    while (const std::optional<ReportedEnd> end =
+               TakeDeferredEnd(worker, job)) {
       any = true;
       if (is_known) {
         ApplyReportedEnd(c, worker, *end);
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -340,7 +340,7 @@
   }
   const TaskRef task = FindReportedTask(c, name);
   if (task.job == nullptr) {
-    HoldEnd(c, worker, end);
+    DeferEnd(c, worker, end);
     return;
   }
   const bool holds = is_held && TaskOf(task).worker == worker.info.id;
@@ -381,7 +381,7 @@
   worker.info.incarnation = incarnation;
   worker.token_increment = ++c.worker_restarts;
   RemoveOrphans(c, worker);
-  worker.held_ends.clear();
+  worker.deferred_ends.clear();
   worker.seen = 0;
   worker.acked = 0;
   worker.ack_confirmed = 0;
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -153,8 +153,8 @@
   int64_t lease_end_clock_ms = 0;
   /// When every run on it must have ended even if it does not answer.
   TimeMs lease_expires_ms = 0;
-  /// Added to this owner's fencing token in calls to the worker; rises with
-  /// each of its incarnations.
+  /// The lower part of the fencing token of calls to the worker, see TokenFor().
+  /// Rises with each of its incarnations.
   uint64_t token_increment = 0;
   /// Ends numbered up to `seen` have been received, those up to `acked` are
   /// stored and may be acknowledged.
@@ -163,7 +163,7 @@
   /// Received ends of jobs that this owner does not know, by rising number.
   /// They are acknowledged once their job is known, or the store has shown that
   /// there is no such open job.
-  std::vector<ReportedEnd> held_ends;
+  std::vector<ReportedEnd> deferred_ends;
   /// Highest acknowledgment that an answer has shown to be carried out.
   uint64_t ack_confirmed = 0;
   std::map<std::string, PlacedRun> runs;
@@ -221,8 +221,8 @@
 /// Number of the last end that may be acknowledged once the owner's changes are
 /// stored.
 inline uint64_t LastSettledEnd(const Worker& worker) {
-  if (worker.held_ends.empty()) return worker.seen;
-  return worker.held_ends.front().number - 1;
+  if (worker.deferred_ends.empty()) return worker.seen;
+  return worker.deferred_ends.front().number - 1;
 }
 
 /// Whether the worker has been heard of long enough after the start of each of
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -73,9 +73,9 @@
   /// when that last changed.
   int percent = 0;
   TimeMs progress_ms = 0;
-  /// Workers on which a run of this task failed or stalled. They are skipped
-  /// only until `avoid_until_ms`, because there may be no other eligible
-  /// worker.
+  /// Workers on which a run of this task failed or stalled, or that crashed
+  /// under it. They are skipped only until `avoid_until_ms`, because there may be
+  /// no other eligible worker.
   std::set<std::string> avoid;
   TimeMs avoid_until_ms = 0;
   /// Not placed before this time.
