--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -153,8 +153,8 @@
   int64_t lease_end_clock_ms = 0;
   /// When every run on it must have ended even if it does not answer.
   TimeMs lease_expires_ms = 0;
-  /// The lower part of the fencing token of calls to the worker, see TokenFor().
-  /// Rises with each of its incarnations.
+  /// The lower part of the fencing token of calls to the worker, see
+  /// TokenFor(). Rises with each of its incarnations.
   uint64_t token_increment = 0;
   /// Ends numbered up to `seen` have been received, those up to `acked` are
   /// stored and may be acknowledged.
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -74,8 +74,8 @@
   int percent = 0;
   TimeMs progress_ms = 0;
   /// Workers on which a run of this task failed or stalled, or that crashed
-  /// under it. They are skipped only until `avoid_until_ms`, because there may be
-  /// no other eligible worker.
+  /// under it. They are skipped only until `avoid_until_ms`, because there may
+  /// be no other eligible worker.
   std::set<std::string> avoid;
   TimeMs avoid_until_ms = 0;
   /// Not placed before this time.
