Inject the lost answers of workers in the system tests

FaultTest sends {"lose_answers": 5}; the worker stand-in took only booleans and ignored it with 200, so the fault injected nothing. It now counts answers down, and a fault of another type is answered 400.

--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -41,11 +41,32 @@
     {"fail_all", &WorkerFaults::fail_all},
     {"refuse_all", &WorkerFaults::refuse_all},
     {"unreachable", &WorkerFaults::unreachable},
-    {"lose_answers", &WorkerFaults::lose_answers},
     {"dead", &WorkerFaults::dead},
     {"frozen", &WorkerFaults::frozen},
 };
 
+/// Applies the fields of a fault request; returns false for a field of another
+/// type, so that a fault is never silently left out.
+bool ReadFaults(const nlohmann::json& json, WorkerFaults& faults) {
+  for (const FaultField& row : kFaultFields) {
+    if (!json.contains(row.name)) continue;
+    if (!json[row.name].is_boolean()) return false;
+    faults.*row.field = json[row.name].get<bool>();
+  }
+  if (json.contains("lose_answers")) {
+    const auto& value = json["lose_answers"];
+    if (!value.is_boolean() && !value.is_number_integer()) return false;
+    // "true" loses all further answers.
+    const int64_t all = value == true ? INT64_MAX : 0;
+    faults.lose_answers = value.is_boolean() ? all : value.get<int64_t>();
+  }
+  if (json.contains("delay_ms")) {
+    if (!json["delay_ms"].is_number_integer()) return false;
+    faults.delay_ms = json["delay_ms"].get<int64_t>();
+  }
+  return true;
+}
+
 }  // namespace
 
 struct WorkerStandin::Worker {
@@ -241,7 +262,9 @@
 void WorkerStandin::Answer(Worker& worker, const HttpReply& reply,
                            const WorkerAnswer& answer) {
   // A network partition blocks both directions, so a pending answer is lost.
-  if (worker.faults.lose_answers || worker.faults.unreachable) {
+  const bool is_lost = worker.faults.lose_answers > 0;
+  if (is_lost) worker.faults.lose_answers--;
+  if (is_lost || worker.faults.unreachable) {
     this->HoldLostAnswer(reply);
     return;
   }
@@ -267,12 +290,9 @@
   }
   for (const std::string& id : names) {
     WorkerFaults faults = this->faults(id);
-    for (const FaultField& row : kFaultFields) {
-      if (!json.contains(row.name) || !json[row.name].is_boolean()) continue;
-      faults.*row.field = json[row.name].get<bool>();
-    }
-    if (json.contains("delay_ms") && json["delay_ms"].is_number_integer()) {
-      faults.delay_ms = json["delay_ms"].get<int64_t>();
+    if (!ReadFaults(json, faults)) {
+      reply.Send(MakeErrorResponse(400, "a fault has a value of another type"));
+      return;
     }
     this->SetFaults(id, faults);
   }
--- a/standins/WorkerStandin.h
+++ b/standins/WorkerStandin.h
@@ -23,8 +23,8 @@
   bool refuse_all = false;
   /// Requests do not reach the worker, which keeps running.
   bool unreachable = false;
-  /// Requests take effect, but their answers are lost.
-  bool lose_answers = false;
+  /// This many further requests take effect, but their answers are lost.
+  int64_t lose_answers = 0;
   /// The VM has crashed with all its tasks; it restarts empty when the fault is
   /// cleared.
   bool dead = false;
--- a/tests/SchedulerFaultTest.cpp
+++ b/tests/SchedulerFaultTest.cpp
@@ -47,7 +47,9 @@
 
 void SetWorkerFault(SchedulerHarness& cell, Fault fault, bool on) {
   standins::WorkerFaults faults = cell.workers->faults("w-0");
-  if (fault == Fault::kLoseWorkerAnswers) faults.lose_answers = on;
+  if (fault == Fault::kLoseWorkerAnswers) {
+    faults.lose_answers = on ? INT64_MAX : 0;
+  }
   if (fault == Fault::kWorkerUnreachable) faults.unreachable = on;
   if (fault == Fault::kWorkerFrozen) faults.frozen = on;
   if (fault == Fault::kWorkerDead) faults.dead = on;
