--- a/tests/CellModelCrashTest.cpp
+++ b/tests/CellModelCrashTest.cpp
@@ -8,6 +8,15 @@
 namespace dotterelcove::model {
 namespace {
 
+/// A cell in which tasks fail only with their worker. With every second seed,
+/// a worker returns under another id.
+CellOptions MakeCrashOptions(uint64_t seed) {
+  return {.workers = 16,
+          .seed = seed,
+          .failure_share = 0,
+          .new_id_after_crash = seed % 2 == 0};
+}
+
 /// Submits jobs whose first task crashes its workers, over five seconds.
 void SubmitCrashingJobs(Cell& cell, int jobs) {
   for (int i = 0; i < jobs; ++i) {
@@ -45,10 +54,7 @@
 Test(CellModel, task_that_crashes_its_workers_is_given_up,
      .init = DiscardLogs) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    Cell cell({.workers = 16,
-               .seed = seed,
-               .failure_share = 0,
-               .new_id_after_crash = seed % 2 == 0});
+    Cell cell(MakeCrashOptions(seed));
     cell.time.RunUntil(2 * kSecond);
     SubmitRandomJobs(cell, 8, 6);
     SubmitCrashingJobs(cell, 6);
@@ -63,10 +69,7 @@
 Test(CellModel, crashes_under_a_task_are_known_after_a_takeover,
      .init = DiscardLogs) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    Cell cell({.workers = 16,
-               .seed = seed,
-               .failure_share = 0,
-               .new_id_after_crash = seed % 2 == 0});
+    Cell cell(MakeCrashOptions(seed));
     cell.time.RunUntil(2 * kSecond);
     SubmitRandomJobs(cell, 8, 6);
     SubmitCrashingJobs(cell, 4);
