--- a/review/standin/Cell.cpp
+++ b/review/standin/Cell.cpp
@@ -174,6 +174,25 @@
   if (daemon.pid > 0) kill(daemon.pid, number);
 }
 
+void Cell::RestartEnded() {
+  constexpr int64_t kDelayMs = 1'000;
+  for (Daemon& daemon : this->daemons) {
+    int status = 0;
+    if (daemon.pid > 0 && waitpid(daemon.pid, &status, WNOHANG) == daemon.pid) {
+      daemon.pid = -1;
+      daemon.ends++;
+      daemon.ended_ms = NowMs();
+      this->Say(daemon.name + " has ended by itself, " +
+                (WIFEXITED(status)
+                     ? "exit code " + std::to_string(WEXITSTATUS(status))
+                     : "signal " + std::to_string(WTERMSIG(status))));
+    }
+    if (daemon.pid < 0 && NowMs() - daemon.ended_ms >= kDelayMs) {
+      this->StartDaemon(daemon);
+    }
+  }
+}
+
 bool Cell::Start() {
   if (!std::filesystem::exists("target/dotterelcove-celld")) {
     this->Say(
@@ -300,14 +319,19 @@
 
 bool Cell::Submit(const std::string& job, const std::string& body) {
   const int64_t until_ms = NowMs() + kClientLimitMs;
-  while (true) {
+  constexpr int kAttempts = 5;
+  for (int i = 0; i < kAttempts; ++i) {
     const ClientCall call = this->CallDaemon("POST", job, body);
     if (call.status >= 200 && call.status < 300) return true;
+    // Other answers are final.
+    const bool is_final = call.status >= 400 && call.status < 500;
+    if (is_final && call.status != 429) return false;
     const int64_t pause_ms =
         call.status == 503 || call.status == 429 ? kRetryAfterMs : 50;
     if (NowMs() + pause_ms >= until_ms) return false;
     SleepMs(pause_ms);
   }
+  return false;
 }
 
 std::string Cell::StateOf(const std::string& job) {
--- a/review/standin/Cell.h
+++ b/review/standin/Cell.h
@@ -53,6 +53,9 @@
   std::string settings_file;
   std::string log_file;
   pid_t pid = -1;
+  /// Times that it has ended by itself, and when it did so last.
+  int ends = 0;
+  int64_t ended_ms = 0;
 };
 
 class Cell {
@@ -68,9 +71,9 @@
   bool Start();
   void Say(const std::string& line);
 
-  /// Hands a job in with retries until a 2xx, or until the client's time limit
-  /// of 3 s is over; returns whether it was accepted. After a 503 the client
-  /// waits for as long as Retry-After says, 1 s.
+  /// Hands a job in with up to 4 retries until a 2xx, or until the client's
+  /// time limit of 3 s is over; returns whether it was accepted. After a 503
+  /// the client waits for as long as Retry-After says, 1 s.
   bool Submit(const std::string& job, const std::string& body);
   /// One GET; an empty text without an answer of 200.
   std::string StateOf(const std::string& job);
@@ -81,6 +84,9 @@
   Daemon* Owner();
   void StartDaemon(Daemon& daemon);
   static void Signal(const Daemon& daemon, int number);
+  /// Notes the daemons that have ended by themselves, and starts each again 1 s
+  /// after its end, as the platform does. To be called often.
+  void RestartEnded();
 
   /// Milliseconds since the start of the case.
   int64_t At(int64_t now_ms) const { return now_ms - this->began_ms; }
