--- a/review/build.sh
+++ b/review/build.sh
@@ -23,3 +23,5 @@
 for number in "${cases[@]}"; do
   g++ -pthread "target/review/case-$number.o" "${objects[@]}" -o "target/review/case-$number"
 done
+compile review/entries/LateCall.cpp target/review/late-call.o
+g++ -pthread target/review/late-call.o "${objects[@]}" -o target/review/late-call
