--- a/review/standin/Cell.cpp
+++ b/review/standin/Cell.cpp
@@ -1,6 +1,7 @@
 #include "review/standin/Cell.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -157,6 +158,8 @@
     daemon.pid = pid;
     return;
   }
+  // No daemon outlives the case, however that ends.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int out = open(daemon.log_file.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(out, STDOUT_FILENO);
