--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -171,10 +171,10 @@
   return overlaps;
 }
 
-int RunCase(const std::string& folder) {
+int RunCase(const std::string& record_file) {
   CellOptions options;
   options.runners = kRunners;
-  Cell cell(folder, options);
+  Cell cell(record_file, options);
   if (!cell.Start()) return kCannotRun;
   Machines machines(cell, cell.CloudIp());
   if (!machines.Start()) return kCannotRun;
@@ -230,5 +230,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  return review::RunCase(argc > 1 ? argv[1] : ".");
+  return review::RunCase(argc > 1 ? argv[1] : "record.txt");
 }
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -63,10 +63,10 @@
   return true;
 }
 
-int RunCase(const std::string& folder) {
+int RunCase(const std::string& record_file) {
   CellOptions options;
   options.runners = kRunners;
-  Cell cell(folder, options);
+  Cell cell(record_file, options);
   std::atomic<int64_t> cut_until_ms{0};
   if (!cell.Start()) return kCannotRun;
   Runner& runner = *cell.runners[0];
@@ -108,5 +108,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  return review::RunCase(argc > 1 ? argv[1] : ".");
+  return review::RunCase(argc > 1 ? argv[1] : "record.txt");
 }
--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -29,13 +29,13 @@
       });
 }
 
-int RunCase(const std::string& folder) {
+int RunCase(const std::string& record_file) {
   CellOptions options;
   options.runners = kRunners;
   // The site's runners have 0.5, 1 or 2 times 16 cores.
   options.milli_cores = {16'000, 8'000, 8'000, 8'000,
                          8'000,  8'000, 8'000, 8'000};
-  Cell cell(folder, options);
+  Cell cell(record_file, options);
   if (!cell.Start()) return kCannotRun;
   if (HasTrouble()) {
     cell.runners[0]->Crash();
@@ -85,5 +85,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  return review::RunCase(argc > 1 ? argv[1] : ".");
+  return review::RunCase(argc > 1 ? argv[1] : "record.txt");
 }
--- a/review/entries/LateCall.cpp
+++ b/review/entries/LateCall.cpp
@@ -49,8 +49,8 @@
   return overlaps;
 }
 
-int RunEntry(const std::string& folder) {
-  Cell cell(folder, {});
+int RunEntry(const std::string& record_file) {
+  Cell cell(record_file, {});
   if (!cell.Start()) return kCannotRun;
   constexpr int64_t kWarmUpMs = 10'000;
   constexpr int64_t kAwayMs = 6'000;
@@ -103,5 +103,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  return review::RunEntry(argc > 1 ? argv[1] : ".");
+  return review::RunEntry(argc > 1 ? argv[1] : "record.txt");
 }
--- a/review/standin/Cell.cpp
+++ b/review/standin/Cell.cpp
@@ -54,13 +54,11 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-Cell::Cell(std::string folder, CellOptions options)
-    : folder(std::move(folder)),
-      options(std::move(options)),
-      record(this->folder + "/record.txt"),
-      began_ms(NowMs()) {}
+Cell::Cell(const std::string& record_file, CellOptions options)
+    : options(std::move(options)), record(record_file), began_ms(NowMs()) {}
 
 Cell::~Cell() {
+  this->WriteRecord();
   this->stopping = true;
   for (const Daemon& daemon : this->daemons) {
     if (daemon.pid <= 0) continue;
@@ -364,6 +362,8 @@
 void Cell::WriteRecord() {
   const std::vector<RunEvent> events = this->log.All();
   const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->record_written) return;
+  this->record_written = true;
   this->record << "\nCalls of clients: ms, method, job, daemon, answer\n";
   for (const ClientCall& call : this->calls) {
     this->record << this->At(call.at_ms) << " " << call.method << " "
--- a/review/standin/Cell.h
+++ b/review/standin/Cell.h
@@ -60,8 +60,9 @@
 
 class Cell {
  public:
-  /// `folder` is that of the case; the record is written there.
-  Cell(std::string folder, CellOptions options);
+  /// `record_file` takes what was sent, answered and run; it is complete also
+  /// when the case ends half-way.
+  Cell(const std::string& record_file, CellOptions options);
   ~Cell();
   Cell(const Cell&) = delete;
   Cell& operator=(const Cell&) = delete;
@@ -109,7 +110,6 @@
   void WriteSettings(Daemon& daemon);
   bool WaitUntilServing();
 
-  std::string folder;
   CellOptions options;
   std::string temp;
   /// First two numbers of all addresses, with a dot behind them.
@@ -117,6 +117,7 @@
   std::ofstream record;
   mutable std::mutex mutex;
   std::vector<ClientCall> calls;
+  bool record_written = false;
   int64_t began_ms = 0;
   std::atomic<uint64_t> next_daemon{0};
   std::atomic<bool> stopping{false};
