A confirmed maintenance order ends the runs of its target only

Callers saw: a task runs twice (TWICE).

Cause: the record of a wave named the ordered VMs, not the worker that each order was meant for, nor which VMs were done. A new owner repeated every order. The service confirms a repeated order that is already done, and OnMaintenanceBegun() took that for the end of whichever worker the VM had then.

Ruled out: a VM taken down twice (the service's record has one begin a VM); leases taken for expired (the log has no lease_lapsed, but task_lost with worker_left right after maintenance_ordered).

Change: the record holds the target of each order (worker and incarnation) and the VMs that are done. A confirmation ends the listed runs of the target only, whatever runs on the VM by then; it says that the target has ended whether the maintenance begins now or was already done. Orders of VMs recorded as done are not repeated. Runs that no sync has listed are kept: they may still begin on the next incarnation. The new record can be read by older versions, and an older record has no targets, so that a confirmation ends nothing.

Test: Maintenance/takeovers_during_a_wave_run_nothing_twice.

--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -36,14 +36,29 @@
   return FindWorker(c.fleet, listed->second.worker);
 }
 
+/// The worker that an order for the VM would end now, if one is known.
+WorkerIncarnation FindTarget(Controller& c, const std::string& vm) {
+  const Worker* worker = WorkerOf(c, vm);
+  if (worker == nullptr) return {};
+  return {worker->info.id, worker->info.incarnation};
+}
+
+bool IsTarget(const WaveVm& vm, const Worker& worker) {
+  return vm.target ==
+         WorkerIncarnation{worker.info.id, worker.info.incarnation};
+}
+
 WaveRecord MakeRecord(const WaveState& state) {
   WaveRecord record;
   record.completed = state.completed;
   for (const auto& [name, vm] : state.vms) {
-    const bool ordered = vm.phase == VmPhase::kOrdered ||
-                         vm.phase == VmPhase::kDown ||
-                         vm.phase == VmPhase::kDone;
-    if (ordered) record.ordered.insert(name);
+    const bool done = vm.phase == VmPhase::kDone;
+    const bool ordered =
+        vm.phase == VmPhase::kOrdered || vm.phase == VmPhase::kDown || done;
+    if (!ordered) continue;
+    record.ordered.insert(name);
+    if (done) record.done.insert(name);
+    if (!vm.target.id.empty()) record.targets[name] = vm.target;
   }
   return record;
 }
@@ -64,13 +79,16 @@
   if (vm != state->second.vms.end()) use(state->second, vm->second);
 }
 
-void OnMaintenanceBegun(Controller& c, WaveState& state,
-                        const std::string& name, WaveVm& vm) {
+/// The order was confirmed: its maintenance has begun, or was already done. In
+/// both cases the worker that it was meant for has ended with its runs. The end
+/// of a later worker becomes known by syncs and the worker list only.
+void OnMaintenanceConfirmed(Controller& c, WaveState& state,
+                            const std::string& name, WaveVm& vm) {
   SetPhase(c, state, name, vm, VmPhase::kDown);
-  Worker* worker = WorkerOf(c, name);
-  if (worker == nullptr || !worker->maintenance_planned) return;
-  // The maintenance ends this incarnation of the worker and all its runs.
-  MarkRunsLost(c, *worker, RunLoss::kWorkerLeft, RunSet::kAll);
+  Worker* worker = FindWorker(c.fleet, vm.target.id);
+  if (worker == nullptr || !IsTarget(vm, *worker)) return;
+  // A run that no sync has listed may yet begin on the next incarnation.
+  MarkRunsLost(c, *worker, RunLoss::kWorkerLeft, RunSet::kListed);
   worker->reachable = false;
   worker->synced = false;
 }
@@ -84,7 +102,7 @@
        F("status", NameOf(kVmOrderStatusNames, status)), F("epoch", c.epoch)});
   switch (status) {
     case VmOrderStatus::kOk:
-      OnMaintenanceBegun(c, state, name, vm);
+      OnMaintenanceConfirmed(c, state, name, vm);
       return;
     case VmOrderStatus::kFenced:
       c.fenced();
@@ -111,11 +129,13 @@
       }));
 }
 
-/// Records the order before it is sent, so that a successor resolves it before
-/// it takes another VM down.
+/// Records the order and its target before it is sent, so that a successor
+/// resolves it before it takes another VM down, and does not take a later
+/// worker of the VM for the one that the order ended.
 void BeginOrder(Controller& c, WaveState& state, const std::string& name,
                 WaveVm& vm) {
   SetPhase(c, state, name, vm, VmPhase::kOrdered);
+  vm.target = FindTarget(c, name);
   vm.in_flight = true;
   const uint64_t wave = state.wave.number;
   RecordWave(c, state,
@@ -159,6 +179,14 @@
   if (may_go) BeginOrder(c, state, name, vm);
 }
 
+/// Records that the maintenance of the VM is over, so that a successor does not
+/// repeat its order.
+void EndMaintenance(Controller& c, const WaveState& state,
+                    const std::string& name, WaveVm& vm) {
+  SetPhase(c, state, name, vm, VmPhase::kDone);
+  RecordWave(c, state, [](Controller&) {});
+}
+
 /// Applies the listed state of a VM, if the list was requested after the
 /// current phase of the VM began.
 void ApplyList(Controller& c, const WaveState& state, const std::string& name,
@@ -173,7 +201,7 @@
       return;
     case VmPhase::kDown:
       if (!exists || listed->second.state == VmState::kUp) {
-        SetPhase(c, state, name, vm, VmPhase::kDone);
+        EndMaintenance(c, state, name, vm);
       }
       return;
     case VmPhase::kWaiting:
@@ -256,14 +284,25 @@
   }));
 }
 
+/// The worker that the wave is about to take down with the VM, or has taken
+/// down, if any. While the outcome of an order is not known, it may still take
+/// down a worker that has come after its target.
+const Worker* FindPlanned(Controller& c, const std::string& name,
+                          const WaveVm& vm) {
+  if (vm.phase == VmPhase::kDraining || vm.phase == VmPhase::kOrdered) {
+    return WorkerOf(c, name);
+  }
+  if (vm.phase != VmPhase::kDown) return nullptr;
+  const Worker* target = FindWorker(c.fleet, vm.target.id);
+  return target != nullptr && IsTarget(vm, *target) ? target : nullptr;
+}
+
 /// Makes workers usable again whose VM no wave is about to take down.
 void ReleaseWorkers(Controller& c) {
   std::set<std::string> planned;
   for (const auto& [number, state] : c.maintenance.waves) {
     for (const auto& [name, vm] : state.vms) {
-      const bool wanted =
-          vm.phase == VmPhase::kDraining || vm.phase == VmPhase::kOrdered;
-      const Worker* worker = wanted ? WorkerOf(c, name) : nullptr;
+      const Worker* worker = FindPlanned(c, name, vm);
       if (worker != nullptr) planned.insert(worker->info.id);
     }
   }
--- a/src/workflow/Maintenance.cpp
+++ b/src/workflow/Maintenance.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace dotterelcove::workflow {
 namespace {
 
 using Json = nlohmann::json;
 
+/// The stored form of a target: its id and incarnation.
+using StoredTarget = std::pair<std::string, uint64_t>;
+
 constexpr TimeMs kMaxDrainMs = 4'000;
 
 /// Processors of the tasks without checkpoints, which would have to start over.
@@ -29,7 +33,14 @@
 }  // namespace
 
 std::string EncodeWaveRecord(const WaveRecord& record) {
-  return Json{{"ordered", record.ordered}, {"completed", record.completed}}
+  std::map<std::string, StoredTarget> targets;
+  for (const auto& [vm, target] : record.targets) {
+    targets[vm] = {target.id, target.incarnation};
+  }
+  return Json{{"ordered", record.ordered},
+              {"targets", targets},
+              {"done", record.done},
+              {"completed", record.completed}}
       .dump();
 }
 
@@ -38,6 +49,12 @@
     const Json json = Json::parse(text);
     WaveRecord record;
     record.ordered = json.at("ordered").get<std::set<std::string>>();
+    const auto targets =
+        json.value("targets", std::map<std::string, StoredTarget>());
+    for (const auto& [vm, target] : targets) {
+      record.targets[vm] = {target.first, target.second};
+    }
+    record.done = json.value("done", std::set<std::string>());
     record.completed = json.at("completed").get<bool>();
     return record;
   } catch (const Json::exception&) {
@@ -51,9 +68,12 @@
   state.wave = wave;
   state.completed = record.completed;
   for (const std::string& vm : wave.vms) {
-    const bool ordered = record.ordered.contains(vm);
-    state.vms[vm] = {ordered ? VmPhase::kOrdered : VmPhase::kWaiting, now_ms,
-                     false, 0};
+    WaveVm& added = state.vms[vm];
+    added.since_ms = now_ms;
+    if (record.ordered.contains(vm)) added.phase = VmPhase::kOrdered;
+    if (record.done.contains(vm)) added.phase = VmPhase::kDone;
+    const auto target = record.targets.find(vm);
+    if (target != record.targets.end()) added.target = target->second;
   }
   return state;
 }
--- a/src/workflow/Maintenance.h
+++ b/src/workflow/Maintenance.h
@@ -34,6 +34,14 @@
                             {VmPhase::kDone, "done"},
                             {VmPhase::kGone, "gone"}});
 
+/// One life of a worker. An empty id names none.
+struct WorkerIncarnation {
+  std::string id;
+  uint64_t incarnation = 0;
+
+  bool operator==(const WorkerIncarnation&) const = default;
+};
+
 struct WaveVm {
   VmPhase phase = VmPhase::kWaiting;
   /// When the phase began.
@@ -42,6 +50,10 @@
   bool in_flight = false;
   /// The order is not repeated before this time.
   TimeMs next_order_ms = 0;
+  /// The worker that ran on the VM when the order was recorded. Only this one
+  /// is known to have ended once the order is confirmed: a later one may run on
+  /// the VM if the confirmation means that the maintenance is already done.
+  WorkerIncarnation target;
 };
 
 struct WaveState {
@@ -56,6 +68,11 @@
 /// the outcome, and whether the completion was reported to the operator.
 struct WaveRecord {
   std::set<std::string> ordered;
+  /// The worker that each order was meant for, by VM. Records of older versions
+  /// have none.
+  std::map<std::string, WorkerIncarnation> targets;
+  /// The ordered VMs whose maintenance is over.
+  std::set<std::string> done;
   bool completed = false;
 };
 inline constexpr const char* kMaintenanceTable = "maintenance";
--- a/tests/MaintenanceTest.cpp
+++ b/tests/MaintenanceTest.cpp
@@ -192,6 +192,18 @@
   }
 }
 
+/// Submits tasks that outlast the drain of a VM, so that each worker has some
+/// at any time.
+void SubmitLongTasks(Cell& cell, TimeMs until_ms) {
+  constexpr TimeMs kEveryMs = 250;
+  constexpr TimeMs kRunMs = 2'500;
+  for (TimeMs at_ms = 0; at_ms < until_ms; at_ms += kEveryMs) {
+    cell.time.After(at_ms, [&cell] {
+      Submit(cell, 0, MakeChain(cell, 1, 2, {3'000, 500, 0}, kRunMs));
+    });
+  }
+}
+
 }  // namespace
 
 // Guards against a wave that takes more VMs down than its cap allows, or
@@ -230,6 +242,32 @@
   }
 }
 
+// Guards against tasks that run twice after a takeover in a wave: the new owner
+// repeated the orders of VMs that were done, took the confirmations for the end
+// of the workers that had come since, and started their tasks elsewhere.
+Test(Maintenance, takeovers_during_a_wave_run_nothing_twice,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    Cell cell({.workers = 8, .seed = seed, .failure_share = 0});
+    VmService service(cell, MakeWave(4, 1));
+    Connect(cell, service);
+    const auto first_kill_ms = static_cast<TimeMs>(seed) * 700 + 5 * kSecond;
+    const TimeMs second_kill_ms = first_kill_ms + 4 * kSecond;
+    cell.time.RunUntil(2 * kSecond);
+    SubmitLongTasks(cell, second_kill_ms + 4 * kSecond);
+    for (const TimeMs kill_ms : {first_kill_ms, second_kill_ms}) {
+      cell.time.RunUntil(kill_ms);
+      const int owner = FindOwner(cell);
+      cr_assert_geq(owner, 0);
+      KillDaemon(cell, owner);
+      cell.time.RunUntil(kill_ms + 2 * kSecond);
+      StartDaemon(cell, owner);
+    }
+    cell.time.RunUntil(120 * kSecond);
+    ExpectCompletedWithinCap(service);
+  }
+}
+
 // Guards against a wave that waits forever for a VM that no longer exists.
 Test(Maintenance, vms_that_are_gone_do_not_hold_up_the_wave,
      .init = DiscardLogs) {
@@ -248,12 +286,22 @@
 Test(Maintenance, record_survives_a_round_trip) {
   workflow::WaveRecord record;
   record.ordered = {"vm-1", "vm-2"};
+  record.targets["vm-2"] = {"w2", 5};
+  record.done = {"vm-1"};
   record.completed = true;
   const auto read =
       workflow::DecodeWaveRecord(workflow::EncodeWaveRecord(record));
   cr_assert(read.has_value());
   cr_expect(read->ordered == record.ordered);
+  cr_expect(read->targets == record.targets);
+  cr_expect(read->done == record.done);
   cr_expect(read->completed);
+  // Written by a version that knew neither targets nor VMs that are done.
+  const auto older = workflow::DecodeWaveRecord(
+      R"({"ordered": ["vm-1"], "completed": false})");
+  cr_assert(older.has_value());
+  cr_expect(older->ordered.contains("vm-1"));
+  cr_expect(older->done.empty());
   cr_expect_not(workflow::DecodeWaveRecord("[]").has_value());
 }
 
