A run on a worker that is lost after its restart lapses

Callers saw: a job that runs for ever (LOST). Its worker crashed right after the task had begun, was listed as restarted, and was lost before it answered.

Cause: OnRestarted() sets the known clock to 0, and CheckLeaseExpiry() skipped workers without a known clock, so that runs which no sync had listed never lapsed.

Ruled out: a lost stop (each is repeated every 0.9 s).

Change: without a known clock no run is listed, and the others lapse by the longest lease after the last lease end that was sent.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -199,8 +199,11 @@
 void CheckLeaseExpiry(Controller& c, Worker& worker) {
   if (worker.reachable) return;
   if (worker.runs.empty() && worker.orphans.empty()) return;
-  if (worker.clock_ms == 0 || c.runtime.now() < worker.lease_expires_ms) return;
-  const bool all = c.runtime.now() >= worker.unlisted_expire_ms;
+  const TimeMs now_ms = c.runtime.now();
+  // A worker that has not answered since its restart has listed no run.
+  const bool answered = worker.clock_ms != 0;
+  if (answered && now_ms < worker.lease_expires_ms) return;
+  const bool all = now_ms >= worker.unlisted_expire_ms;
   const bool any_listed =
       std::any_of(worker.runs.begin(), worker.runs.end(),
                   [](const auto& entry) { return entry.second.listed; });
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -103,4 +103,23 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against a task that waits for ever for a worker that crashed under it,
+// was listed as restarted and was lost before it had answered.
+Test(CellModel, worker_lost_after_its_restart_holds_no_task_up,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    Submit(cell, 0, MakeChain(cell, 1, 4, {1'000, 500, 0}, 2 * kSecond));
+    while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
+    ModelWorker& lost = cell.workers.at(cell.run_records.front().worker);
+    CrashWorker(cell, lost.info.id);
+    const TimeMs listed_ms = UniformInt(cell.random, 100, 2'000);
+    cell.time.After(listed_ms, [&lost] { lost.info.incarnation++; });
+    cell.time.After(listed_ms + 4'500, [&lost] { lost.listed = false; });
+    cell.time.RunUntil(30 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
