Only reads are resent by the HTTP client

Cause: libcurl sends a request again by itself when a reused connection breaks before the answer begins. The store had performed the insert; the second sending got 503 on a new connection, which the adapter took for "nothing was done". The owner's commit, orders to VMs and permit requests had the same gap.

Ruled out: Submission refuses no job that is in doubt, and was never told of the doubt; the store's row has the version of the first sending, so it was not performed late.

Change: the client lets libcurl resend reads only, GET or marked so; any other call fails with an unknown outcome. Before, each call had to ask for this, and only orders to workers did. The option send_once is gone. Connections are still reused, where a new one for each transaction would cost a round trip and a connection.

Tests: HttpClient/only_reads_are_resent takes the place of request_on_a_fresh_connection_is_not_resent and call_to_be_sent_once_is_not_resent. The first expected a reused POST to be resent, which is the fault; the new one has their other cases and PUT, DELETE, GET and reads by POST.

--- a/src/border/tables/TableClient.cpp
+++ b/src/border/tables/TableClient.cpp
@@ -100,8 +100,7 @@
               std::function<void(TransactResult)> done) {
   HttpCall call =
       MakeCall(client, "/v1/transact", TransactionToJson(transaction));
-  // A silent resend by libcurl would turn a committed transaction into a
-  // conflict.
+  // A reused connection that turns out to be dead leaves the outcome unknown.
   call.fresh_connection = true;
   client.http.Send(std::move(call),
                    [done = std::move(done)](const HttpResult& answer) {
@@ -111,8 +110,10 @@
 
 void ReadRows(const TableClient& client, const std::vector<std::string>& keys,
               std::function<void(ReadResult)> done) {
+  HttpCall call = MakeCall(client, "/v1/read", KeysToJson(keys));
+  call.is_read = true;
   client.http.Send(
-      MakeCall(client, "/v1/read", KeysToJson(keys)),
+      std::move(call),
       [count = keys.size(), done = std::move(done)](const HttpResult& answer) {
         ReadResult result = ToReadResult(answer);
         if (result.status == TableStatus::kOk && result.rows.size() != count) {
@@ -125,11 +126,13 @@
 void ScanRows(const TableClient& client, const std::string& prefix,
               const std::string& after, uint32_t limit,
               std::function<void(ReadResult)> done) {
-  client.http.Send(
-      MakeCall(client, "/v1/scan", ScanRequestToJson({prefix, after, limit})),
-      [done = std::move(done)](const HttpResult& answer) {
-        done(ToReadResult(answer));
-      });
+  HttpCall call =
+      MakeCall(client, "/v1/scan", ScanRequestToJson({prefix, after, limit}));
+  call.is_read = true;
+  client.http.Send(std::move(call),
+                   [done = std::move(done)](const HttpResult& answer) {
+                     done(ToReadResult(answer));
+                   });
 }
 
 void ScanAllRows(const TableClient& client, const std::string& prefix,
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -59,13 +59,13 @@
 /// Rejects a request whose deadline has passed. Without it, after a pause of
 /// the process since Send(), libcurl would write an expired request if its
 /// connection was established in the meantime. Rejects the second attempt of a
-/// call that is to be sent once.
+/// call that is not a read.
 int OnBeforeRequest(void* context, char*, char*, int, int) {
   auto* transfer = static_cast<Transfer*>(context);
   transfer->attempts++;
-  if (transfer->call.send_once && transfer->attempts > 1) {
-    return CURL_PREREQFUNC_ABORT;
-  }
+  const HttpCall& call = transfer->call;
+  const bool is_read = call.is_read || call.method == "GET";
+  if (!is_read && transfer->attempts > 1) return CURL_PREREQFUNC_ABORT;
   return MonotonicMs() < transfer->deadline_ms ? CURL_PREREQFUNC_OK
                                                : CURL_PREREQFUNC_ABORT;
 }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -44,13 +44,14 @@
   int64_t timeout_ms = 5'000;
   int64_t connect_timeout_ms = 1'000;
   size_t max_response_bytes = 16 << 20;
-  /// Opens a new connection instead of reusing one. libcurl silently resends a
-  /// request when a reused connection turns out to be dead; on a new one it
-  /// does not.
+  /// Opens a new connection instead of reusing one, so that the call does not
+  /// fail because a reused connection turns out to be dead.
   bool fresh_connection = false;
-  /// Fails with an unknown outcome instead of resending. A connection may be
-  /// reused.
-  bool send_once = false;
+  /// The request changes nothing, which is implied for GET. libcurl silently
+  /// resends a request when a reused connection turns out to be dead. Only a
+  /// read is resent: any other one may have been performed the first time, so
+  /// the second answer would not tell its outcome, and the call fails instead.
+  bool is_read = false;
 };
 
 struct HttpResult {
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -7,85 +7,13 @@
 #include "base/Clock.h"
 #include "border/endpoint/EndpointClient.h"
 #include "http/HttpClient.h"
-#include "tests/RawSocket.h"
+#include "tests/ScriptedServer.h"
 
 namespace dotterelcove {
 namespace {
 
 constexpr TimeMs kWaitMs = 8'000;
 
-/// A TCP server that responds with fixed bytes to each read, then closes the
-/// connection or keeps it open.
-struct ScriptedServer {
-  explicit ScriptedServer(EventLoop& loop)
-      : loop(loop),
-        listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)),
-        accept_watch(loop, [this](int) { this->Accept(); }) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(this->listener, reinterpret_cast<sockaddr*>(&address),
-         sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
-    this->port = ntohs(address.sin_port);
-    listen(this->listener, 16);
-    this->accept_watch.Start(this->listener, EV_READ);
-  }
-  ~ScriptedServer() {
-    this->accept_watch.Stop();
-    this->watch.reset();
-    close(this->listener);
-    if (this->fd >= 0) close(this->fd);
-  }
-
-  void Accept() {
-    if (this->fd >= 0) close(this->fd);
-    this->fd = accept(this->listener, nullptr, nullptr);
-    this->connections++;
-    this->watch =
-        std::make_unique<IoWatch>(this->loop, [this](int) { this->OnBytes(); });
-    this->watch->Start(this->fd, EV_READ);
-  }
-
-  void OnBytes() {
-    char chunk[4'096];
-    const ssize_t count = recv(this->fd, chunk, sizeof(chunk), 0);
-    if (count <= 0) {
-      this->watch->Stop();
-      return;
-    }
-    this->requests++;
-    const bool silent =
-        this->close_after > 0 && this->requests > this->close_after;
-    if (!silent) {
-      send(this->fd, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
-    }
-    if (!silent && !this->close_each) return;
-    this->watch->Stop();
-    close(this->fd);
-    this->fd = -1;
-  }
-
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(this->port);
-  }
-
-  EventLoop& loop;
-  int listener;
-  int fd = -1;
-  uint16_t port = 0;
-  int connections = 0;
-  int requests = 0;
-  std::string answer;
-  bool close_each = false;
-  /// Requests answered in total; each later one closes its connection without a
-  /// response. 0 means no limit.
-  int close_after = 0;
-  IoWatch accept_watch;
-  std::unique_ptr<IoWatch> watch;
-};
-
 HttpResult CallOnce(EventLoop& loop, HttpClient& client, HttpCall call) {
   std::optional<HttpResult> result;
   client.Send(std::move(call),
@@ -162,45 +90,35 @@
   }
 }
 
-// Guards against a non-idempotent request being sent twice: libcurl resends a
-// request by itself when a reused connection turns out to be dead.
-Test(HttpClient, request_on_a_fresh_connection_is_not_resent) {
-  for (const bool fresh : {true, false}) {
-    EventLoop loop;
-    HttpClient client(loop);
-    ScriptedServer server(loop);
-    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-    server.close_after = 1;
-    const HttpCall call = {.method = "POST",
-                           .url = server.url(),
-                           .headers = {},
-                           .body = "x",
-                           .fresh_connection = fresh};
-    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kNone);
-    cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kBroken);
-    // The reused connection shows the resend that a fresh connection avoids.
-    cr_expect_eq(server.requests, fresh ? 2 : 3);
-  }
-}
-
-// Guards against an order that reaches a worker a second time: a run that the
-// first one began may have ended by then, so the second is refused, and the
-// task was placed again although its end was still to be reported.
-Test(HttpClient, call_to_be_sent_once_is_not_resent) {
-  for (const bool once : {true, false}) {
+// Guards against a request being performed twice, or its second answer being
+// taken for the outcome of the first: libcurl resends a request by itself when
+// a reused connection turns out to be dead.
+Test(HttpClient, only_reads_are_resent) {
+  struct Case {
+    const char* method;
+    bool is_read;
+    bool fresh;
+    int requests;
+  };
+  const Case cases[] = {{"POST", false, false, 2}, {"POST", false, true, 2},
+                        {"PUT", false, false, 2},  {"DELETE", false, false, 2},
+                        {"POST", true, false, 3},  {"GET", false, false, 3},
+                        {"POST", true, true, 2},   {"GET", false, true, 2}};
+  for (const Case& each : cases) {
     EventLoop loop;
     HttpClient client(loop);
     ScriptedServer server(loop);
     server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     server.close_after = 1;
-    const HttpCall call = {.method = "POST",
-                           .url = server.url(),
-                           .headers = {},
-                           .body = "x",
-                           .send_once = once};
+    HttpCall call;
+    call.method = each.method;
+    call.url = server.url();
+    call.body = "x";
+    call.fresh_connection = each.fresh;
+    call.is_read = each.is_read;
     cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kNone);
     cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kBroken);
-    cr_expect_eq(server.requests, once ? 2 : 3);
+    cr_expect_eq(server.requests, each.requests, "%s", each.method);
   }
 }
 
