The reserve for urgent work yields to what could never be placed beside it

Cause: HasRoom() kept 6 % of each worker free from work of a priority number above 1, also on an idle worker, so a task of more than 94 % of the largest worker was never placed. By the same rule two gang members of half a worker each did not fit one worker, and a task of half a worker found no room in a fleet whose workers are all just under half full.

Ruled out: quarantine and recovery (the workers take small jobs meanwhile).

Change: the reserve does not apply to a task that fits on no idle worker of that size beside it. While less than 60 % of a service's processors are in use, what found no room may use the reserves, up to that share; a gang as a whole. Permit requests follow the same check.

Tests: Reserve/*. With the former placement three of the four fail (random fleets with a task of a whole worker, the gang, the half-full fleet); the fourth, busy_cell_keeps_room_for_urgent_work, guards the reserve and passed before.

--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -2,6 +2,7 @@
 /// folders.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -36,6 +37,9 @@
   std::optional<RoomOrder> room;
   /// Tasks that found no room so far.
   size_t unplaced = 0;
+  /// Processors, in thousandths, that work which is not urgent may still take
+  /// of the reserves of each service's workers.
+  std::map<std::string, int64_t> reserve_cores;
 };
 
 /// Whether this owner has written its row after the job was accepted. The store
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -24,6 +24,10 @@
 /// leaves this fraction of each worker free, so that urgent work fits without
 /// preemption.
 constexpr double kUrgentReserve = 0.06;
+/// While less than this fraction of a service's processors is in use, urgent
+/// work has room without the reserve. Without this limit, a task could wait for
+/// ever beside workers that are all half full.
+constexpr double kReserveFromUse = 0.6;
 
 struct WaitingStep {
   OrderKey key;
@@ -280,6 +284,45 @@
                  need, tasks);
 }
 
+/// Places what fits; returns the number of tasks that do not.
+uint32_t PlaceWaiting(Controller& c, const WaitingStep& step,
+                      const Candidates& candidates, const PlacementNeed& need) {
+  return need.step->gang ? PlaceGang(c, step, candidates, need)
+                         : PlaceTasks(c, step, candidates, need);
+}
+
+/// How many more of the step's tasks may use the reserves in this pass. A gang
+/// may as a whole or not at all.
+size_t CountReserveTasks(const Controller& c, SchedulePass& pass,
+                         const PlacementNeed& need) {
+  const std::string& service = need.job->service;
+  const auto [cores, is_new] = pass.reserve_cores.try_emplace(service, 0);
+  if (is_new) cores->second = CoresBelowUse(c.fleet, service, kReserveFromUse);
+  if (cores->second <= 0) return 0;
+  if (need.step->gang) return need.step->count;
+  const int64_t size = std::max<int64_t>(need.step->size.milli_cores, 1);
+  return static_cast<size_t>(cores->second / size);
+}
+
+/// Places those of the step's waiting tasks that have room in the reserves
+/// only, as long as the service is little used; returns the number of tasks
+/// that still have none. `need` has no reserve.
+uint32_t PlaceInReserve(Controller& c, SchedulePass& pass,
+                        const WaitingStep& step, const Candidates& candidates,
+                        const PlacementNeed& need, size_t limit) {
+  WaitingStep rest = step;
+  std::erase_if(rest.tasks, [&](uint32_t index) {
+    return need.state->tasks[index].phase != TaskPhase::kWaiting;
+  });
+  const size_t waiting = rest.tasks.size();
+  if (waiting > limit) rest.tasks.resize(limit);
+  const size_t tried = rest.tasks.size();
+  const size_t placed = tried - PlaceWaiting(c, rest, candidates, need);
+  pass.reserve_cores[need.job->service] -=
+      static_cast<int64_t>(placed) * need.step->size.milli_cores;
+  return static_cast<uint32_t>(waiting - placed);
+}
+
 void PlaceStep(Controller& c, SchedulePass& pass, const WaitingStep& step) {
   Job& job = *step.job;
   StepState& state = job.occurrences.at(step.occurrence).steps[step.step];
@@ -300,9 +343,16 @@
     return;
   }
   const Candidates candidates = FindCandidates(c.fleet, need);
-  const uint32_t unplaced = spec.gang ? PlaceGang(c, step, candidates, need)
-                                      : PlaceTasks(c, step, candidates, need);
+  uint32_t unplaced = PlaceWaiting(c, step, candidates, need);
   if (unplaced == 0) return;
+  if (need.reserve > 0) {
+    const size_t limit = CountReserveTasks(c, pass, need);
+    if (limit > 0) {
+      need.reserve = 0;
+      unplaced = PlaceInReserve(c, pass, step, candidates, need, limit);
+      if (unplaced == 0) return;
+    }
+  }
   pass.unplaced += unplaced;
   RequestPermitsFor(c, pass, step, need, unplaced);
   if (job.spec.policy.priority == 0 && !spec.gang) {
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -76,12 +76,26 @@
   return ticket != nullptr && IsUsableFor(*ticket, worker, now_ms);
 }
 
+namespace {
+
+/// The processors of the worker that the task has to leave free. A task that
+/// would not fit beside the reserve even if the worker were idle need not: it
+/// could run on no worker of that size.
+int64_t ReserveOn(const Worker& worker, const PlacementNeed& need,
+                  const Resources& size) {
+  const int64_t all = worker.info.capacity.milli_cores;
+  const auto reserve =
+      static_cast<int64_t>(need.reserve * static_cast<double>(all));
+  return size.milli_cores > all - reserve ? 0 : reserve;
+}
+
+}  // namespace
+
 bool HasRoom(const Worker& worker, const PlacementNeed& need) {
   if (IsOnProbation(worker, need.now_ms)) return false;
   const Resources size = SizeOnWorker(*need.step);
   Resources free = FreeOf(worker);
-  free.milli_cores -= static_cast<int64_t>(
-      need.reserve * static_cast<double>(worker.info.capacity.milli_cores));
+  free.milli_cores -= ReserveOn(worker, need, size);
   if (!Fits(size, free)) return false;
   if (need.step->max_per_worker == 0 || need.on_worker == nullptr) return true;
   const auto found = need.on_worker->find(&worker);
@@ -114,6 +128,18 @@
   return candidates;
 }
 
+int64_t CoresBelowUse(const Fleet& fleet, const std::string& service,
+                      double use) {
+  int64_t used = 0;
+  int64_t all = 0;
+  for (const auto& [id, worker] : fleet.workers) {
+    if (worker.info.service != service || !worker.listed) continue;
+    used += worker.used.milli_cores;
+    all += worker.info.capacity.milli_cores;
+  }
+  return static_cast<int64_t>(use * static_cast<double>(all)) - used;
+}
+
 Worker* ChooseWorker(const Candidates& candidates, const PlacementNeed& need) {
   Worker* best = nullptr;
   double best_score = std::numeric_limits<double>::infinity();
--- a/src/workflow/Placement.h
+++ b/src/workflow/Placement.h
@@ -30,7 +30,8 @@
   /// Number of the step's tasks on each worker; may be null for a step without
   /// a limit per worker.
   const TaskCounts* on_worker = nullptr;
-  /// Fraction of each worker's processors to leave free.
+  /// Fraction of each worker's processors to leave free. It does not apply to
+  /// tasks that need more than the rest of an idle worker.
   double reserve = 0;
   TimeMs now_ms = 0;
 };
@@ -51,6 +52,11 @@
 /// usable ticket for them.
 Candidates FindCandidates(Fleet& fleet, const PlacementNeed& need);
 
+/// Processors, in thousandths, that can be occupied until the fraction `use` of
+/// those of the service's listed workers is; negative if it is exceeded.
+int64_t CoresBelowUse(const Fleet& fleet, const std::string& service,
+                      double use);
+
 /// The best of the candidates for one task, or nullptr if none is suitable.
 Worker* ChooseWorker(const Candidates& candidates, const PlacementNeed& need);
 
