A malformed request costs itself only

Cause: MakeErrorResponse() quotes the parser's message, which quotes the bytes, and the JSON library throws when it writes them. Nothing caught the exception on its way through libmicrohttpd and the event loop. The exchange counted as handled, so its response, 200 by default, was sent.

Ruled out: the decoding, which refuses the body.

Change: error responses replace bytes that are not UTF-8. An exception of a request handler is logged and answered with 500; the server goes on.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -11,9 +11,11 @@
 #include <cctype>
 #include <cerrno>
 #include <cstdlib>
+#include <exception>
 #include <nlohmann/json.hpp>
 
 #include "base/Clock.h"
+#include "telemetry/Log.h"
 
 namespace dotterelcove {
 
@@ -81,6 +83,7 @@
   MHD_Result HandleHeaders(HttpExchange& exchange);
   MHD_Result HandleBody(HttpExchange& exchange, const char* data,
                         size_t* data_size);
+  void Handle(HttpExchange& exchange);
   MHD_Result Finish(HttpExchange& exchange);
 };
 
@@ -126,7 +129,9 @@
 HttpResponse MakeErrorResponse(int status, const std::string& message) {
   HttpResponse response;
   response.status = status;
-  response.body = nlohmann::json{{"error", message}}.dump();
+  // The message may quote what the client has sent, in any encoding.
+  response.body = nlohmann::json{{"error", message}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
@@ -242,6 +247,21 @@
   return MHD_YES;
 }
 
+/// Calls the handler. An exception costs the one request: passed on, it would
+/// end the process with all other requests, and leave this one with a response
+/// that nobody has set.
+void HttpServer::State::Handle(HttpExchange& exchange) {
+  const HttpReply reply(this->exchanges.at(&exchange));
+  try {
+    this->handler(exchange.request, reply);
+  } catch (const std::exception& error) {
+    LogAlways(LogLevel::kError, "request_handler_failed",
+              {F("method", exchange.request.method),
+               F("path", exchange.request.path), F("error", error.what())});
+    reply.Send(this->options.make_error(500, "internal error"));
+  }
+}
+
 MHD_Result HttpServer::State::Finish(HttpExchange& exchange) {
   if (exchange.too_large) {
     return QueueResponse(
@@ -254,7 +274,7 @@
     exchange.handled = true;
     this->open_requests++;
     this->receiving_since[exchange.connection] = 0;
-    this->handler(exchange.request, HttpReply(this->exchanges.at(&exchange)));
+    this->Handle(exchange);
     if (!exchange.answered) {
       this->Suspend(exchange);
       return MHD_YES;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -69,8 +69,8 @@
   /// previous request, and the same again for the body. Also the idle timeout.
   int64_t receive_timeout_ms = 15'000;
   unsigned max_connections = 4'096;
-  /// Creates the responses that the server sends without calling the handler:
-  /// 413.
+  /// Creates the responses that do not come from the handler: 413 for a body
+  /// that is too large, 500 for a request whose handler has thrown.
   std::function<HttpResponse(int status, const std::string& message)>
       make_error = MakeErrorResponse;
 };
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
               this->loop, options,
               [this](const HttpRequest& request, HttpReply reply) {
                 this->seen.push_back(request);
+                if (request.path == "/throw") {
+                  throw std::runtime_error("text that is not UTF-8: \xe3");
+                }
                 if (request.path == "/hold") {
                   this->held.push_back(std::move(reply));
                   return;
@@ -47,6 +51,26 @@
 
 }  // namespace
 
+// Guards against a request whose handler throws: it ended the process with all
+// other requests, and was itself answered with 200.
+Test(HttpServer, handler_that_throws_costs_one_request) {
+  Harness harness;
+  const uint16_t port = harness.server->port();
+  const auto send = [&](const RawSocket& socket, const std::string& path) {
+    cr_assert(socket.Send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+  };
+  RawSocket held(port);
+  send(held, "/hold");
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  RawSocket thrown(port);
+  send(thrown, "/throw");
+  cr_assert(harness.WaitUntil([&] { return !thrown.Read().empty(); }));
+  cr_expect(thrown.received.starts_with("HTTP/1.1 500"));
+  send(thrown, "/release");
+  cr_expect(harness.WaitUntil([&] { return !held.Read().empty(); }));
+  cr_expect(held.received.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against malformed, truncated or stalled requests that get a wrong
 // response, reach the handler, or hold their connection open indefinitely.
 Test(HttpServer, malformed_or_stalled_requests) {
--- a/tests/platform/DecodingTest.cpp
+++ b/tests/platform/DecodingTest.cpp
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
+#include "http/HttpServer.h"
 #include "platform/CallerAdapter.h"
 #include "platform/Manifest.h"
 #include "platform/Settings.h"
@@ -140,6 +142,34 @@
   }
 }
 
+// Guards against an answer that cannot be built because it quotes a body which
+// is not UTF-8: the daemon ended, and the job counted as accepted.
+Test(PlatformCaller, job_that_is_not_utf8_is_refused) {
+  std::string problem;
+  cr_expect_not(
+      DecodeJobRequest("{\"spec\": \"Jo\xe3o\", \"steps\": [{}]}", problem)
+          .has_value());
+  cr_expect_not(problem.empty());
+  const HttpResponse response = MakeErrorResponse(400, problem);
+  cr_expect_eq(response.status, 400);
+  cr_expect(nlohmann::json::accept(response.body));
+}
+
+// Guards against numbers that cannot be represented, whose conversion is
+// undefined, and against times and sizes whose sums overflow.
+Test(PlatformCaller, numbers_out_of_range_are_refused) {
+  for (const char* name : {"cpu", "mem_mb", "gpu", "est_duration_ms"}) {
+    for (const char* value : {"-1", "1e300", "1e400", "18446744073709551615"}) {
+      const std::string body =
+          std::string(R"({"steps": [{")") + name + "\": " + value + "}]}";
+      std::string problem;
+      cr_expect_not(DecodeJobRequest(body, problem).has_value(), "%s",
+                    body.c_str());
+      cr_expect_not(problem.empty());
+    }
+  }
+}
+
 // Guards against decoding rows of other writers as workers.
 Test(PlatformWorkers, malformed_rows_name_no_worker) {
   const std::string good = R"({"service": "s", "address": "1.2.3.4:5",
