A restarted worker gets no work by the labels of its earlier incarnation

Callers saw: a task runs on a worker without its required label (ROUTE).

Cause: a sync tells the new incarnation up to 0.5 s before the list does; the owner took over the incarnation and kept labels, rack and capacity.

Ruled out: placement, which checks the labels that the owner knows.

Change: after a restart that only a sync has shown, the worker gets no work until the list shows that incarnation.

--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -62,6 +62,7 @@
       info.incarnation > worker.info.incarnation) {
     OnRestarted(c, worker, info.incarnation);
     worker.info = info;
+    worker.entry_outdated = false;
     Sync(c, worker, 0);
     return;
   }
@@ -69,6 +70,7 @@
   if (info.incarnation < worker.info.incarnation) return;
   const bool drains_now = info.draining && !worker.info.draining;
   worker.info = info;
+  worker.entry_outdated = false;
   if (!drains_now) return;
   Log(LogLevel::kInfo, "worker_draining",
       {F("worker", info.id), F("runs", worker.runs.size()),
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -301,6 +301,8 @@
   }
   if (answer.incarnation != 0 && answer.incarnation != sent.incarnation) {
     OnRestarted(c, worker, answer.incarnation);
+    // The new incarnation may be of another kind.
+    worker.entry_outdated = true;
     Sync(c, worker, 0);
     return;
   }
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -40,10 +40,10 @@
 }
 
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
-  return worker.listed && worker.synced && worker.reachable &&
-         !worker.overdue && worker.recorded && !worker.info.draining &&
-         !worker.maintenance_planned && worker.orphans.empty() &&
-         now_ms >= worker.health.quarantined_until_ms;
+  return worker.listed && !worker.entry_outdated && worker.synced &&
+         worker.reachable && !worker.overdue && worker.recorded &&
+         !worker.info.draining && !worker.maintenance_planned &&
+         worker.orphans.empty() && now_ms >= worker.health.quarantined_until_ms;
 }
 
 bool HaveAllSurvivedStart(const Worker& worker) {
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -131,6 +131,9 @@
   /// Whether the platform lists it. A worker that is no longer listed is kept
   /// until its tasks have ended.
   bool listed = true;
+  /// Its labels and capacity are those of an earlier incarnation: a sync has
+  /// shown the restart, and the list has not shown it yet.
+  bool entry_outdated = false;
   /// This owner's fencing token was accepted and its runs are known.
   bool synced = false;
   /// The last sync succeeded.
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -122,4 +122,29 @@
   }
 }
 
+// Guards against placing a task on a worker by the labels of its earlier
+// incarnation: the present one may be of another kind.
+Test(CellModel, restarted_worker_is_used_by_its_new_labels_only,
+     .init = DiscardLogs) {
+  Cell cell({.workers = 2, .failure_share = 0});
+  ModelWorker& changed = cell.workers.at("w0");
+  changed.info.labels = {"old"};
+  cell.time.RunUntil(5 * kSecond);
+  changed.outdated_entry = changed.info;
+  changed.info.labels = {"new"};
+  RestartWorker(cell, "w0");
+  cell.time.RunUntil(8 * kSecond);
+  for (const char* label : {"old", "new"}) {
+    workflow::JobSpec spec = MakeChain(cell, 1, 1, {1'000, 500, 0}, 200);
+    spec.steps.front().required_label = label;
+    Submit(cell, 0, spec);
+  }
+  cell.time.RunUntil(11 * kSecond);
+  cr_expect(cell.run_records.empty());
+  changed.outdated_entry.reset();
+  cell.time.RunUntil(14 * kSecond);
+  cr_expect_eq(cell.run_records.size(), 1U);
+  ExpectNoViolations(cell, false);
+}
+
 }  // namespace dotterelcove::model
