Ports of the scheduler tests lie below the kernel's own range

Cause, by reading: FreePort() let the kernel choose a port, closed it and used it later. Tests that run at the same time open many connections, also the new ones against odd answers, and get ports from the same range in between. The harness ends the test when a component cannot listen. Not reproduced: 6 runs of SchedulerFault alone passed before the change, and Scheduler* twice after it.

Change: ports from 20,000 to 31,999, a different start for each process.

--- a/tests/SchedulerHarness.cpp
+++ b/tests/SchedulerHarness.cpp
@@ -51,15 +51,25 @@
 }  // namespace
 
 uint16_t FreePort() {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  // Below the range that the kernel chooses from: another test that runs at the
+  // same time would get the port between its choice and its use.
+  constexpr uint16_t kFirstPort = 20'000;
+  constexpr uint32_t kPorts = 12'000;
+  constexpr uint32_t kPortsPerProcess = 16;
+  static uint32_t next =
+      static_cast<uint32_t>(getpid()) * kPortsPerProcess % kPorts;
+  while (true) {
+    const auto port = static_cast<uint16_t>(kFirstPort + next++ % kPorts);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int bound =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    close(fd);
+    if (bound == 0) return port;
+  }
 }
 
 FakeEntry::FakeEntry(EventLoop& loop, const std::string& process,
