A seeded soak of a whole cell of real daemons

Each daemon reaches the store at an address of its own, so the store can turn single daemons away: by 503, 429, a reset before or after the work, silence, an error after the work, lost answers, calls performed seconds later, slowness, a dropped history.

--- /dev/null
+++ b/tests/platform/soak/Cell.h
@@ -0,0 +1,136 @@
+/// A small deployment on loopback addresses: the project's daemons as separate
+/// processes, and stand-ins for store, workers, operator and clients.
+#pragma once
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <cstdint>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/soak/CellWorker.h"
+#include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/RawHttp.h"
+#include "tests/platform/soak/StoreStandin.h"
+
+namespace dotterelcove::soak {
+
+/// Size and bounds of a deployment.
+struct CellShape {
+  std::string name;
+  std::vector<std::string> zones;
+  int daemons = 9;
+  int workers = 48;
+  int64_t milli_cores = 16'000;
+  int64_t memory_mb = 32'768;
+  int workers_per_rack = 8;
+  int64_t max_hold_ms = 6'000;
+};
+
+/// The shape with this name: "stepcare" or "yard". Returns false for another.
+bool FindShape(const std::string& name, CellShape& shape);
+
+struct CellOptions {
+  CellShape shape;
+  uint64_t seed = 1;
+  /// Path of the daemon's program.
+  std::string daemon_program;
+  /// Takes settings, logs and the record; made if it does not exist.
+  std::string folder;
+  /// Runs of a task that may end `failed`.
+  uint32_t attempts = 3;
+};
+
+struct Daemon {
+  std::string name;
+  std::string zone;
+  std::string ip;
+  /// Its name and its address at the store.
+  std::string caller;
+  std::string store_ip;
+  std::string settings_file;
+  std::string log_file;
+  /// -1 while it does not run.
+  pid_t pid = -1;
+  /// Times that it has ended by itself.
+  int ends = 0;
+};
+
+/// The daemons as separate processes, and stand-ins for the rest.
+class Cell {
+ public:
+  explicit Cell(CellOptions options);
+  ~Cell();
+  Cell(const Cell&) = delete;
+  Cell& operator=(const Cell&) = delete;
+
+  /// Starts everything and waits until all daemons are ready. Returns false if
+  /// that fails.
+  bool Start();
+  /// Writes a line with the time into the record and to standard output.
+  void Say(const std::string& line);
+
+  /// Hands a job in with up to 4 retries until a 2xx, or until the client's
+  /// time limit is over; returns whether it was accepted. After a 503 the
+  /// client waits for as long as Retry-After says.
+  bool Submit(const JobSpec& job, const std::string& body);
+  /// One query; an empty text without an answer of 200.
+  std::string StateOf(const JobSpec& job);
+  int Cancel(const JobSpec& job);
+
+  /// Index of the daemon that the owner row in the store names, -1 for none.
+  int Owner();
+  void StartDaemon(Daemon& daemon);
+  /// Ends it by a signal and waits for it.
+  static void KillDaemon(Daemon& daemon, int signal);
+  static void Signal(const Daemon& daemon, int signal);
+  /// Notes the daemons that have ended by themselves. To be called often.
+  void NoteEnded();
+  /// Writes the next manifest; `extra_queues` are added to the first queue.
+  void WriteManifest(const std::vector<std::string>& extra_queues);
+  /// Notes a disruption for the judge; the end may be changed later.
+  void NoteDisruption(Disruption disruption);
+
+  /// Milliseconds since the start of the soak.
+  int64_t At(int64_t now_ms) const { return now_ms - this->began_ms; }
+  Observations Collect() const;
+  /// Writes all calls and runs into the record.
+  void WriteRecord();
+  const CellOptions& about() const { return this->options; }
+
+  std::unique_ptr<StoreStandin> store;
+  EventLog log;
+  std::vector<std::unique_ptr<CellWorker>> workers;
+  std::vector<Daemon> daemons;
+
+ private:
+  ClientCall CallDaemon(ClientMethod method, const JobSpec& job,
+                        const std::string& body);
+  bool ChooseAddresses();
+  bool StartWorkers();
+  void WriteSettings(const Daemon& daemon);
+  bool WaitUntilReady();
+
+  CellOptions options;
+  /// First two numbers of all addresses, with a dot behind them.
+  std::string net;
+  std::ofstream record;
+  mutable std::mutex mutex;
+  Observations seen;
+  bool record_written = false;
+  int64_t began_ms = 0;
+  uint64_t manifest_version = 0;
+  std::atomic<uint64_t> next_daemon{0};
+  std::atomic<bool> stopping{false};
+  std::thread janitor;
+  std::mutex owner_mutex;
+  std::string owner;
+};
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/CellWorker.h
@@ -0,0 +1,152 @@
+/// Stand-in for a worker: runs tasks under fencing tokens and a lease, as
+/// PROTOCOL.md tells. A task's `spec` is "ms=N": it ends `done` after N ms of
+/// work; "ms=N fail" ends `failed`, "ms=N save" makes checkpoints, and "lasts"
+/// runs until it is stopped.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/RawHttp.h"
+#include "tests/platform/soak/StoreStandin.h"
+
+namespace dotterelcove::soak {
+
+/// Collects what the workers have seen, in order of time.
+class EventLog {
+ public:
+  void Add(RunEvent event);
+  std::vector<RunEvent> All() const;
+
+ private:
+  mutable std::mutex mutex;
+  std::vector<RunEvent> events;
+};
+
+struct CellWorkerOptions {
+  std::string id;
+  std::string ip;
+  uint16_t port = 8080;
+  std::string service;
+  std::string zone;
+  std::string kind = "a";
+  std::string rack = "r1-1";
+  int64_t milli_cores = 16'000;
+  int64_t memory_mb = 32'768;
+  /// Longest lease that it grants.
+  int64_t max_hold_ms = 6'000;
+  /// Rate of its steady clock, which may be 2 % slow.
+  double clock_rate = 1;
+};
+
+/// One worker, which can crash and start again.
+class CellWorker {
+ public:
+  CellWorker(CellWorkerOptions options, StoreStandin& store, EventLog& log);
+  ~CellWorker();
+  CellWorker(const CellWorker&) = delete;
+  CellWorker& operator=(const CellWorker&) = delete;
+
+  /// Begins a life: listens, and registers in the store. Returns false if the
+  /// address cannot be used.
+  bool Boot();
+  /// Ends it at once: everything on it is lost, channels are reset. Its entry
+  /// stays in the store until it has been silent for three heartbeats.
+  void Crash();
+  bool is_up() const;
+  /// The kind of the next life.
+  void SetKind(const std::string& kind) { this->options.kind = kind; }
+  void SetId(const std::string& id) { this->options.id = id; }
+  const CellWorkerOptions& about() const { return this->options; }
+  /// Tasks that run now.
+  std::vector<std::string> Running() const;
+  /// Answers from now on: called for each order with its path; returns true if
+  /// the order shall get no answer. `late_ms` is then the time until it is
+  /// carried out; negative for never.
+  std::function<bool(const std::string& path, const std::string& task,
+                     int64_t& late_ms)>
+      lose;
+  /// Whether orders that are carried out late also reach a later life.
+  bool late_across_lives = false;
+  /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
+  void SetCut(bool cut);
+  /// Removes the entry if the worker has been silent for too long.
+  void Expire();
+
+ private:
+  struct Run {
+    uint32_t run = 0;
+    int64_t began_ms = 0;
+    int64_t work_ms = 0;
+    bool fails = false;
+    bool saves = false;
+    bool lasts = false;
+    /// When a stop takes effect, 0 for none.
+    int64_t stop_ms = 0;
+  };
+  struct End {
+    uint64_t number = 0;
+    std::string task;
+    uint32_t run = 0;
+    RunEventKind how = RunEventKind::kDone;
+    /// The lease has lapsed since.
+    bool lapsed = false;
+  };
+
+  Reply Handle(const Request& request);
+  Reply Start(const std::string& body, bool is_late);
+  Reply Stop(const std::string& body);
+  Reply Hold(const std::string& body, uint64_t life);
+  void CarryOutLate(const Request& request, int64_t late_ms);
+  uint64_t Life() const;
+  bool is_cut() const;
+  bool has_ended() const;
+  /// Holds a call whose answer is lost, until its caller has given up.
+  Reply HoldBack();
+  Reply Perform(const Request& request, uint64_t life);
+  int64_t Clock() const;
+  static int64_t PercentOf(const Run& run, int64_t now_ms);
+  std::string ClockBody(const std::string& reason) const;
+  void Extend(int64_t deadline_ms);
+  void Finish(const std::string& task, RunEventKind how);
+  void Register();
+  void Tick(uint64_t life);
+  void Note(RunEventKind kind, const std::string& task, uint32_t run,
+            bool is_late = false);
+
+  CellWorkerOptions options;
+  StoreStandin& store;
+  EventLog& log;
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  std::unique_ptr<Server> server;
+  std::thread ticker;
+  bool up = false;
+  bool cut = false;
+  bool ended = false;
+  std::vector<std::thread> late;
+  /// Number of lives so far.
+  uint64_t life = 0;
+  uint64_t born = 0;
+  int64_t booted_ms = 0;
+  uint64_t seq = 0;
+  int64_t registered_ms = 0;
+  uint64_t token = 0;
+  int64_t deadline_ms = 0;
+  std::map<std::string, Run> runs;
+  /// Highest run stopped or ended, by task.
+  std::map<std::string, uint32_t> over;
+  std::deque<End> ends;
+  uint64_t last_end = 0;
+};
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -0,0 +1,289 @@
+#include "tests/platform/soak/FaultInjector.h"
+
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdint>
+#include <numeric>
+
+namespace dotterelcove::soak {
+namespace {
+
+/// A daemon that is told to stop is killed after this.
+constexpr int64_t kGraceMs = 6'000;
+constexpr int64_t kPollMs = 50;
+
+}  // namespace
+
+FaultInjector::FaultInjector(Cell& cell, uint64_t seed)
+    : cell(cell), random(seed) {
+  for (const auto& worker : cell.workers) {
+    this->worker_locks.push_back(std::make_unique<std::mutex>());
+    worker->lose = [this](const std::string&, const std::string&,
+                          int64_t& late_ms) {
+      return this->LoseOrder(late_ms);
+    };
+  }
+  for (size_t i = 0; i < cell.daemons.size(); ++i) {
+    this->daemon_locks.push_back(std::make_unique<std::mutex>());
+  }
+}
+
+FaultInjector::~FaultInjector() { this->Finish(); }
+
+bool FaultInjector::LoseOrder(int64_t& late_ms) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  constexpr uint64_t kAll = 100;
+  if (!this->order_fault.loses) return false;
+  if (this->random() % kAll >= this->order_fault.percent) return false;
+  late_ms = this->order_fault.late_ms;
+  return true;
+}
+
+void FaultInjector::Begin(const PlannedFault& fault) {
+  this->cell.Say(Describe(fault));
+  this->threads.emplace_back([this, fault] { this->CarryOut(fault); });
+}
+
+void FaultInjector::Finish() {
+  for (std::thread& thread : this->threads) thread.join();
+  this->threads.clear();
+  this->cell.NoteEnded();
+  for (Daemon& daemon : this->cell.daemons) {
+    if (daemon.pid < 0) this->cell.StartDaemon(daemon);
+  }
+}
+
+std::vector<size_t> FaultInjector::Choose(const PlannedFault& fault,
+                                          size_t count) const {
+  std::vector<size_t> chosen(count);
+  std::iota(chosen.begin(), chosen.end(), 0);
+  std::mt19937_64 order(fault.seed);
+  std::shuffle(chosen.begin(), chosen.end(), order);
+  const auto wanted =
+      static_cast<size_t>(fault.share * static_cast<double>(count) + 0.5);
+  chosen.resize(std::clamp<size_t>(wanted, 1, count));
+  return chosen;
+}
+
+void FaultInjector::NoteDaemon(const std::string& daemon,
+                               const PlannedFault& fault, int64_t extra_ms) {
+  const int64_t now_ms = NowMs();
+  this->cell.NoteDisruption(
+      {now_ms, now_ms + fault.for_ms + extra_ms, daemon, Describe(fault)});
+}
+
+void FaultInjector::CarryOut(const PlannedFault& fault) {
+  switch (fault.kind) {
+    case FaultKind::kStoreTurnsAway:
+      this->DisturbStore(fault, false);
+      return;
+    case FaultKind::kStoreDown:
+    case FaultKind::kStoreSlow:
+    case FaultKind::kStoreLosesAnswers:
+    case FaultKind::kStorePerformsLate:
+      this->DisturbStore(fault, true);
+      return;
+    case FaultKind::kHistoryDropped:
+      this->cell.store->DropHistory();
+      return;
+    case FaultKind::kOwnerKilled:
+    case FaultKind::kDaemonsKilled:
+      this->KillDaemons(fault);
+      return;
+    case FaultKind::kDaemonPaused:
+      this->PauseDaemon(fault, false);
+      return;
+    case FaultKind::kOwnerPaused:
+      this->PauseDaemon(fault, true);
+      return;
+    case FaultKind::kDaemonTerminated:
+      this->TerminateDaemon(fault);
+      return;
+    case FaultKind::kSettingsReloaded:
+      for (const Daemon& daemon : this->cell.daemons) {
+        Cell::Signal(daemon, SIGHUP);
+      }
+      return;
+    case FaultKind::kManifestChanged:
+      this->cell.WriteManifest({"extra" + std::to_string(this->manifests++)});
+      return;
+    case FaultKind::kWorkersCrash:
+      this->CrashWorkers(fault, false);
+      return;
+    case FaultKind::kWorkersCut:
+      this->CutWorkers(fault);
+      return;
+    case FaultKind::kWorkersRestartAndCut:
+      this->CrashWorkers(fault, true);
+      return;
+    case FaultKind::kOrdersLate:
+    case FaultKind::kOrderAnswersLost:
+      this->DisturbOrders(fault);
+      return;
+    case FaultKind::kProcessorBusy:
+      this->KeepProcessorBusy(fault);
+      return;
+  }
+}
+
+void FaultInjector::DisturbStore(const PlannedFault& fault, bool all) {
+  constexpr double kAllPercent = 100;
+  StoreFault now;
+  now.kind = fault.store;
+  now.delay_ms = fault.delay_ms;
+  const bool partly = fault.store == StoreFaultKind::kLoseAnswer ||
+                      fault.store == StoreFaultKind::kPerformLate;
+  if (partly) now.percent = static_cast<uint32_t>(fault.share * kAllPercent);
+  PlannedFault everyone = fault;
+  everyone.share = 1;
+  const std::vector<size_t> chosen =
+      this->Choose(all ? everyone : fault, this->cell.daemons.size());
+  this->NoteDaemon("", fault, 0);
+  for (const size_t i : chosen) {
+    this->cell.store->SetFault(this->cell.daemons[i].caller, now,
+                               fault.reset_connections);
+  }
+  SleepMs(fault.for_ms);
+  for (const size_t i : chosen) {
+    this->cell.store->SetFault(this->cell.daemons[i].caller, {}, false);
+  }
+}
+
+void FaultInjector::KillDaemons(const PlannedFault& fault) {
+  std::vector<size_t> chosen = this->Choose(fault, this->cell.daemons.size());
+  const int owner = this->cell.Owner();
+  if (fault.kind == FaultKind::kOwnerKilled) chosen.clear();
+  const bool adds =
+      owner >= 0 && std::find(chosen.begin(), chosen.end(),
+                              static_cast<size_t>(owner)) == chosen.end();
+  if (adds) chosen.push_back(static_cast<size_t>(owner));
+  std::vector<size_t> killed;
+  for (const size_t i : chosen) {
+    if (!this->daemon_locks[i]->try_lock()) continue;
+    Daemon& daemon = this->cell.daemons[i];
+    this->NoteDaemon(daemon.name, fault, 0);
+    Cell::KillDaemon(daemon, SIGKILL);
+    killed.push_back(i);
+  }
+  SleepMs(fault.for_ms);
+  for (const size_t i : killed) {
+    this->cell.StartDaemon(this->cell.daemons[i]);
+    this->daemon_locks[i]->unlock();
+  }
+}
+
+void FaultInjector::PauseDaemon(const PlannedFault& fault, bool owner) {
+  const int current = this->cell.Owner();
+  const size_t i = owner && current >= 0
+                       ? static_cast<size_t>(current)
+                       : fault.seed % this->cell.daemons.size();
+  const std::unique_lock<std::mutex> lock(*this->daemon_locks[i],
+                                          std::try_to_lock);
+  if (!lock.owns_lock()) return;
+  Daemon& daemon = this->cell.daemons[i];
+  this->NoteDaemon(daemon.name, fault, 0);
+  Cell::Signal(daemon, SIGSTOP);
+  SleepMs(fault.for_ms);
+  Cell::Signal(daemon, SIGCONT);
+}
+
+void FaultInjector::TerminateDaemon(const PlannedFault& fault) {
+  const size_t i = fault.seed % this->cell.daemons.size();
+  const std::unique_lock<std::mutex> lock(*this->daemon_locks[i],
+                                          std::try_to_lock);
+  if (!lock.owns_lock()) return;
+  Daemon& daemon = this->cell.daemons[i];
+  if (daemon.pid < 0) return;
+  this->NoteDaemon(daemon.name, fault, kGraceMs);
+  Cell::Signal(daemon, SIGTERM);
+  bool ended = false;
+  for (int64_t waited_ms = 0; waited_ms < kGraceMs && !ended;
+       waited_ms += kPollMs) {
+    SleepMs(kPollMs);
+    ended = waitpid(daemon.pid, nullptr, WNOHANG) == daemon.pid;
+  }
+  if (ended) {
+    daemon.pid = -1;
+  } else {
+    this->cell.Say(daemon.name + " did not stop within its grace period");
+    Cell::KillDaemon(daemon, SIGKILL);
+  }
+  this->cell.StartDaemon(daemon);
+}
+
+void FaultInjector::WorkerCrashThread(size_t index, const PlannedFault& fault,
+                                      bool cut_after) {
+  const std::unique_lock<std::mutex> lock(*this->worker_locks[index],
+                                          std::try_to_lock);
+  if (!lock.owns_lock()) return;
+  CellWorker& worker = *this->cell.workers[index];
+  worker.Crash();
+  constexpr int64_t kShortDownMs = 400;
+  SleepMs(cut_after ? kShortDownMs : fault.for_ms);
+  if (!fault.same_id) {
+    worker.SetId("i-" + std::to_string(9000 + this->new_ids++));
+  }
+  while (!worker.Boot()) SleepMs(kPollMs);
+  if (!cut_after) return;
+  SleepMs(fault.delay_ms);
+  worker.SetCut(true);
+  SleepMs(fault.for_ms);
+  worker.SetCut(false);
+}
+
+void FaultInjector::CrashWorkers(const PlannedFault& fault, bool cut_after) {
+  std::vector<std::thread> crashes;
+  for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
+    crashes.emplace_back([this, i, &fault, cut_after] {
+      this->WorkerCrashThread(i, fault, cut_after);
+    });
+  }
+  for (std::thread& thread : crashes) thread.join();
+}
+
+void FaultInjector::CutWorkers(const PlannedFault& fault) {
+  std::vector<size_t> cut;
+  for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
+    if (!this->worker_locks[i]->try_lock()) continue;
+    this->cell.workers[i]->SetCut(true);
+    cut.push_back(i);
+  }
+  SleepMs(fault.for_ms);
+  for (const size_t i : cut) {
+    this->cell.workers[i]->SetCut(false);
+    this->worker_locks[i]->unlock();
+  }
+}
+
+void FaultInjector::DisturbOrders(const PlannedFault& fault) {
+  constexpr double kAllPercent = 100;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool late = fault.kind == FaultKind::kOrdersLate;
+    this->order_fault.loses = true;
+    this->order_fault.late_ms = late ? fault.delay_ms : 0;
+    this->order_fault.percent =
+        static_cast<uint32_t>(fault.share * kAllPercent);
+  }
+  SleepMs(fault.for_ms);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->order_fault = {};
+}
+
+void FaultInjector::KeepProcessorBusy(const PlannedFault& fault) {
+  this->NoteDaemon("", fault, 0);
+  const int64_t until_ms = NowMs() + fault.for_ms;
+  std::vector<std::thread> busy;
+  const unsigned count = 2 * std::max(std::thread::hardware_concurrency(), 1U);
+  for (unsigned i = 0; i < count; ++i) {
+    busy.emplace_back([until_ms] {
+      while (NowMs() < until_ms) {
+      }
+    });
+  }
+  for (std::thread& thread : busy) thread.join();
+}
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/FaultInjector.h
@@ -0,0 +1,65 @@
+/// Carries the faults of a plan out on a cell, each in a thread of its own.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/soak/Cell.h"
+#include "tests/platform/soak/FaultPlan.h"
+
+namespace dotterelcove::soak {
+
+/// What workers do with orders now.
+struct OrderFault {
+  bool loses = false;
+  /// A lost order is carried out after this time, at once if 0.
+  int64_t late_ms = 0;
+  uint32_t percent = 0;
+};
+
+class FaultInjector {
+ public:
+  FaultInjector(Cell& cell, uint64_t seed);
+  /// Waits for the faults under way.
+  ~FaultInjector();
+  FaultInjector(const FaultInjector&) = delete;
+  FaultInjector& operator=(const FaultInjector&) = delete;
+
+  void Begin(const PlannedFault& fault);
+  /// Waits for the faults under way, then restores all daemons and workers.
+  void Finish();
+
+ private:
+  void CarryOut(const PlannedFault& fault);
+  void DisturbStore(const PlannedFault& fault, bool all);
+  void KillDaemons(const PlannedFault& fault);
+  void PauseDaemon(const PlannedFault& fault, bool owner);
+  void TerminateDaemon(const PlannedFault& fault);
+  void CrashWorkers(const PlannedFault& fault, bool cut_after);
+  void CutWorkers(const PlannedFault& fault);
+  void DisturbOrders(const PlannedFault& fault);
+  void KeepProcessorBusy(const PlannedFault& fault);
+  std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
+  void WorkerCrashThread(size_t index, const PlannedFault& fault,
+                         bool cut_after);
+  bool LoseOrder(int64_t& late_ms);
+  void NoteDaemon(const std::string& daemon, const PlannedFault& fault,
+                  int64_t extra_ms);
+
+  Cell& cell;
+  std::mutex mutex;
+  std::mt19937_64 random;
+  OrderFault order_fault;
+  std::vector<std::thread> threads;
+  /// One thread at a time restarts or cuts a worker or signals a daemon.
+  std::vector<std::unique_ptr<std::mutex>> worker_locks;
+  std::vector<std::unique_ptr<std::mutex>> daemon_locks;
+  std::atomic<uint64_t> new_ids{0};
+  std::atomic<uint64_t> manifests{0};
+};
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -0,0 +1,131 @@
+#include "tests/platform/soak/FaultPlan.h"
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+
+namespace dotterelcove::soak {
+namespace {
+
+/// Faults begin once the first jobs run.
+constexpr int64_t kFirstFaultMs = 4'000;
+/// The last faults end before the traffic does.
+constexpr int64_t kQuietEndMs = 4'000;
+constexpr int64_t kMeanPauseMs = 1'800;
+
+constexpr StoreFaultKind kTurningAway[] = {
+    StoreFaultKind::kRefuse,      StoreFaultKind::kThrottle,
+    StoreFaultKind::kResetBefore, StoreFaultKind::kResetAfter,
+    StoreFaultKind::kSilent,      StoreFaultKind::kErrorAfter};
+
+using Engine = std::mt19937_64;
+
+int64_t Between(Engine& random, int64_t least, int64_t most) {
+  return std::uniform_int_distribution<int64_t>(least, most)(random);
+}
+
+double ShareBetween(Engine& random, double least, double most) {
+  return std::uniform_real_distribution<double>(least, most)(random);
+}
+
+StoreFaultKind AnyTurningAway(Engine& random) {
+  return kTurningAway[Between(random, 0, std::size(kTurningAway) - 1)];
+}
+
+void DrawDetails(Engine& random, PlannedFault& fault) {
+  fault.for_ms = Between(random, 1'000, 6'000);
+  fault.seed = random();
+  fault.same_id = Between(random, 0, 1) == 1;
+  fault.reset_connections = Between(random, 0, 1) == 1;
+  switch (fault.kind) {
+    case FaultKind::kStoreTurnsAway:
+      fault.store = AnyTurningAway(random);
+      fault.share = ShareBetween(random, 0.2, 0.8);
+      return;
+    case FaultKind::kStoreDown:
+      fault.store = AnyTurningAway(random);
+      fault.for_ms = Between(random, 500, 4'000);
+      return;
+    case FaultKind::kStoreSlow:
+      fault.store = StoreFaultKind::kSlow;
+      fault.delay_ms = Between(random, 30, 400);
+      return;
+    case FaultKind::kStoreLosesAnswers:
+      fault.store = StoreFaultKind::kLoseAnswer;
+      fault.share = ShareBetween(random, 0.1, 0.5);
+      return;
+    case FaultKind::kStorePerformsLate:
+      fault.store = StoreFaultKind::kPerformLate;
+      fault.share = ShareBetween(random, 0.1, 0.5);
+      fault.delay_ms = Between(random, 1'000, 6'000);
+      return;
+    case FaultKind::kOwnerKilled:
+    case FaultKind::kDaemonsKilled:
+      fault.share = ShareBetween(random, 0.1, 1.0);
+      fault.for_ms = Between(random, 300, 2'000);
+      return;
+    case FaultKind::kWorkersCrash:
+      fault.share = ShareBetween(random, 0.05, 0.4);
+      fault.for_ms = Between(random, 300, 3'000);
+      return;
+    case FaultKind::kWorkersCut:
+      fault.share = ShareBetween(random, 0.05, 0.4);
+      return;
+    case FaultKind::kWorkersRestartAndCut:
+      fault.share = ShareBetween(random, 0.05, 0.3);
+      fault.same_id = true;
+      fault.delay_ms = Between(random, 100, 2'000);
+      fault.for_ms = Between(random, 4'000, 6'000);
+      return;
+    case FaultKind::kOrdersLate:
+    case FaultKind::kOrderAnswersLost:
+      fault.share = ShareBetween(random, 0.05, 0.5);
+      fault.delay_ms = Between(random, 500, 6'000);
+      return;
+    default:
+      return;
+  }
+}
+
+}  // namespace
+
+std::vector<PlannedFault> MakeFaultPlan(uint64_t seed, int64_t traffic_ms,
+                                        const std::vector<FaultKind>& only) {
+  Engine random(seed);
+  std::vector<PlannedFault> plan;
+  std::exponential_distribution<double> pause(1.0 / kMeanPauseMs);
+  int64_t at_ms = kFirstFaultMs;
+  const int64_t end_ms = traffic_ms - kQuietEndMs;
+  constexpr auto kKinds = static_cast<int64_t>(FaultKind::kProcessorBusy);
+  while (at_ms < end_ms) {
+    PlannedFault fault;
+    fault.at_ms = at_ms;
+    fault.kind =
+        only.empty()
+            ? static_cast<FaultKind>(Between(random, 0, kKinds))
+            : only[Between(random, 0, static_cast<int64_t>(only.size()) - 1)];
+    DrawDetails(random, fault);
+    fault.for_ms = std::min(fault.for_ms, end_ms - at_ms + 1'000);
+    plan.push_back(fault);
+    at_ms += static_cast<int64_t>(pause(random));
+  }
+  return plan;
+}
+
+std::string Describe(const PlannedFault& fault) {
+  std::string text(NameOf(kFaultKindNames, fault.kind));
+  text += " at " + std::to_string(fault.at_ms) + " for " +
+          std::to_string(fault.for_ms) + " ms, share " +
+          std::to_string(static_cast<int>(fault.share * 100)) + " %";
+  if (fault.store != StoreFaultKind::kNone) {
+    text += ", " + std::string(NameOf(kStoreFaultKindNames, fault.store));
+  }
+  if (fault.delay_ms > 0) {
+    text += ", delay " + std::to_string(fault.delay_ms) + " ms";
+  }
+  if (fault.same_id) text += ", same id";
+  if (fault.reset_connections) text += ", connections reset";
+  return text;
+}
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/FaultPlan.h
@@ -0,0 +1,88 @@
+/// The faults of one soak, drawn from its seed.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/NameTable.h"
+#include "tests/platform/soak/StoreStandin.h"
+
+namespace dotterelcove::soak {
+
+enum class FaultKind : uint8_t {
+  /// The store turns a share of the daemons away.
+  kStoreTurnsAway,
+  /// The same for all daemons.
+  kStoreDown,
+  kStoreSlow,
+  kStoreLosesAnswers,
+  kStorePerformsLate,
+  kHistoryDropped,
+  kOwnerKilled,
+  kDaemonsKilled,
+  /// A daemon is stopped (SIGSTOP) and continued.
+  kDaemonPaused,
+  kOwnerPaused,
+  kDaemonTerminated,
+  kSettingsReloaded,
+  kManifestChanged,
+  /// Workers crash and restart, under their id or another one.
+  kWorkersCrash,
+  /// Workers are cut off and run on.
+  kWorkersCut,
+  /// Workers crash, restart under their id and are cut off soon after.
+  kWorkersRestartAndCut,
+  /// Workers answer no order and carry it out late.
+  kOrdersLate,
+  /// Workers carry orders out and do not answer.
+  kOrderAnswersLost,
+  /// More busy threads than processor cores.
+  kProcessorBusy,
+};
+inline constexpr auto kFaultKindNames = MakeNameTable<FaultKind>(
+    {{FaultKind::kStoreTurnsAway, "store-turns-away"},
+     {FaultKind::kStoreDown, "store-down"},
+     {FaultKind::kStoreSlow, "store-slow"},
+     {FaultKind::kStoreLosesAnswers, "store-loses-answers"},
+     {FaultKind::kStorePerformsLate, "store-performs-late"},
+     {FaultKind::kHistoryDropped, "history-dropped"},
+     {FaultKind::kOwnerKilled, "owner-killed"},
+     {FaultKind::kDaemonsKilled, "daemons-killed"},
+     {FaultKind::kDaemonPaused, "daemon-paused"},
+     {FaultKind::kOwnerPaused, "owner-paused"},
+     {FaultKind::kDaemonTerminated, "daemon-terminated"},
+     {FaultKind::kSettingsReloaded, "settings-reloaded"},
+     {FaultKind::kManifestChanged, "manifest-changed"},
+     {FaultKind::kWorkersCrash, "workers-crash"},
+     {FaultKind::kWorkersCut, "workers-cut"},
+     {FaultKind::kWorkersRestartAndCut, "workers-restart-and-cut"},
+     {FaultKind::kOrdersLate, "orders-late"},
+     {FaultKind::kOrderAnswersLost, "order-answers-lost"},
+     {FaultKind::kProcessorBusy, "processor-busy"}});
+
+struct PlannedFault {
+  int64_t at_ms = 0;
+  int64_t for_ms = 0;
+  FaultKind kind = FaultKind::kStoreDown;
+  /// Share of the daemons, workers or calls that it meets.
+  double share = 1;
+  /// How the store behaves, for faults of the store.
+  StoreFaultKind store = StoreFaultKind::kNone;
+  /// Delay of late or slow calls.
+  int64_t delay_ms = 0;
+  /// Restarted workers keep their id.
+  bool same_id = true;
+  bool reset_connections = false;
+  /// For the choices made when the fault begins.
+  uint64_t seed = 0;
+};
+
+/// Draws the faults of a soak whose traffic lasts `traffic_ms`. `only` names
+/// the kinds to choose from; empty for all.
+std::vector<PlannedFault> MakeFaultPlan(uint64_t seed, int64_t traffic_ms,
+                                        const std::vector<FaultKind>& only);
+
+std::string Describe(const PlannedFault& fault);
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/Judge.h
@@ -0,0 +1,54 @@
+/// Decides from what clients, workers and the store saw whether a soak broke a
+/// rule of RULES.md. Knows nothing of the daemons' own logs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/NameTable.h"
+#include "tests/platform/soak/Observations.h"
+
+namespace dotterelcove::soak {
+
+enum class Rule : uint8_t {
+  kTwice,
+  kRefused,
+  kLost,
+  kConfig,
+  kBudget,
+  kOrder,
+  kOne
+};
+inline constexpr auto kRuleNames =
+    MakeNameTable<Rule>({{Rule::kTwice, "TWICE"},
+                         {Rule::kRefused, "REFUSED"},
+                         {Rule::kLost, "LOST"},
+                         {Rule::kConfig, "CONFIG"},
+                         {Rule::kBudget, "BUDGET"},
+                         {Rule::kOrder, "ORDER"},
+                         {Rule::kOne, "ONE"}});
+
+/// One case in which a rule is broken.
+struct Violation {
+  int64_t at_ms = 0;
+  Rule rule = Rule::kTwice;
+  /// The job, the task or the VM.
+  std::string subject;
+  std::string text;
+};
+
+/// Bounds of the deployment that the rules name, in milliseconds.
+struct JudgeBounds {
+  int64_t visible_ms = 3'000;
+  int64_t config_apply_ms = 2'000;
+  int64_t stable_window_ms = 3'000;
+  int64_t max_skew_ms = 5'000;
+  int64_t finish_ms = 14'000;
+};
+
+/// All violations, in order of time.
+std::vector<Violation> Judge(const Observations& seen,
+                             const JudgeBounds& bounds);
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/Observations.h
@@ -0,0 +1,145 @@
+/// What the clients, the workers and the store of a soak have seen, for the
+/// judge. All times are milliseconds of the soak's steady clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/NameTable.h"
+
+namespace dotterelcove::soak {
+
+/// One step of a job as it was handed in.
+struct StepSpec {
+  uint32_t count = 1;
+  std::vector<uint32_t> after;
+  bool gang = false;
+  bool long_running = false;
+};
+
+/// One job as its client handed it in, in all attempts alike.
+struct JobSpec {
+  std::string id;
+  /// Name of the queue in the manifest.
+  std::string queue;
+  std::vector<StepSpec> steps;
+  /// Runs that may end `failed` before the job may be given up.
+  uint32_t attempts = 0;
+};
+
+enum class ClientMethod : uint8_t { kSubmit, kQuery, kCancel };
+inline constexpr auto kClientMethodNames =
+    MakeNameTable<ClientMethod>({{ClientMethod::kSubmit, "submit"},
+                                 {ClientMethod::kQuery, "query"},
+                                 {ClientMethod::kCancel, "cancel"}});
+
+/// One call of a client to a daemon.
+struct ClientCall {
+  int64_t sent_ms = 0;
+  /// When the answer was complete, or the client gave up.
+  int64_t ended_ms = 0;
+  ClientMethod method = ClientMethod::kSubmit;
+  std::string job;
+  std::string queue;
+  std::string daemon;
+  /// HTTP status, 0 without an answer.
+  int status = 0;
+  /// The state in the answer to a query, empty without one.
+  std::string state;
+};
+
+enum class RunEventKind : uint8_t {
+  kStart,
+  kDone,
+  kFailed,
+  kStopped,
+  kLapsed,
+  kBroken,
+  kAlone,
+  /// The worker crashed, or restarted, with this run on it.
+  kCrashed,
+  /// An end `done` was acknowledged, and the lease had not lapsed since it.
+  kDoneAcknowledged,
+  /// An end `failed` was acknowledged, and the lease had not lapsed since it.
+  kFailedAcknowledged,
+};
+inline constexpr auto kRunEventKindNames = MakeNameTable<RunEventKind>(
+    {{RunEventKind::kStart, "start"},
+     {RunEventKind::kDone, "done"},
+     {RunEventKind::kFailed, "failed"},
+     {RunEventKind::kStopped, "stopped"},
+     {RunEventKind::kLapsed, "lapsed"},
+     {RunEventKind::kBroken, "broken"},
+     {RunEventKind::kAlone, "alone"},
+     {RunEventKind::kCrashed, "crashed"},
+     {RunEventKind::kDoneAcknowledged, "done_acknowledged"},
+     {RunEventKind::kFailedAcknowledged, "failed_acknowledged"}});
+
+/// Something that happened to one run of a task on a worker.
+struct RunEvent {
+  int64_t at_ms = 0;
+  RunEventKind kind = RunEventKind::kStart;
+  /// "JOB.OCCURRENCE.STEP.INDEX".
+  std::string task;
+  uint32_t run = 0;
+  std::string worker;
+  /// The worker's incarnation.
+  uint64_t incarnation = 0;
+  /// Fencing token of the order, for `kStart`.
+  uint64_t token = 0;
+  /// The start was carried out later than it was received.
+  bool is_late = false;
+};
+
+/// A manifest that the store has confirmed.
+struct ManifestChange {
+  int64_t confirmed_ms = 0;
+  uint64_t version = 0;
+  /// The queues that it has.
+  std::vector<std::string> queues;
+};
+
+/// An order to the VM service, which it has accepted.
+struct VmOrder {
+  int64_t at_ms = 0;
+  std::string vm;
+  std::string holder;
+  uint64_t token = 0;
+};
+
+/// A disruption of one daemon, or of the store for all when `daemon` is empty.
+struct Disruption {
+  int64_t from_ms = 0;
+  int64_t to_ms = 0;
+  std::string daemon;
+  /// For the reader: the kind and its variant.
+  std::string what;
+};
+
+/// The life of a worker that could run tasks.
+struct WorkerLife {
+  std::string worker;
+  uint64_t incarnation = 0;
+  int64_t from_ms = 0;
+  /// INT64_MAX while it lasts.
+  int64_t to_ms = 0;
+  int64_t milli_cores = 0;
+};
+
+struct Observations {
+  std::map<std::string, JobSpec> jobs;
+  std::vector<ClientCall> calls;
+  /// In order of time.
+  std::vector<RunEvent> runs;
+  std::vector<ManifestChange> manifests;
+  std::vector<VmOrder> vm_orders;
+  std::vector<Disruption> disruptions;
+  std::vector<WorkerLife> lives;
+  /// When the last job was handed in, and when the final questions were asked.
+  int64_t traffic_end_ms = 0;
+  int64_t asked_ms = 0;
+};
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/RawHttp.h
@@ -0,0 +1,70 @@
+/// Minimal blocking HTTP/1.1 server and client for the review's stand-ins.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dotterelcove::soak {
+
+/// Milliseconds of the steady clock.
+int64_t NowMs();
+/// Unix milliseconds.
+int64_t WallNowMs();
+void SleepMs(int64_t ms);
+
+struct Request {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  /// By lower-case name.
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+struct Reply {
+  int status = 200;
+  std::string body = "{}";
+  /// Resets the channel instead of answering.
+  bool reset = false;
+};
+
+using Handler = std::function<Reply(const Request&)>;
+
+struct ServerState;
+
+/// Serves each channel in a thread of its own.
+class Server {
+ public:
+  Server(std::string ip, uint16_t port, Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+  /// Returns false if the address cannot be used.
+  bool Start();
+  /// Closes the listening socket and resets all open channels.
+  void Stop();
+  /// Resets all open channels and goes on listening.
+  void ResetChannels();
+
+ private:
+  std::shared_ptr<ServerState> state;
+};
+
+struct Response {
+  /// 0 if there was no answer.
+  int status = 0;
+  std::string body;
+};
+
+/// One call on a new channel.
+Response Call(const std::string& ip, uint16_t port, const std::string& method,
+              const std::string& path,
+              const std::vector<std::pair<std::string, std::string>>& headers,
+              const std::string& body, int64_t timeout_ms);
+
+}  // namespace dotterelcove::soak
--- /dev/null
+++ b/tests/platform/soak/SoakMain.cpp
@@ -0,0 +1,214 @@
+/// A seeded soak of a whole cell: real daemons as separate processes on
+/// loopback, stand-ins for the platform, faults from outside, and a judge.
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <string>
+
+#include "tests/platform/soak/Cell.h"
+#include "tests/platform/soak/FaultInjector.h"
+#include "tests/platform/soak/FaultPlan.h"
+#include "tests/platform/soak/Judge.h"
+#include "tests/platform/soak/Traffic.h"
+
+namespace dotterelcove::soak {
+namespace {
+
+constexpr int kExitBroken = 1;
+constexpr int kExitUsage = 2;
+
+struct SoakOptions {
+  uint64_t seed = 1;
+  int64_t seconds = 40;
+  double jobs_per_second = 10;
+  std::string daemon_program = "build/dotterelcove-celld";
+  std::string folder;
+  std::string shape = "stepcare";
+  int daemons = 0;
+  int workers = 0;
+  std::vector<FaultKind> only;
+};
+
+void PrintUsage(std::FILE* out) {
+  std::fprintf(
+      out,
+      "Usage: cell_soak [options]\n"
+      "Plays one seeded soak of a cell and judges it.\n\n"
+      "  --seed N       draws jobs and faults; default 1\n"
+      "  --seconds N    length of the traffic; default 40\n"
+      "  --rate N       jobs a second; default 10\n"
+      "  --shape NAME   stepcare or yard; default stepcare\n"
+      "  --daemons N    number of daemons; default 9\n"
+      "  --workers N    number of workers; default 48\n"
+      "  --only A,B     kinds of fault to choose from; default all\n"
+      "  --daemon FILE  program of the daemon; default "
+      "build/dotterelcove-celld\n"
+      "  --folder DIR   logs, settings and record; default soak-SEED\n"
+      "  --help         print this text and exit\n\n"
+      "Exit codes: 0 no rule broken, 1 a rule broken or the cell did not\n"
+      "start, 2 wrong usage.\n");
+}
+
+bool ParseKinds(const std::string& text, std::vector<FaultKind>& kinds) {
+  size_t at = 0;
+  while (at <= text.size()) {
+    const size_t end = std::min(text.find(',', at), text.size());
+    const auto kind = ValueOf(kFaultKindNames, text.substr(at, end - at));
+    if (!kind) return false;
+    kinds.push_back(*kind);
+    at = end + 1;
+  }
+  return true;
+}
+
+/// Returns false for wrong usage.
+bool ParseOptions(int argc, char** argv, SoakOptions& options) {
+  const option table[] = {{"seed", required_argument, nullptr, 's'},
+                          {"seconds", required_argument, nullptr, 'l'},
+                          {"rate", required_argument, nullptr, 'r'},
+                          {"shape", required_argument, nullptr, 'p'},
+                          {"daemons", required_argument, nullptr, 'd'},
+                          {"workers", required_argument, nullptr, 'w'},
+                          {"only", required_argument, nullptr, 'o'},
+                          {"daemon", required_argument, nullptr, 'c'},
+                          {"folder", required_argument, nullptr, 'f'},
+                          {"help", no_argument, nullptr, 'h'},
+                          {nullptr, 0, nullptr, 0}};
+  int choice = 0;
+  while ((choice = getopt_long(argc, argv, "", table, nullptr)) != -1) {
+    switch (choice) {
+      case 's':
+        options.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'l':
+        options.seconds = std::atoll(optarg);
+        break;
+      case 'r':
+        options.jobs_per_second = std::atof(optarg);
+        break;
+      case 'p':
+        options.shape = optarg;
+        break;
+      case 'd':
+        options.daemons = std::atoi(optarg);
+        break;
+      case 'w':
+        options.workers = std::atoi(optarg);
+        break;
+      case 'o':
+        if (!ParseKinds(optarg, options.only)) return false;
+        break;
+      case 'c':
+        options.daemon_program = optarg;
+        break;
+      case 'f':
+        options.folder = optarg;
+        break;
+      case 'h':
+        PrintUsage(stdout);
+        std::exit(0);
+      default:
+        return false;
+    }
+  }
+  if (options.folder.empty()) {
+    options.folder = "soak-" + std::to_string(options.seed);
+  }
+  return optind == argc && options.seconds > 0 && options.jobs_per_second > 0;
+}
+
+/// Plays traffic and faults; returns what was seen.
+Observations Play(Cell& cell, const SoakOptions& options,
+                  const JudgeBounds& bounds) {
+  constexpr int64_t kMsPerSecond = 1'000;
+  constexpr int64_t kPollMs = 20;
+  const int64_t traffic_ms = options.seconds * kMsPerSecond;
+  const std::vector<PlannedFault> plan =
+      MakeFaultPlan(options.seed, traffic_ms, options.only);
+  FaultInjector injector(cell, options.seed);
+  Traffic traffic(cell, options.seed, options.jobs_per_second);
+  const int64_t began_ms = NowMs();
+  size_t next = 0;
+  while (NowMs() - began_ms < traffic_ms) {
+    while (next < plan.size() && NowMs() - began_ms >= plan[next].at_ms) {
+      injector.Begin(plan[next++]);
+    }
+    traffic.Advance();
+    SleepMs(kPollMs);
+  }
+  const int64_t traffic_end_ms = NowMs();
+  injector.Finish();
+  traffic.Finish();
+  cell.Say("traffic and faults have ended");
+  SleepMs(bounds.finish_ms);
+  const int64_t asked_ms = NowMs();
+  traffic.AskForAll();
+  Observations seen = cell.Collect();
+  seen.traffic_end_ms = traffic_end_ms;
+  seen.asked_ms = asked_ms;
+  return seen;
+}
+
+int Report(Cell& cell, const Observations& seen,
+           const std::vector<Violation>& found, const std::string& folder) {
+  std::map<std::string, int> counts;
+  std::ofstream file(folder + "/violations.txt");
+  for (const Violation& violation : found) {
+    const std::string rule(NameOf(kRuleNames, violation.rule));
+    counts[rule]++;
+    file << cell.At(violation.at_ms) << " " << rule << " " << violation.subject
+         << ": " << violation.text << "\n";
+  }
+  size_t accepted = 0;
+  size_t refused = 0;
+  for (const ClientCall& call : seen.calls) {
+    if (call.method != ClientMethod::kSubmit) continue;
+    if (call.status >= 200 && call.status < 300) ++accepted;
+    if (call.status == 503) ++refused;
+  }
+  std::string line = std::to_string(seen.jobs.size()) + " jobs, " +
+                     std::to_string(accepted) + " accepted, " +
+                     std::to_string(refused) + " attempts refused, " +
+                     std::to_string(seen.runs.size()) + " run events;";
+  for (const auto& [rule, count] : counts) {
+    line += " " + rule + " " + std::to_string(count);
+  }
+  if (counts.empty()) line += " no rule broken";
+  for (const Daemon& daemon : cell.daemons) {
+    if (daemon.ends > 0) line += "; " + daemon.name + " ended by itself";
+  }
+  cell.Say(line);
+  return counts.empty() ? 0 : kExitBroken;
+}
+
+int Main(int argc, char** argv) {
+  SoakOptions options;
+  CellOptions about;
+  if (!ParseOptions(argc, argv, options) ||
+      !FindShape(options.shape, about.shape)) {
+    PrintUsage(stderr);
+    return kExitUsage;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  about.seed = options.seed;
+  about.daemon_program = options.daemon_program;
+  about.folder = options.folder;
+  if (options.daemons > 0) about.shape.daemons = options.daemons;
+  if (options.workers > 0) about.shape.workers = options.workers;
+  Cell cell(about);
+  cell.Say("seed " + std::to_string(options.seed) + ", shape " + options.shape +
+           ", " + std::to_string(options.seconds) + " s");
+  if (!cell.Start()) return kExitBroken;
+  const JudgeBounds bounds;
+  const Observations seen = Play(cell, options, bounds);
+  return Report(cell, seen, Judge(seen, bounds), options.folder);
+}
+
+}  // namespace
+}  // namespace dotterelcove::soak
+
+int main(int argc, char** argv) { return dotterelcove::soak::Main(argc, argv); }
