Clients of the soak keep connections and retry as real ones

Each call had a connection of its own, only POSTs were retried, all within 3 s, and the daemon came from a counter that the threads shared. Clients now keep connections open until the daemon closes them, retry each call at the next daemon after no answer, a broken connection, 502 or 504, and after the time in Retry-After for 503 and 429. Some hand a job in again seconds after its 2xx, and some ask twice at once.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -19,26 +19,10 @@
 
 using Json = nlohmann::json;
 
-constexpr uint16_t kFrontPort = 8161;
 constexpr uint16_t kReadyPort = 8167;
 constexpr uint16_t kStorePort = 8169;
-constexpr const char* kHost = "nony24.example";
 constexpr const char* kService = "huvo11a";
 constexpr const char* kRegion = "region-1";
-constexpr int64_t kClientLimitMs = 3'000;
-constexpr int64_t kRetryAfterMs = 1'000;
-
-const char* HttpMethodOf(ClientMethod method) {
-  switch (method) {
-    case ClientMethod::kSubmit:
-      return "POST";
-    case ClientMethod::kQuery:
-      return "GET";
-    case ClientMethod::kCancel:
-      return "DELETE";
-  }
-  return "";
-}
 
 Json MakeRoute(const std::string& queue, uint32_t attempts) {
   return {{"name", "route-" + queue},
@@ -328,7 +312,8 @@
     SleepMs(kPollMs);
     const bool ready = std::all_of(
         this->daemons.begin(), this->daemons.end(), [](const Daemon& daemon) {
-          return Call(daemon.ip, kReadyPort, "GET", "/ready", {}, "", 1'000)
+          return Connection(daemon.ip, kReadyPort)
+                     .Call("GET", "/ready", {}, "", 1'000)
                      .status == 200;
         });
     if (ready) return true;
@@ -337,60 +322,14 @@
   return false;
 }
 
-ClientCall Cell::CallDaemon(ClientMethod method, const JobSpec& job,
-                            const std::string& body) {
-  const Daemon& daemon =
-      this->daemons[this->next_daemon++ % this->daemons.size()];
-  ClientCall call;
-  call.sent_ms = NowMs();
-  call.method = method;
-  call.job = job.id;
-  call.queue = job.queue;
-  call.daemon = daemon.name;
-  const Response response =
-      Call(daemon.ip, kFrontPort, HttpMethodOf(method),
-           "/" + job.queue + "/" + job.id,
-           {{"Host", kHost},
-            {"Content-Type", "application/json"},
-            {"X-Deadline-Ms", std::to_string(kClientLimitMs)}},
-           body, kClientLimitMs + 500);
-  call.ended_ms = NowMs();
-  call.status = response.status;
-  const Json answer = Json::parse(response.body, nullptr, false);
-  if (answer.is_object()) call.state = answer.value("state", std::string());
+void Cell::NoteJob(const JobSpec& job) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->seen.calls.push_back(call);
-  return call;
+  this->seen.jobs[job.id] = job;
 }
 
-bool Cell::Submit(const JobSpec& job, const std::string& body) {
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->seen.jobs[job.id] = job;
-  }
-  const int64_t until_ms = NowMs() + kClientLimitMs;
-  constexpr int kAttempts = 5;
-  for (int i = 0; i < kAttempts; ++i) {
-    const ClientCall call = this->CallDaemon(ClientMethod::kSubmit, job, body);
-    if (call.status >= 200 && call.status < 300) return true;
-    // Other answers are final.
-    const bool is_final = call.status >= 400 && call.status < 500;
-    if (is_final && call.status != 429) return false;
-    const int64_t pause_ms =
-        call.status == 503 || call.status == 429 ? kRetryAfterMs : 50;
-    if (NowMs() + pause_ms >= until_ms) return false;
-    SleepMs(pause_ms);
-  }
-  return false;
-}
-
-std::string Cell::StateOf(const JobSpec& job) {
-  const ClientCall call = this->CallDaemon(ClientMethod::kQuery, job, "");
-  return call.status == 200 ? call.state : std::string();
-}
-
-int Cell::Cancel(const JobSpec& job) {
-  return this->CallDaemon(ClientMethod::kCancel, job, "").status;
+void Cell::NoteCall(const ClientCall& call) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->seen.calls.push_back(call);
 }
 
 int Cell::Owner() {
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -21,6 +21,10 @@
 
 namespace dotterelcove::soak {
 
+/// Where the daemons serve clients, and the name that these call.
+inline constexpr uint16_t kFrontPort = 8161;
+inline constexpr const char* kHost = "nony24.example";
+
 /// Size and bounds of a deployment.
 struct CellShape {
   std::string name;
@@ -78,13 +82,8 @@
   /// Writes a line with the time into the record and to standard output.
   void Say(const std::string& line);
 
-  /// Hands a job in with up to 4 retries until a 2xx, or until the client's
-  /// time limit is over; returns whether it was accepted. After a 503 the
-  /// client waits for as long as Retry-After says.
-  bool Submit(const JobSpec& job, const std::string& body);
-  /// One query; an empty text without an answer of 200.
-  std::string StateOf(const JobSpec& job);
-  int Cancel(const JobSpec& job);
+  void NoteJob(const JobSpec& job);
+  void NoteCall(const ClientCall& call);
 
   /// Index of the daemon that the owner row in the store names, -1 for none.
   int Owner();
@@ -115,8 +114,6 @@
   std::vector<Daemon> daemons;
 
  private:
-  ClientCall CallDaemon(ClientMethod method, const JobSpec& job,
-                        const std::string& body);
   bool ChooseAddresses();
   bool StartWorkers();
   void WriteSettings(const Daemon& daemon);
@@ -131,7 +128,6 @@
   bool record_written = false;
   int64_t began_ms = 0;
   uint64_t manifest_version = 0;
-  std::atomic<uint64_t> next_daemon{0};
   std::atomic<bool> stopping{false};
   std::thread janitor;
   std::mutex owner_mutex;
--- a/tests/platform/soak/RawHttp.cpp
+++ b/tests/platform/soak/RawHttp.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
 #include <mutex>
@@ -248,51 +249,63 @@
 
 void Server::ResetChannels() { ResetAll(*this->state); }
 
-Response Call(const std::string& ip, uint16_t port, const std::string& method,
-              const std::string& path,
-              const std::vector<std::pair<std::string, std::string>>& headers,
-              const std::string& body, int64_t timeout_ms) {
-  Response response;
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  constexpr int64_t kMsPerSecond = 1'000;
-  timeval limit{};
-  limit.tv_sec = timeout_ms / kMsPerSecond;
-  limit.tv_usec = (timeout_ms % kMsPerSecond) * kMsPerSecond;
-  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-  const sockaddr_in address = AddressOf(ip, port);
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(fd);
-    return response;
+bool Connection::Open() {
+  if (this->fd >= 0) {
+    char next = 0;
+    const ssize_t count = recv(this->fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0 && errno == EAGAIN) return true;
+    this->Close();
+  }
+  this->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = AddressOf(this->ip, this->port);
+  return connect(this->fd, reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)) == 0;
+}
+
+void Connection::Close() {
+  if (this->fd >= 0) close(this->fd);
+  this->fd = -1;
+}
+
+bool Connection::Receive(Response& response) {
+  std::string buffer;
+  size_t end = 0;
+  while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
+    if (!ReadMore(this->fd, buffer)) return false;
   }
+  ParseHeaders(buffer.substr(0, end), response.headers);
+  const auto length = static_cast<size_t>(
+      std::atoll(response.headers["content-length"].c_str()));
+  while (buffer.size() < end + 4 + length) {
+    if (!ReadMore(this->fd, buffer)) return false;
+  }
+  constexpr size_t kStatusAt = 9;
+  response.status = std::atoi(buffer.c_str() + kStatusAt);
+  response.body = buffer.substr(end + 4, length);
+  return true;
+}
+
+Response Connection::Call(const std::string& method, const std::string& path,
+                          const Headers& headers, const std::string& body,
+                          int64_t timeout_ms) {
+  Response response;
   std::string text = method + " " + path + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : headers)
+  for (const auto& [name, value] : headers) {
     text += name + ": " + value + "\r\n";
+  }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  std::string buffer;
-  if (WriteAll(fd, text)) {
-    size_t end = 0;
-    bool open = true;
-    while ((end = buffer.find("\r\n\r\n")) == std::string::npos && open) {
-      open = ReadMore(fd, buffer);
-    }
-    if (end != std::string::npos) {
-      constexpr size_t kStatusAt = 9;
-      std::map<std::string, std::string> fields;
-      ParseHeaders(buffer.substr(0, end), fields);
-      const auto length =
-          static_cast<size_t>(std::atoll(fields["content-length"].c_str()));
-      while (buffer.size() < end + 4 + length && open) {
-        open = ReadMore(fd, buffer);
-      }
-      if (buffer.size() >= end + 4 + length) {
-        response.status = std::atoi(buffer.c_str() + kStatusAt);
-        response.body = buffer.substr(end + 4, length);
-      }
-    }
+  if (this->Open()) {
+    constexpr int64_t kMsPerSecond = 1'000;
+    timeval limit{};
+    limit.tv_sec = timeout_ms / kMsPerSecond;
+    limit.tv_usec = (timeout_ms % kMsPerSecond) * kMsPerSecond;
+    setsockopt(this->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    setsockopt(this->fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    if (WriteAll(this->fd, text)) this->Receive(response);
   }
-  close(fd);
+  const bool keeps =
+      response.status != 0 && response.headers["connection"] != "close";
+  if (!keeps) this->Close();
   return response;
 }
 
--- a/tests/platform/soak/RawHttp.h
+++ b/tests/platform/soak/RawHttp.h
@@ -58,13 +58,35 @@
 struct Response {
   /// 0 if there was no answer.
   int status = 0;
+  /// By lower-case name.
+  std::map<std::string, std::string> headers;
   std::string body;
 };
 
-/// One call on a new channel.
-Response Call(const std::string& ip, uint16_t port, const std::string& method,
-              const std::string& path,
-              const std::vector<std::pair<std::string, std::string>>& headers,
-              const std::string& body, int64_t timeout_ms);
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/// A connection of a client, kept open from call to call.
+class Connection {
+ public:
+  Connection(std::string ip, uint16_t port) : ip(std::move(ip)), port(port) {}
+  ~Connection() { this->Close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /// Opens the connection if it is not open, or if the server has closed it
+  /// since the last answer. Closes it if there is no whole answer.
+  Response Call(const std::string& method, const std::string& path,
+                const Headers& headers, const std::string& body,
+                int64_t timeout_ms);
+
+ private:
+  bool Open();
+  void Close();
+  bool Receive(Response& response);
+
+  std::string ip;
+  uint16_t port;
+  int fd = -1;
+};
 
 }  // namespace dotterelcove::soak
--- a/tests/platform/soak/Traffic.cpp
+++ b/tests/platform/soak/Traffic.cpp
@@ -43,6 +43,7 @@
 
 Traffic::Traffic(Cell& cell, uint64_t seed, double jobs_per_second)
     : cell(cell),
+      calls(cell),
       random(seed),
       jobs_per_second(jobs_per_second),
       next_ms(NowMs()) {}
@@ -87,22 +88,64 @@
       job->spec.steps.push_back({2, {}, false, false});
       break;
   }
-  constexpr uint64_t kOneInCancels = 25;
-  job->cancels = this->random() % kOneInCancels == 0;
   job->body = Json{{"spec", spec}, {"steps", steps}}.dump();
+  job->steps = this->DrawClient();
+  job->daemon = this->random();
   return job;
 }
 
-void Traffic::Hand(Job& job, uint64_t seed) {
-  std::mt19937_64 choice(seed);
-  job.accepted = this->cell.Submit(job.spec, job.body);
+std::vector<ClientStep> Traffic::DrawClient() {
   constexpr uint64_t kMostPauseMs = 3'000;
-  constexpr int kQueries = 3;
+  constexpr uint64_t kOneInCancels = 25;
+  constexpr uint64_t kOneInHandsInAgain = 12;
+  constexpr uint64_t kOneInAsksTwice = 6;
+  std::vector<ClientStep> steps(3);
+  for (ClientStep& step : steps) {
+    step.pause_ms = static_cast<int64_t>(this->random() % kMostPauseMs);
+    if (this->random() % kOneInAsksTwice == 0) {
+      step.action = ClientAction::kAskTwice;
+    }
+  }
+  if (this->random() % kOneInHandsInAgain == 0) {
+    steps[this->random() % 2].action = ClientAction::kHandInAgain;
+  }
+  if (this->random() % kOneInCancels == 0) {
+    steps[1].action = ClientAction::kCancel;
+  }
+  return steps;
+}
+
+void Traffic::PlayClient(Job& job) {
+  size_t daemon = job.daemon;
+  this->cell.NoteJob(job.spec);
+  const ClientCall handed =
+      this->calls.Ask(ClientMethod::kSubmit, job.spec, job.body, daemon);
+  job.accepted = handed.status >= 200 && handed.status < 300;
   if (!job.accepted) return;
-  for (int i = 0; i < kQueries; ++i) {
-    SleepMs(static_cast<int64_t>(choice() % kMostPauseMs));
-    if (job.cancels && i == 1) this->cell.Cancel(job.spec);
-    this->cell.StateOf(job.spec);
+  for (const ClientStep& step : job.steps) {
+    if (!this->calls.Pause(step.pause_ms)) return;
+    // New connections of a client reach other daemons.
+    ++daemon;
+    const auto ask = [&](size_t first) {
+      this->calls.Ask(ClientMethod::kQuery, job.spec, "", first);
+    };
+    switch (step.action) {
+      case ClientAction::kAsk:
+        ask(daemon);
+        break;
+      case ClientAction::kAskTwice: {
+        std::thread other([&] { ask(daemon + 1); });
+        ask(daemon);
+        other.join();
+        break;
+      }
+      case ClientAction::kHandInAgain:
+        this->calls.Ask(ClientMethod::kSubmit, job.spec, job.body, daemon);
+        break;
+      case ClientAction::kCancel:
+        this->calls.Ask(ClientMethod::kCancel, job.spec, "", daemon);
+        break;
+    }
   }
 }
 
@@ -114,27 +157,29 @@
     this->next_ms += static_cast<int64_t>(pause(this->random)) + 1;
     this->jobs.push_back(this->MakeJob());
     Job& job = *this->jobs.back();
-    const uint64_t seed = this->random();
-    this->clients.emplace_back([this, &job, seed] { this->Hand(job, seed); });
+    this->clients.emplace_back([this, &job] { this->PlayClient(job); });
   }
 }
 
 void Traffic::Finish() {
+  this->calls.End();
   for (std::thread& client : this->clients) client.join();
   this->clients.clear();
 }
 
 void Traffic::AskForAll() {
   constexpr size_t kAskers = 8;
-  constexpr int kTries = 3;
+  constexpr size_t kTries = 5;
   std::vector<std::thread> askers;
   for (size_t first = 0; first < kAskers; ++first) {
     askers.emplace_back([this, first] {
       for (size_t i = first; i < this->jobs.size(); i += kAskers) {
         const Job& job = *this->jobs[i];
         if (!job.accepted) continue;
-        for (int attempt = 0; attempt < kTries; ++attempt) {
-          if (!this->cell.StateOf(job.spec).empty()) break;
+        for (size_t attempt = 0; attempt < kTries; ++attempt) {
+          const ClientCall call = this->calls.Ask(
+              ClientMethod::kQuery, job.spec, "", job.daemon + attempt);
+          if (!call.state.empty()) break;
         }
       }
     });
--- a/tests/platform/soak/Traffic.h
+++ b/tests/platform/soak/Traffic.h
@@ -9,9 +9,25 @@
 #include <vector>
 
 #include "tests/platform/soak/Cell.h"
+#include "tests/platform/soak/Clients.h"
 
 namespace dotterelcove::soak {
 
+enum class ClientAction : uint8_t {
+  kAsk,
+  /// Two clients ask for the job at once.
+  kAskTwice,
+  /// The request that was accepted arrives again.
+  kHandInAgain,
+  kCancel,
+};
+
+/// One step of a client, after a pause.
+struct ClientStep {
+  int64_t pause_ms = 0;
+  ClientAction action = ClientAction::kAsk;
+};
+
 class Traffic {
  public:
   Traffic(Cell& cell, uint64_t seed, double jobs_per_second);
@@ -21,22 +37,27 @@
 
   /// Hands in the jobs that are due. To be called often.
   void Advance();
-  /// Waits for the clients under way.
+  /// Ends the clients under way, which wait for nothing more.
   void Finish();
-  /// Asks for each job that was accepted, until an answer or three times.
+  /// Asks for each job that was accepted, until an answer or five times.
   void AskForAll();
 
  private:
   struct Job {
     JobSpec spec;
     std::string body;
-    bool cancels = false;
+    /// What its client does once the job is accepted.
+    std::vector<ClientStep> steps;
+    /// Index of the first daemon that is called.
+    size_t daemon = 0;
     std::atomic<bool> accepted{false};
   };
-  void Hand(Job& job, uint64_t seed);
+  void PlayClient(Job& job);
   std::unique_ptr<Job> MakeJob();
+  std::vector<ClientStep> DrawClient();
 
   Cell& cell;
+  Clients calls;
   std::mt19937_64 random;
   double jobs_per_second;
   int64_t next_ms = 0;
