--- /dev/null
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -0,0 +1,248 @@
+/// The orders that a worker carries out.
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "tests/platform/soak/CellWorker.h"
+
+namespace dotterelcove::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+/// How long a stop takes; the pages allow 900 ms.
+constexpr int64_t kStopMs = 30;
+constexpr size_t kMaxEnds = 500;
+constexpr int64_t kCheckpointMs = 500;
+constexpr int64_t kRestoreMs = 600;
+constexpr int kHexBase = 16;
+
+int64_t WorkOf(const std::string& spec) {
+  const size_t at = spec.find("ms=");
+  return at == std::string::npos ? 0 : std::atoll(spec.c_str() + at + 3);
+}
+
+/// The checkpoint after `worked_ms` of work, empty before the first one.
+std::string CheckpointAt(int64_t worked_ms) {
+  if (worked_ms < kCheckpointMs) return {};
+  const int64_t saved_ms = worked_ms / kCheckpointMs * kCheckpointMs;
+  char text[32];
+  std::snprintf(text, sizeof(text), "%016llx",
+                static_cast<unsigned long long>(saved_ms));
+  return text;
+}
+
+}  // namespace
+
+void CellWorker::Extend(int64_t deadline) {
+  const int64_t longest_ms = this->Clock() + this->options.max_hold_ms;
+  this->deadline_ms =
+      std::max(this->deadline_ms, std::min(deadline, longest_ms));
+}
+
+Reply CellWorker::Handle(const Request& request) {
+  const std::string& path = request.path;
+  uint64_t number = 0;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    number = this->life;
+    const auto wanted = request.headers.find("x-expect-instance");
+    if (wanted != request.headers.end() && wanted->second != this->options.id) {
+      Reply reply;
+      reply.status = 421;
+      reply.body = this->ClockBody("");
+      return reply;
+    }
+  }
+  const Json body = Json::parse(request.body, nullptr, false);
+  const std::string task =
+      body.is_object() ? body.value("task", std::string()) : std::string();
+  int64_t late_ms = -1;
+  if (this->is_cut()) return this->HoldBack();
+  if (this->lose && this->lose(path, task, late_ms)) {
+    if (late_ms >= 0) this->CarryOutLate(request, late_ms);
+    return this->HoldBack();
+  }
+  const Reply reply = this->Perform(request, number);
+  return this->is_cut() ? this->HoldBack() : reply;
+}
+
+Reply CellWorker::Perform(const Request& request, uint64_t number) {
+  const std::string& path = request.path;
+  if (path == "/run-start") return this->Start(request.body, false);
+  if (path == "/run-stop") return this->Stop(request.body);
+  if (path == "/hold") return this->Hold(request.body, number);
+  Reply reply;
+  reply.status = path == "/health" || path == "/pace" ? 200 : 400;
+  return reply;
+}
+
+Reply CellWorker::HoldBack() {
+  // Longer than any caller waits for an answer.
+  constexpr int64_t kSilenceMs = 8'000;
+  constexpr int64_t kPollMs = 50;
+  for (int64_t held_ms = 0; held_ms < kSilenceMs && !this->has_ended();
+       held_ms += kPollMs) {
+    SleepMs(kPollMs);
+  }
+  Reply reply;
+  reply.reset = true;
+  return reply;
+}
+
+void CellWorker::CarryOutLate(const Request& request, int64_t late_ms) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const uint64_t number = this->life;
+  this->late.emplace_back([this, request, late_ms, number] {
+    constexpr int64_t kPollMs = 50;
+    for (int64_t waited_ms = 0; waited_ms < late_ms; waited_ms += kPollMs) {
+      if (this->has_ended()) return;
+      SleepMs(kPollMs);
+    }
+    if (!this->is_up()) return;
+    if (!this->late_across_lives && this->Life() != number) return;
+    if (request.path == "/run-start") this->Start(request.body, true);
+    if (request.path == "/run-stop") this->Stop(request.body);
+    if (request.path == "/hold") this->Hold(request.body, 0);
+  });
+}
+
+Reply CellWorker::Start(const std::string& text, bool is_late) {
+  const Json body = Json::parse(text);
+  const std::string task = body.at("task");
+  const uint32_t run = body.at("run");
+  const uint64_t fence = body.value("fencing_token", uint64_t{0});
+  const int64_t deadline = body.at("deadline_ms");
+  const std::string spec = body.value("spec", std::string());
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reply reply;
+  reply.status = 409;
+  if (fence < this->token) {
+    reply.body = this->ClockBody("fence");
+    return reply;
+  }
+  this->token = fence;
+  if (deadline <= this->Clock()) {
+    reply.body = this->ClockBody("late");
+    return reply;
+  }
+  this->Extend(deadline);
+  const auto known = this->runs.find(task);
+  const bool is_there = known != this->runs.end() && known->second.run == run;
+  const bool is_old = this->over[task] >= run ||
+                      (known != this->runs.end() && known->second.run > run);
+  if (is_old && !is_there) {
+    reply.body = this->ClockBody("old");
+    return reply;
+  }
+  if (!is_there) {
+    Run begun;
+    begun.run = run;
+    begun.began_ms = NowMs();
+    begun.work_ms = WorkOf(spec);
+    begun.fails = spec.find("fail") != std::string::npos;
+    begun.lasts = spec.find("lasts") != std::string::npos;
+    begun.saves = spec.find("save") != std::string::npos;
+    const std::string checkpoint = body.value("checkpoint", std::string());
+    if (!checkpoint.empty()) {
+      begun.began_ms +=
+          kRestoreMs - std::strtoll(checkpoint.c_str(), nullptr, kHexBase);
+    }
+    this->runs[task] = begun;
+    this->Note(RunEventKind::kStart, task, run, is_late);
+  }
+  reply.status = 200;
+  reply.body = this->ClockBody("");
+  return reply;
+}
+
+Reply CellWorker::Stop(const std::string& text) {
+  const Json body = Json::parse(text);
+  const std::string task = body.at("task");
+  const uint32_t run = body.at("run");
+  const uint64_t fence = body.value("fencing_token", uint64_t{0});
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reply reply;
+  if (fence < this->token) {
+    reply.status = 409;
+    reply.body = this->ClockBody("fence");
+    return reply;
+  }
+  this->token = fence;
+  this->over[task] = std::max(this->over[task], run);
+  const auto found = this->runs.find(task);
+  if (found != this->runs.end() && found->second.run <= run &&
+      found->second.stop_ms == 0) {
+    found->second.stop_ms = NowMs() + kStopMs;
+  }
+  reply.body = this->ClockBody("");
+  return reply;
+}
+
+int64_t CellWorker::PercentOf(const Run& run, int64_t now_ms) {
+  constexpr int64_t kAll = 100;
+  constexpr int64_t kStartupMs = 400;
+  const int64_t worked_ms = std::max<int64_t>(now_ms - run.began_ms, 0);
+  if (run.lasts) return worked_ms >= kStartupMs ? kAll : 0;
+  if (run.work_ms == 0) return 0;
+  return std::min<int64_t>(worked_ms * kAll / run.work_ms, kAll - 1);
+}
+
+Reply CellWorker::Hold(const std::string& text, uint64_t number) {
+  const Json body = Json::parse(text);
+  const uint64_t fence = body.value("fencing_token", uint64_t{0});
+  const uint64_t acked = body.value("ack_cursor", uint64_t{0});
+  const int64_t deadline = body.value("deadline_ms", int64_t{0});
+  const int64_t wait_ms = body.value("wait_ms", int64_t{0});
+  std::unique_lock<std::mutex> lock(this->mutex);
+  Reply reply;
+  if (fence < this->token) {
+    reply.status = 409;
+    reply.body = this->ClockBody("fence");
+    return reply;
+  }
+  this->token = fence;
+  if (deadline > 0) this->Extend(deadline);
+  while (!this->ends.empty() && this->ends.front().number <= acked) {
+    const End& end = this->ends.front();
+    if (end.how == RunEventKind::kDone && !end.lapsed)
+      this->Note(RunEventKind::kDoneAcknowledged, end.task, end.run);
+    if (end.how == RunEventKind::kFailed && !end.lapsed)
+      this->Note(RunEventKind::kFailedAcknowledged, end.task, end.run);
+    this->ends.pop_front();
+  }
+  this->changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
+    return !this->ends.empty() || !this->up || this->life != number;
+  });
+  if (!this->up || this->life != number) {
+    reply.reset = true;
+    return reply;
+  }
+  Json running = Json::array();
+  const int64_t now_ms = NowMs();
+  for (const auto& [task, run] : this->runs) {
+    const int64_t percent = PercentOf(run, now_ms);
+    const std::string saved =
+        run.saves ? CheckpointAt(now_ms - run.began_ms) : std::string();
+    running.push_back({task, run.run, saved, percent, 0});
+  }
+  Json finished = Json::array();
+  for (const End& end : this->ends) {
+    if (finished.size() >= kMaxEnds) break;
+    finished.push_back({end.number, end.task, end.run,
+                        NameOf(kRunEventKindNames, end.how), ""});
+  }
+  reply.body = Json{{"clock_ms", this->Clock()},
+                    {"born", this->born},
+                    {"running", std::move(running)},
+                    {"finished", std::move(finished)}}
+                   .dump();
+  return reply;
+}
+
+}  // namespace dotterelcove::soak
