Daemons that a fault has ended stay up once the soak starts them again

A daemon that was started by the thread of a fault was killed as soon as that thread ended: the signal of PR_SET_PDEATHSIG is sent when the parent thread ends, not the parent process. So each daemon that was killed or terminated by the plan was away for the rest of the traffic.

--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -188,7 +188,7 @@
   }
   SleepMs(fault.for_ms);
   for (const size_t i : killed) {
-    this->cell.StartDaemon(this->cell.daemons[i]);
+    this->cell.daemons[i].restart_ms = NowMs();
     this->daemon_locks[i]->unlock();
   }
 }
@@ -236,7 +236,7 @@
     this->cell.Say(daemon.name + " did not stop within its grace period");
     Cell::KillDaemon(daemon, SIGKILL);
   }
-  this->cell.StartDaemon(daemon);
+  daemon.restart_ms = NowMs();
 }
 
 void FaultInjector::WorkerCrashThread(size_t index, const PlannedFault& fault,
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -30,8 +30,9 @@
   FaultInjector& operator=(const FaultInjector&) = delete;
 
   void Begin(const PlannedFault& fault);
-  /// Notes the daemons that have ended by themselves, and starts them again
-  /// after a second. To be called often.
+  /// Notes the daemons that have ended by themselves, and starts those that
+  /// are due. To be called often, and by the main thread only: a daemon is
+  /// killed when the thread ends that has started it.
   void RestartEnded();
   /// Waits for the faults under way, then restores all daemons and workers.
   void Finish();
