--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -14,16 +14,24 @@
 constexpr int64_t kGraceMs = 6'000;
 constexpr int64_t kPollMs = 50;
 
+bool LoseOrder(OrderFault& fault, int64_t& late_ms) {
+  const std::lock_guard<std::mutex> lock(fault.mutex);
+  constexpr uint64_t kAll = 100;
+  if (fault.random() % kAll >= fault.percent) return false;
+  late_ms = fault.late_ms;
+  return true;
+}
+
 }  // namespace
 
 FaultInjector::FaultInjector(Cell& cell, uint64_t seed)
-    : cell(cell), random(seed) {
+    : cell(cell), order_fault(std::make_shared<OrderFault>()) {
+  this->order_fault->random.seed(seed);
   for (const auto& worker : cell.workers) {
     this->worker_locks.push_back(std::make_unique<std::mutex>());
-    worker->lose = [this](const std::string&, const std::string&,
-                          int64_t& late_ms) {
-      return this->LoseOrder(late_ms);
-    };
+    worker->lose = [fault = this->order_fault](
+                       const std::string&, const std::string&,
+                       int64_t& late_ms) { return LoseOrder(*fault, late_ms); };
   }
   for (size_t i = 0; i < cell.daemons.size(); ++i) {
     this->daemon_locks.push_back(std::make_unique<std::mutex>());
@@ -32,15 +40,6 @@
 
 FaultInjector::~FaultInjector() { this->Finish(); }
 
-bool FaultInjector::LoseOrder(int64_t& late_ms) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  constexpr uint64_t kAll = 100;
-  if (!this->order_fault.loses) return false;
-  if (this->random() % kAll >= this->order_fault.percent) return false;
-  late_ms = this->order_fault.late_ms;
-  return true;
-}
-
 void FaultInjector::Begin(const PlannedFault& fault) {
   this->cell.Say(Describe(fault));
   this->threads.emplace_back([this, fault] { this->CarryOut(fault); });
@@ -286,16 +285,15 @@
 void FaultInjector::DisturbOrders(const PlannedFault& fault) {
   constexpr double kAllPercent = 100;
   {
-    const std::lock_guard<std::mutex> lock(this->mutex);
+    const std::lock_guard<std::mutex> lock(this->order_fault->mutex);
     const bool late = fault.kind == FaultKind::kOrdersLate;
-    this->order_fault.loses = true;
-    this->order_fault.late_ms = late ? fault.delay_ms : 0;
-    this->order_fault.percent =
+    this->order_fault->late_ms = late ? fault.delay_ms : 0;
+    this->order_fault->percent =
         static_cast<uint32_t>(fault.share * kAllPercent);
   }
   SleepMs(fault.for_ms);
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  this->order_fault = {};
+  const std::lock_guard<std::mutex> lock(this->order_fault->mutex);
+  this->order_fault->percent = 0;
 }
 
 void FaultInjector::KeepProcessorBusy(const PlannedFault& fault) {
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -13,11 +13,14 @@
 
 namespace dotterelcove::soak {
 
-/// What workers do with orders now.
+/// What workers do with orders now. Shared with the workers, whose last calls
+/// come after the injector's end.
 struct OrderFault {
-  bool loses = false;
+  std::mutex mutex;
+  std::mt19937_64 random;
   /// A lost order is carried out after this time, at once if 0.
   int64_t late_ms = 0;
+  /// Share of the orders that are lost.
   uint32_t percent = 0;
 };
 
@@ -51,14 +54,11 @@
   std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
   void WorkerCrashThread(size_t index, const PlannedFault& fault,
                          bool cut_after);
-  bool LoseOrder(int64_t& late_ms);
   void NoteDaemon(const std::string& daemon, const PlannedFault& fault,
                   int64_t extra_ms);
 
   Cell& cell;
-  std::mutex mutex;
-  std::mt19937_64 random;
-  OrderFault order_fault;
+  std::shared_ptr<OrderFault> order_fault;
   std::vector<std::thread> threads;
   /// One thread at a time restarts or cuts a worker or signals a daemon.
   std::vector<std::unique_ptr<std::mutex>> worker_locks;
