Gangs, drains, chance failures and maintenance waves in the soak

A tenth of the jobs begins with a gang: its members meet on a board that all workers share, work from the arrival of the last one, and end alone after 3 s, broken when another ends otherwise, or done together. Some runs fail by chance, drawn from the job, the task and the run. Some steps bound the tasks a worker. Workers report that they drain, leave 2 s later or more, and come back under another id. The lives of the workers are noted as well.

What the stand-in of the worker got wrong, found by reading: - A start that was in progress when its worker crashed could begin on the worker afterwards and never end, which the judge takes for a second run. - A hold that came between the lapse of a lease and the next tick renewed it; and lapses were noted up to a tick later than they happened. - The entry of a worker that came back under another id within 4.5 s stayed in the store for good.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -21,6 +21,8 @@
 
 constexpr uint16_t kReadyPort = 8167;
 constexpr uint16_t kStorePort = 8169;
+/// The last two numbers of the address of the VM service.
+constexpr const char* kVmServiceIp = "0.79";
 constexpr const char* kService = "huvo11a";
 constexpr const char* kRegion = "region-1";
 
@@ -69,6 +71,7 @@
     KillDaemon(daemon, SIGKILL);
   }
   if (this->janitor.joinable()) this->janitor.join();
+  this->vms.reset();
   for (const auto& worker : this->workers) worker->Crash();
   if (this->store) this->store->Stop();
   // Threads of connections end within a short time after the stops above.
@@ -156,7 +159,9 @@
         {"row_bytes", 65536},
         {"history_s", 20}}},
       {"cloud_api",
-       {{"address", this->net + "0.79:8169"}, {"rate_per_s", 60.0}}}};
+       {{"address",
+         this->net + kVmServiceIp + ":" + std::to_string(kStorePort)},
+        {"rate_per_s", 60.0}}}};
   std::ofstream(daemon.settings_file) << settings.dump(2);
 }
 
@@ -258,8 +263,8 @@
     about.memory_mb = shape.memory_mb;
     about.max_hold_ms = shape.max_hold_ms;
     about.clock_rate = kRates[i % 3];
-    this->workers.push_back(
-        std::make_unique<CellWorker>(about, *this->store, this->log));
+    this->workers.push_back(std::make_unique<CellWorker>(
+        about, *this->store, this->gangs, this->log));
     if (!this->workers.back()->Boot()) return false;
   }
   this->janitor = std::thread([this] {
@@ -286,6 +291,12 @@
     this->Say("the address of a worker is in use");
     return false;
   }
+  this->vms = std::make_unique<VmService>(this->net + kVmServiceIp, kStorePort,
+                                          this->workers, *this->store);
+  if (!this->vms->Start()) {
+    this->Say("the address of the VM service is in use");
+    return false;
+  }
   const CellShape& shape = this->options.shape;
   for (int i = 0; i < shape.daemons; ++i) {
     Daemon daemon;
@@ -344,6 +355,12 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   Observations collected = this->seen;
   collected.runs = this->log.All();
+  collected.vm_orders = this->vms->Orders();
+  for (const auto& worker : this->workers) {
+    for (const WorkerLife& life : worker->lives()) {
+      collected.lives.push_back(life);
+    }
+  }
   return collected;
 }
 
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -18,6 +18,7 @@
 #include "tests/platform/soak/Observations.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
+#include "tests/platform/soak/VmService.h"
 
 namespace dotterelcove::soak {
 
@@ -109,9 +110,11 @@
   const CellOptions& about() const { return this->options; }
 
   std::unique_ptr<StoreStandin> store;
+  GangBoard gangs;
   EventLog log;
   std::vector<std::unique_ptr<CellWorker>> workers;
   std::vector<Daemon> daemons;
+  std::unique_ptr<VmService> vms;
 
  private:
   bool ChooseAddresses();
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -13,7 +13,10 @@
 using Json = nlohmann::json;
 
 constexpr int64_t kHeartbeatMs = 1'500;
+/// Entries of workers that have been silent for this long are removed.
+constexpr int64_t kSilenceMs = 3 * kHeartbeatMs;
 constexpr int64_t kTickMs = 10;
+constexpr int64_t kGangTimeoutMs = 3'000;
 
 }  // namespace
 
@@ -24,12 +27,17 @@
 
 std::vector<RunEvent> EventLog::All() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->events;
+  std::vector<RunEvent> all = this->events;
+  // Lapses are noted up to a tick later than they happen.
+  std::stable_sort(
+      all.begin(), all.end(),
+      [](const RunEvent& a, const RunEvent& b) { return a.at_ms < b.at_ms; });
+  return all;
 }
 
 CellWorker::CellWorker(CellWorkerOptions options, StoreStandin& store,
-                       EventLog& log)
-    : options(std::move(options)), store(store), log(log) {}
+                       GangBoard& gangs, EventLog& log)
+    : options(std::move(options)), store(store), gangs(gangs), log(log) {}
 
 CellWorker::~CellWorker() {
   this->Crash();
@@ -55,11 +63,19 @@
     this->over.clear();
     this->ends.clear();
     this->last_end = 0;
+    this->leaves_ms = 0;
+    this->all_lives.push_back({this->options.id, this->born, NowMs(), INT64_MAX,
+                               this->options.milli_cores});
   }
   this->server = std::make_unique<Server>(
       this->options.ip, this->options.port,
       [this](const Request& request) { return this->Handle(request); });
-  if (!this->server->Start()) return false;
+  if (!this->server->Start()) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->up = false;
+    this->all_lives.pop_back();
+    return false;
+  }
   this->Register();
   this->ticker = std::thread([this, number] { this->Tick(number); });
   return true;
@@ -69,9 +85,12 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (!this->up) return;
+    this->EndRuns();
     this->up = false;
+    this->all_lives.back().to_ms = NowMs();
     for (const auto& [task, run] : this->runs) {
       this->Note(RunEventKind::kCrashed, task, run.run);
+      if (!run.gang.first.empty()) this->gangs.Leave(run.gang);
     }
     this->runs.clear();
   }
@@ -80,37 +99,63 @@
   if (this->ticker.joinable()) this->ticker.join();
 }
 
-bool CellWorker::is_up() const {
+uint64_t CellWorker::Life() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->up;
+  return this->life;
 }
 
-uint64_t CellWorker::Life() const {
+void CellWorker::SetId(const std::string& id) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->life;
+  this->former[this->options.id] = this->registered_ms + kSilenceMs;
+  this->options.id = id;
 }
 
-std::vector<std::string> CellWorker::Running() const {
+CellWorkerOptions CellWorker::about() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  std::vector<std::string> tasks;
-  for (const auto& [task, run] : this->runs) tasks.push_back(task);
-  return tasks;
+  return this->options;
+}
+
+void CellWorker::Drain(int64_t ms) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->leaves_ms = NowMs() + ms;
+  }
+  this->Register();
+}
+
+void CellWorker::Leave() {
+  this->Crash();
+  this->store.Remove("servers", this->options.id);
+}
+
+std::vector<WorkerLife> CellWorker::lives() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->all_lives;
 }
 
 void CellWorker::Expire() {
+  const int64_t now_ms = NowMs();
+  std::vector<std::string> expired;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& [id, until_ms] : this->former) {
+      if (now_ms >= until_ms) expired.push_back(id);
+    }
+    for (const std::string& id : expired) this->former.erase(id);
     const bool is_silent = !this->up || this->cut;
-    if (!is_silent || NowMs() - this->registered_ms < 3 * kHeartbeatMs) return;
+    if (is_silent && now_ms - this->registered_ms >= kSilenceMs) {
+      expired.push_back(this->options.id);
+    }
   }
-  this->store.Remove("servers", this->options.id);
+  for (const std::string& id : expired) this->store.Remove("servers", id);
 }
 
 void CellWorker::Note(RunEventKind kind, const std::string& task, uint32_t run,
                       bool is_late) {
   RunEvent event;
   event.is_late = is_late;
-  event.at_ms = NowMs();
+  const bool lapses = kind == RunEventKind::kLapsed;
+  event.at_ms = lapses ? std::min(this->LapseMs(), NowMs()) : NowMs();
   event.kind = kind;
   event.task = task;
   event.run = run;
@@ -152,6 +197,11 @@
     json["born"] = this->born;
     json["seq"] = ++this->seq;
     this->registered_ms = NowMs();
+    if (this->leaves_ms > 0) {
+      json["state"] = "draining";
+      json["drain_remaining_ms"] =
+          std::max<int64_t>(this->leaves_ms - NowMs(), 0);
+    }
   }
   this->store.Put("servers", this->options.id, json.dump());
 }
@@ -164,33 +214,65 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       if (!this->up || this->life != number) return;
-      const int64_t now_ms = NowMs();
-      if (this->Clock() >= this->deadline_ms) {
-        for (End& end : this->ends) end.lapsed = true;
-      }
-      std::vector<std::pair<std::string, RunEventKind>> over_now;
-      for (const auto& [task, run] : this->runs) {
-        if (this->Clock() >= this->deadline_ms) {
-          over_now.emplace_back(task, RunEventKind::kLapsed);
-        } else if (run.stop_ms > 0 && now_ms >= run.stop_ms) {
-          over_now.emplace_back(task, RunEventKind::kStopped);
-        } else if (!run.lasts && now_ms - run.began_ms >= run.work_ms) {
-          over_now.emplace_back(
-              task, run.fails ? RunEventKind::kFailed : RunEventKind::kDone);
-        }
-      }
-      for (const auto& [task, how] : over_now) this->Finish(task, how);
-      any = !over_now.empty();
-      registers = now_ms - this->registered_ms >= kHeartbeatMs;
+      any = this->EndRuns();
+      registers = NowMs() - this->registered_ms >= kHeartbeatMs;
     }
     if (any) this->changed.notify_all();
     if (registers) this->Register();
   }
 }
 
+bool CellWorker::EndRuns() {
+  if (this->Clock() >= this->deadline_ms) {
+    for (End& end : this->ends) end.lapsed = true;
+  }
+  std::vector<std::pair<std::string, RunEventKind>> over_now;
+  for (auto& [task, run] : this->runs) {
+    const auto how = this->EndOf(run);
+    if (how) over_now.emplace_back(task, *how);
+  }
+  for (const auto& [task, how] : over_now) this->Finish(task, how);
+  return !over_now.empty();
+}
+
+int64_t CellWorker::LapseMs() const {
+  const auto lasts_ms = static_cast<double>(this->deadline_ms);
+  return this->booted_ms +
+         static_cast<int64_t>(lasts_ms / this->options.clock_rate);
+}
+
+std::optional<RunEventKind> CellWorker::EndOf(Run& run) {
+  const int64_t now_ms = NowMs();
+  if (this->Clock() >= this->deadline_ms) return RunEventKind::kLapsed;
+  if (run.stop_ms > 0 && now_ms >= run.stop_ms) return RunEventKind::kStopped;
+  if (run.fails_ms > 0 && now_ms >= run.fails_ms) return RunEventKind::kFailed;
+  if (run.gang.first.empty()) {
+    if (run.lasts || now_ms - run.began_ms < run.work_ms) return std::nullopt;
+    return run.fails ? RunEventKind::kFailed : RunEventKind::kDone;
+  }
+  switch (this->gangs.StateOf(run.gang)) {
+    case GangState::kWaiting:
+      if (now_ms - run.waits_since_ms < kGangTimeoutMs) return std::nullopt;
+      return RunEventKind::kAlone;
+    case GangState::kAtWork:
+      if (run.waits_since_ms > 0) run.began_ms = now_ms;
+      run.waits_since_ms = 0;
+      return std::nullopt;
+    case GangState::kDone:
+      return RunEventKind::kDone;
+    case GangState::kBroken:
+      return RunEventKind::kBroken;
+  }
+  return std::nullopt;
+}
+
 void CellWorker::Finish(const std::string& task, RunEventKind how) {
   const auto found = this->runs.find(task);
   const uint32_t run = found->second.run;
+  const GangRun& gang = found->second.gang;
+  if (!gang.first.empty() && how != RunEventKind::kDone) {
+    this->gangs.Leave(gang);
+  }
   this->runs.erase(found);
   this->over[task] = std::max(this->over[task], run);
   this->ends.push_back({++this->last_end, task, run, how, false});
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -1,7 +1,8 @@
 /// Stand-in for a worker: runs tasks under fencing tokens and a lease, as
 /// PROTOCOL.md tells. A task's `spec` is "ms=N": it ends `done` after N ms of
 /// work; "ms=N fail" ends `failed`, "ms=N save" makes checkpoints, and "lasts"
-/// runs until it is stopped.
+/// runs until it is stopped. With "luck=N" some runs, drawn by N, the task and
+/// the run, end `failed`. With "gang=S:N" step S is a gang of N.
 #pragma once
 
 #include <condition_variable>
@@ -11,10 +12,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <semaphore>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "tests/platform/soak/GangBoard.h"
 #include "tests/platform/soak/Observations.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
@@ -51,7 +55,8 @@
 /// One worker, which can crash and start again.
 class CellWorker {
  public:
-  CellWorker(CellWorkerOptions options, StoreStandin& store, EventLog& log);
+  CellWorker(CellWorkerOptions options, StoreStandin& store, GangBoard& gangs,
+             EventLog& log);
   ~CellWorker();
   CellWorker(const CellWorker&) = delete;
   CellWorker& operator=(const CellWorker&) = delete;
@@ -62,13 +67,9 @@
   /// Ends it at once: everything on it is lost, channels are reset. Its entry
   /// stays in the store until it has been silent for three heartbeats.
   void Crash();
-  bool is_up() const;
-  /// The kind of the next life.
-  void SetKind(const std::string& kind) { this->options.kind = kind; }
-  void SetId(const std::string& id) { this->options.id = id; }
-  const CellWorkerOptions& about() const { return this->options; }
-  /// Tasks that run now.
-  std::vector<std::string> Running() const;
+  /// The id of the next life.
+  void SetId(const std::string& id);
+  CellWorkerOptions about() const;
   /// Answers from now on: called for each order with its path; returns true if
   /// the order shall get no answer. `late_ms` is then the time until it is
   /// carried out; negative for never.
@@ -79,8 +80,15 @@
   bool late_across_lives = false;
   /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
   void SetCut(bool cut);
-  /// Removes the entry if the worker has been silent for too long.
+  /// Reports that the worker leaves in `ms` at the earliest.
+  void Drain(int64_t ms);
+  /// Ends a life that drained: its entry is removed.
+  void Leave();
+  /// Removes entries that have been silent for too long.
   void Expire();
+  std::vector<WorkerLife> lives() const;
+  /// Taken by whoever crashes, cuts off or drains the worker, until it is back.
+  std::binary_semaphore free{1};
 
  private:
   struct Run {
@@ -92,6 +100,12 @@
     bool lasts = false;
     /// When a stop takes effect, 0 for none.
     int64_t stop_ms = 0;
+    /// When it ends `failed` by chance, 0 for never.
+    int64_t fails_ms = 0;
+    /// Its gang, with an empty name if it is no member of one.
+    GangRun gang;
+    /// Since when a member waits for the others, 0 once it works.
+    int64_t waits_since_ms = 0;
   };
   struct End {
     uint64_t number = 0;
@@ -103,8 +117,15 @@
   };
 
   Reply Handle(const Request& request);
-  Reply Start(const std::string& body, bool is_late);
-  Reply Stop(const std::string& body);
+  /// Whether an order of the life `number` under the token `fence` is carried
+  /// out; fills the reply otherwise.
+  bool Admit(uint64_t fence, uint64_t number, Reply& reply);
+  Reply Start(const std::string& body, uint64_t number, bool is_late);
+  Run MakeRun(const std::string& task, uint32_t run, const std::string& spec,
+              const std::string& checkpoint);
+  /// How the run ends now, if it does.
+  std::optional<RunEventKind> EndOf(Run& run);
+  Reply Stop(const std::string& body, uint64_t number);
   Reply Hold(const std::string& body, uint64_t life);
   void CarryOutLate(const Request& request, int64_t late_ms);
   uint64_t Life() const;
@@ -112,19 +133,25 @@
   bool has_ended() const;
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
-  Reply Perform(const Request& request, uint64_t life);
+  Reply Perform(const Request& request, uint64_t life, bool is_late);
   int64_t Clock() const;
   static int64_t PercentOf(const Run& run, int64_t now_ms);
   std::string ClockBody(const std::string& reason) const;
   void Extend(int64_t deadline_ms);
   void Finish(const std::string& task, RunEventKind how);
+  /// Ends the runs that are over, those whose lease has lapsed as of then.
+  /// Returns whether any is.
+  bool EndRuns();
   void Register();
   void Tick(uint64_t life);
   void Note(RunEventKind kind, const std::string& task, uint32_t run,
             bool is_late = false);
+  /// When the lease lapses, on the soak's clock.
+  int64_t LapseMs() const;
 
   CellWorkerOptions options;
   StoreStandin& store;
+  GangBoard& gangs;
   EventLog& log;
   mutable std::mutex mutex;
   std::condition_variable changed;
@@ -132,7 +159,12 @@
   std::thread ticker;
   bool up = false;
   bool cut = false;
+  /// When it leaves at the earliest, 0 while it does not drain.
+  int64_t leaves_ms = 0;
   bool ended = false;
+  /// Ids of former lives, and when their entries are removed.
+  std::map<std::string, int64_t> former;
+  std::vector<WorkerLife> all_lives;
   std::vector<std::thread> late;
   /// Number of lives so far.
   uint64_t life = 0;
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -22,9 +22,28 @@
 constexpr int64_t kRestoreMs = 600;
 constexpr int kHexBase = 16;
 
-int64_t WorkOf(const std::string& spec) {
-  const size_t at = spec.find("ms=");
-  return at == std::string::npos ? 0 : std::atoll(spec.c_str() + at + 3);
+/// The number behind "NAME=" in a task's spec, 0 without one.
+int64_t NumberIn(const std::string& spec, const std::string& name) {
+  const size_t at = spec.find(name + "=");
+  if (at == std::string::npos) return 0;
+  return std::atoll(spec.c_str() + at + name.size() + 1);
+}
+
+/// After how much time a run ends `failed` by chance, 0 for never.
+int64_t FailsAfterMs(const std::string& spec, const std::string& task,
+                     uint32_t run, int64_t work_ms) {
+  const int64_t luck = NumberIn(spec, "luck");
+  if (luck == 0) return 0;
+  const std::string name = task + "/" + std::to_string(run);
+  std::mt19937_64 random(std::hash<std::string>{}(name) ^
+                         static_cast<uint64_t>(luck));
+  constexpr uint64_t kOneInFails = 50;
+  constexpr uint64_t kOneLastingInFails = 4;
+  constexpr int64_t kMostMs = 8'000;
+  const bool lasts = work_ms == 0;
+  if (random() % (lasts ? kOneLastingInFails : kOneInFails) != 0) return 0;
+  const uint64_t most_ms = static_cast<uint64_t>(lasts ? kMostMs : work_ms);
+  return 1 + static_cast<int64_t>(random() % most_ms);
 }
 
 /// The checkpoint after `worked_ms` of work, empty before the first one.
@@ -68,14 +87,15 @@
     if (late_ms >= 0) this->CarryOutLate(request, late_ms);
     return this->HoldBack();
   }
-  const Reply reply = this->Perform(request, number);
+  const Reply reply = this->Perform(request, number, false);
   return this->is_cut() ? this->HoldBack() : reply;
 }
 
-Reply CellWorker::Perform(const Request& request, uint64_t number) {
+Reply CellWorker::Perform(const Request& request, uint64_t number,
+                          bool is_late) {
   const std::string& path = request.path;
-  if (path == "/run-start") return this->Start(request.body, false);
-  if (path == "/run-stop") return this->Stop(request.body);
+  if (path == "/run-start") return this->Start(request.body, number, is_late);
+  if (path == "/run-stop") return this->Stop(request.body, number);
   if (path == "/hold") return this->Hold(request.body, number);
   Reply reply;
   reply.status = path == "/health" || path == "/pace" ? 200 : 400;
@@ -83,13 +103,7 @@
 }
 
 Reply CellWorker::HoldBack() {
-  // Longer than any caller waits for an answer.
-  constexpr int64_t kSilenceMs = 8'000;
-  constexpr int64_t kPollMs = 50;
-  for (int64_t held_ms = 0; held_ms < kSilenceMs && !this->has_ended();
-       held_ms += kPollMs) {
-    SleepMs(kPollMs);
-  }
+  SleepUnless(kNoAnswerMs, [this] { return this->has_ended(); });
   Reply reply;
   reply.reset = true;
   return reply;
@@ -98,35 +112,71 @@
 void CellWorker::CarryOutLate(const Request& request, int64_t late_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const uint64_t number = this->life;
+  if (this->ended) return;
   this->late.emplace_back([this, request, late_ms, number] {
-    constexpr int64_t kPollMs = 50;
-    for (int64_t waited_ms = 0; waited_ms < late_ms; waited_ms += kPollMs) {
-      if (this->has_ended()) return;
-      SleepMs(kPollMs);
-    }
-    if (!this->is_up()) return;
-    if (!this->late_across_lives && this->Life() != number) return;
-    if (request.path == "/run-start") this->Start(request.body, true);
-    if (request.path == "/run-stop") this->Stop(request.body);
-    if (request.path == "/hold") this->Hold(request.body, 0);
+    if (!SleepUnless(late_ms, [this] { return this->has_ended(); })) return;
+    this->Perform(request, this->late_across_lives ? this->Life() : number,
+                  true);
   });
 }
 
-Reply CellWorker::Start(const std::string& text, bool is_late) {
+CellWorker::Run CellWorker::MakeRun(const std::string& task, uint32_t run,
+                                    const std::string& spec,
+                                    const std::string& checkpoint) {
+  Run begun;
+  const int64_t now_ms = NowMs();
+  begun.run = run;
+  begun.began_ms = now_ms;
+  begun.work_ms = NumberIn(spec, "ms");
+  begun.fails = spec.find("fail") != std::string::npos;
+  begun.lasts = spec.find("lasts") != std::string::npos;
+  begun.saves = spec.find("save") != std::string::npos;
+  const int64_t fails_ms = FailsAfterMs(spec, task, run, begun.work_ms);
+  if (fails_ms > 0) begun.fails_ms = now_ms + fails_ms;
+  if (!checkpoint.empty()) {
+    begun.began_ms +=
+        kRestoreMs - std::strtoll(checkpoint.c_str(), nullptr, kHexBase);
+  }
+  const std::string step = task.substr(0, task.rfind('.'));
+  const size_t gang = spec.find("gang=");
+  if (gang == std::string::npos) return begun;
+  const size_t colon = spec.find(':', gang);
+  const std::string number = spec.substr(gang + 5, colon - gang - 5);
+  if (!step.ends_with("." + number)) return begun;
+  begun.gang = {step, run};
+  begun.waits_since_ms = now_ms;
+  this->gangs.Join(begun.gang, task, std::stoul(spec.substr(colon + 1)),
+                   begun.work_ms);
+  return begun;
+}
+
+bool CellWorker::Admit(uint64_t fence, uint64_t number, Reply& reply) {
+  reply.reset = !this->up || this->life != number;
+  if (reply.reset) return false;
+  // No order renews a lease that has lapsed since the last tick.
+  this->EndRuns();
+  if (fence < this->token) {
+    reply.status = 409;
+    reply.body = this->ClockBody("fence");
+    return false;
+  }
+  this->token = fence;
+  return true;
+}
+
+Reply CellWorker::Start(const std::string& text, uint64_t number,
+                        bool is_late) {
   const Json body = Json::parse(text);
   const std::string task = body.at("task");
   const uint32_t run = body.at("run");
-  const uint64_t fence = body.value("fencing_token", uint64_t{0});
   const int64_t deadline = body.at("deadline_ms");
   const std::string spec = body.value("spec", std::string());
   const std::lock_guard<std::mutex> lock(this->mutex);
   Reply reply;
-  reply.status = 409;
-  if (fence < this->token) {
-    reply.body = this->ClockBody("fence");
+  if (!this->Admit(body.value("fencing_token", uint64_t{0}), number, reply)) {
     return reply;
   }
-  this->token = fence;
+  reply.status = 409;
   if (deadline <= this->Clock()) {
     reply.body = this->ClockBody("late");
     return reply;
@@ -141,19 +191,8 @@
     return reply;
   }
   if (!is_there) {
-    Run begun;
-    begun.run = run;
-    begun.began_ms = NowMs();
-    begun.work_ms = WorkOf(spec);
-    begun.fails = spec.find("fail") != std::string::npos;
-    begun.lasts = spec.find("lasts") != std::string::npos;
-    begun.saves = spec.find("save") != std::string::npos;
-    const std::string checkpoint = body.value("checkpoint", std::string());
-    if (!checkpoint.empty()) {
-      begun.began_ms +=
-          kRestoreMs - std::strtoll(checkpoint.c_str(), nullptr, kHexBase);
-    }
-    this->runs[task] = begun;
+    this->runs[task] =
+        this->MakeRun(task, run, spec, body.value("checkpoint", std::string()));
     this->Note(RunEventKind::kStart, task, run, is_late);
   }
   reply.status = 200;
@@ -161,19 +200,15 @@
   return reply;
 }
 
-Reply CellWorker::Stop(const std::string& text) {
+Reply CellWorker::Stop(const std::string& text, uint64_t number) {
   const Json body = Json::parse(text);
   const std::string task = body.at("task");
   const uint32_t run = body.at("run");
-  const uint64_t fence = body.value("fencing_token", uint64_t{0});
   const std::lock_guard<std::mutex> lock(this->mutex);
   Reply reply;
-  if (fence < this->token) {
-    reply.status = 409;
-    reply.body = this->ClockBody("fence");
+  if (!this->Admit(body.value("fencing_token", uint64_t{0}), number, reply)) {
     return reply;
   }
-  this->token = fence;
   this->over[task] = std::max(this->over[task], run);
   const auto found = this->runs.find(task);
   if (found != this->runs.end() && found->second.run <= run &&
@@ -189,24 +224,20 @@
   constexpr int64_t kStartupMs = 400;
   const int64_t worked_ms = std::max<int64_t>(now_ms - run.began_ms, 0);
   if (run.lasts) return worked_ms >= kStartupMs ? kAll : 0;
-  if (run.work_ms == 0) return 0;
+  if (run.work_ms == 0 || run.waits_since_ms > 0) return 0;
   return std::min<int64_t>(worked_ms * kAll / run.work_ms, kAll - 1);
 }
 
 Reply CellWorker::Hold(const std::string& text, uint64_t number) {
   const Json body = Json::parse(text);
-  const uint64_t fence = body.value("fencing_token", uint64_t{0});
   const uint64_t acked = body.value("ack_cursor", uint64_t{0});
   const int64_t deadline = body.value("deadline_ms", int64_t{0});
   const int64_t wait_ms = body.value("wait_ms", int64_t{0});
   std::unique_lock<std::mutex> lock(this->mutex);
   Reply reply;
-  if (fence < this->token) {
-    reply.status = 409;
-    reply.body = this->ClockBody("fence");
+  if (!this->Admit(body.value("fencing_token", uint64_t{0}), number, reply)) {
     return reply;
   }
-  this->token = fence;
   if (deadline > 0) this->Extend(deadline);
   while (!this->ends.empty() && this->ends.front().number <= acked) {
     const End& end = this->ends.front();
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -13,6 +13,8 @@
 /// A daemon that is told to stop is killed after this.
 constexpr int64_t kGraceMs = 6'000;
 constexpr int64_t kPollMs = 50;
+/// Most VMs of a wave that may be away at once.
+constexpr uint64_t kMostAway = 3;
 
 bool LoseOrder(OrderFault& fault, int64_t& late_ms) {
   const std::lock_guard<std::mutex> lock(fault.mutex);
@@ -28,7 +30,6 @@
     : cell(cell), order_fault(std::make_shared<OrderFault>()) {
   this->order_fault->random.seed(seed);
   for (const auto& worker : cell.workers) {
-    this->worker_locks.push_back(std::make_unique<std::mutex>());
     worker->lose = [fault = this->order_fault](
                        const std::string&, const std::string&,
                        int64_t& late_ms) { return LoseOrder(*fault, late_ms); };
@@ -119,13 +120,17 @@
       this->cell.WriteManifest({"extra" + std::to_string(this->manifests++)});
       return;
     case FaultKind::kWorkersCrash:
-      this->CrashWorkers(fault, false);
+    case FaultKind::kWorkersRestartAndCut:
+    case FaultKind::kWorkersDrain:
+      this->RestartWorkers(fault);
       return;
     case FaultKind::kWorkersCut:
       this->CutWorkers(fault);
       return;
-    case FaultKind::kWorkersRestartAndCut:
-      this->CrashWorkers(fault, true);
+    case FaultKind::kMaintenanceWave:
+      this->cell.vms->RequestWave(
+          this->Choose(fault, this->cell.workers.size()),
+          static_cast<int>(1 + fault.seed % kMostAway));
       return;
     case FaultKind::kOrdersLate:
     case FaultKind::kOrderAnswersLost:
@@ -238,19 +243,19 @@
   daemon.restart_ms = NowMs();
 }
 
-void FaultInjector::WorkerCrashThread(size_t index, const PlannedFault& fault,
-                                      bool cut_after) {
-  const std::unique_lock<std::mutex> lock(*this->worker_locks[index],
-                                          std::try_to_lock);
-  if (!lock.owns_lock()) return;
-  CellWorker& worker = *this->cell.workers[index];
-  worker.Crash();
-  constexpr int64_t kShortDownMs = 400;
-  SleepMs(cut_after ? kShortDownMs : fault.for_ms);
-  if (!fault.same_id) {
+void FaultInjector::Restart(CellWorker& worker, bool same_id) {
+  if (!same_id) {
     worker.SetId("i-" + std::to_string(9000 + this->new_ids++));
   }
   while (!worker.Boot()) SleepMs(kPollMs);
+}
+
+void FaultInjector::CrashWorker(CellWorker& worker, const PlannedFault& fault) {
+  const bool cut_after = fault.kind == FaultKind::kWorkersRestartAndCut;
+  constexpr int64_t kShortDownMs = 400;
+  worker.Crash();
+  SleepMs(cut_after ? kShortDownMs : fault.for_ms);
+  this->Restart(worker, fault.same_id);
   if (!cut_after) return;
   SleepMs(fault.delay_ms);
   worker.SetCut(true);
@@ -258,27 +263,44 @@
   worker.SetCut(false);
 }
 
-void FaultInjector::CrashWorkers(const PlannedFault& fault, bool cut_after) {
-  std::vector<std::thread> crashes;
+void FaultInjector::DrainWorker(CellWorker& worker, const PlannedFault& fault) {
+  constexpr int64_t kDrainMs = 2'000;
+  constexpr int64_t kAwayMs = 500;
+  worker.Drain(kDrainMs);
+  SleepMs(std::max(kDrainMs, fault.for_ms));
+  worker.Leave();
+  SleepMs(kAwayMs);
+  this->Restart(worker, false);
+}
+
+void FaultInjector::RestartWorkers(const PlannedFault& fault) {
+  std::vector<std::thread> threads_of_workers;
   for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
-    crashes.emplace_back([this, i, &fault, cut_after] {
-      this->WorkerCrashThread(i, fault, cut_after);
+    threads_of_workers.emplace_back([this, i, &fault] {
+      CellWorker& worker = *this->cell.workers[i];
+      if (!worker.free.try_acquire()) return;
+      if (fault.kind == FaultKind::kWorkersDrain) {
+        this->DrainWorker(worker, fault);
+      } else {
+        this->CrashWorker(worker, fault);
+      }
+      worker.free.release();
     });
   }
-  for (std::thread& thread : crashes) thread.join();
+  for (std::thread& thread : threads_of_workers) thread.join();
 }
 
 void FaultInjector::CutWorkers(const PlannedFault& fault) {
   std::vector<size_t> cut;
   for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
-    if (!this->worker_locks[i]->try_lock()) continue;
+    if (!this->cell.workers[i]->free.try_acquire()) continue;
     this->cell.workers[i]->SetCut(true);
     cut.push_back(i);
   }
   SleepMs(fault.for_ms);
   for (const size_t i : cut) {
     this->cell.workers[i]->SetCut(false);
-    this->worker_locks[i]->unlock();
+    this->cell.workers[i]->free.release();
   }
 }
 
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -47,21 +47,22 @@
   void KillDaemons(const PlannedFault& fault);
   void PauseDaemon(const PlannedFault& fault, bool owner);
   void TerminateDaemon(const PlannedFault& fault);
-  void CrashWorkers(const PlannedFault& fault, bool cut_after);
+  /// Crashes or drains workers, and starts them again.
+  void RestartWorkers(const PlannedFault& fault);
+  void CrashWorker(CellWorker& worker, const PlannedFault& fault);
+  void DrainWorker(CellWorker& worker, const PlannedFault& fault);
+  void Restart(CellWorker& worker, bool same_id);
   void CutWorkers(const PlannedFault& fault);
   void DisturbOrders(const PlannedFault& fault);
   void KeepProcessorBusy(const PlannedFault& fault);
   std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
-  void WorkerCrashThread(size_t index, const PlannedFault& fault,
-                         bool cut_after);
   void NoteDaemon(const std::string& daemon, const PlannedFault& fault,
                   int64_t extra_ms);
 
   Cell& cell;
   std::shared_ptr<OrderFault> order_fault;
   std::vector<std::thread> threads;
-  /// One thread at a time restarts or cuts a worker or signals a daemon.
-  std::vector<std::unique_ptr<std::mutex>> worker_locks;
+  /// One thread at a time signals a daemon or waits for its end.
   std::vector<std::unique_ptr<std::mutex>> daemon_locks;
   std::atomic<uint64_t> new_ids{0};
   std::atomic<uint64_t> manifests{0};
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -77,6 +77,13 @@
       fault.delay_ms = Between(random, 100, 2'000);
       fault.for_ms = Between(random, 4'000, 6'000);
       return;
+    case FaultKind::kWorkersDrain:
+      fault.share = ShareBetween(random, 0.05, 0.3);
+      fault.for_ms = Between(random, 2'000, 5'000);
+      return;
+    case FaultKind::kMaintenanceWave:
+      fault.share = ShareBetween(random, 0.05, 0.2);
+      return;
     case FaultKind::kOrdersLate:
     case FaultKind::kOrderAnswersLost:
       fault.share = ShareBetween(random, 0.05, 0.5);
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -33,6 +33,10 @@
   kWorkersCut,
   /// Workers crash, restart under their id and are cut off soon after.
   kWorkersRestartAndCut,
+  /// Workers report that they drain, leave, and come back under another id.
+  kWorkersDrain,
+  /// The operator asks for the maintenance of some workers' VMs.
+  kMaintenanceWave,
   /// Workers answer no order and carry it out late.
   kOrdersLate,
   /// Workers carry orders out and do not answer.
@@ -57,6 +61,8 @@
      {FaultKind::kWorkersCrash, "workers-crash"},
      {FaultKind::kWorkersCut, "workers-cut"},
      {FaultKind::kWorkersRestartAndCut, "workers-restart-and-cut"},
+     {FaultKind::kWorkersDrain, "workers-drain"},
+     {FaultKind::kMaintenanceWave, "maintenance-wave"},
      {FaultKind::kOrdersLate, "orders-late"},
      {FaultKind::kOrderAnswersLost, "order-answers-lost"},
      {FaultKind::kProcessorBusy, "processor-busy"}});
--- a/tests/platform/soak/RawHttp.cpp
+++ b/tests/platform/soak/RawHttp.cpp
@@ -35,6 +35,15 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+bool SleepUnless(int64_t ms, const std::function<bool()>& ended) {
+  constexpr int64_t kPollMs = 50;
+  for (const int64_t until_ms = NowMs() + ms; NowMs() < until_ms;) {
+    if (ended()) return false;
+    SleepMs(std::min(kPollMs, until_ms - NowMs() + 1));
+  }
+  return !ended();
+}
+
 struct ServerState {
   std::string ip;
   uint16_t port = 0;
--- a/tests/platform/soak/RawHttp.h
+++ b/tests/platform/soak/RawHttp.h
@@ -16,6 +16,10 @@
 /// Unix milliseconds.
 int64_t WallNowMs();
 void SleepMs(int64_t ms);
+/// Sleeps, and returns false as soon as `ended` returns true.
+bool SleepUnless(int64_t ms, const std::function<bool()>& ended);
+/// Longer than any caller waits for an answer.
+inline constexpr int64_t kNoAnswerMs = 8'000;
 
 struct Request {
   std::string method;
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -22,12 +22,12 @@
 constexpr int kExitUsage = 2;
 
 struct SoakOptions {
-  uint64_t seed = 1;
-  int64_t seconds = 40;
-  double jobs_per_second = 10;
-  std::string daemon_program = "build/dotterelcove-celld";
+  uint64_t seed = 0;
+  int64_t seconds = 0;
+  double jobs_per_second = 0;
+  std::string daemon_program;
   std::string folder;
-  std::string shape = "stepcare";
+  std::string shape;
   int daemons = 0;
   int workers = 0;
   std::vector<FaultKind> only;
@@ -67,58 +67,46 @@
 
 /// Returns false for wrong usage.
 bool ParseOptions(int argc, char** argv, SoakOptions& options) {
-  const option table[] = {{"seed", required_argument, nullptr, 's'},
-                          {"seconds", required_argument, nullptr, 'l'},
-                          {"rate", required_argument, nullptr, 'r'},
-                          {"shape", required_argument, nullptr, 'p'},
-                          {"daemons", required_argument, nullptr, 'd'},
-                          {"workers", required_argument, nullptr, 'w'},
-                          {"only", required_argument, nullptr, 'o'},
-                          {"daemon", required_argument, nullptr, 'c'},
-                          {"folder", required_argument, nullptr, 'f'},
+  const option table[] = {{"seed", required_argument, nullptr, 0},
+                          {"seconds", required_argument, nullptr, 0},
+                          {"rate", required_argument, nullptr, 0},
+                          {"shape", required_argument, nullptr, 0},
+                          {"daemons", required_argument, nullptr, 0},
+                          {"workers", required_argument, nullptr, 0},
+                          {"only", required_argument, nullptr, 0},
+                          {"daemon", required_argument, nullptr, 0},
+                          {"folder", required_argument, nullptr, 0},
                           {"help", no_argument, nullptr, 'h'},
                           {nullptr, 0, nullptr, 0}};
+  std::map<std::string, std::string> given;
   int choice = 0;
-  while ((choice = getopt_long(argc, argv, "", table, nullptr)) != -1) {
-    switch (choice) {
-      case 's':
-        options.seed = std::strtoull(optarg, nullptr, 10);
-        break;
-      case 'l':
-        options.seconds = std::atoll(optarg);
-        break;
-      case 'r':
-        options.jobs_per_second = std::atof(optarg);
-        break;
-      case 'p':
-        options.shape = optarg;
-        break;
-      case 'd':
-        options.daemons = std::atoi(optarg);
-        break;
-      case 'w':
-        options.workers = std::atoi(optarg);
-        break;
-      case 'o':
-        if (!ParseKinds(optarg, options.only)) return false;
-        break;
-      case 'c':
-        options.daemon_program = optarg;
-        break;
-      case 'f':
-        options.folder = optarg;
-        break;
-      case 'h':
-        PrintUsage(stdout);
-        std::exit(0);
-      default:
-        return false;
+  int index = 0;
+  while ((choice = getopt_long(argc, argv, "", table, &index)) != -1) {
+    if (choice == 'h') {
+      PrintUsage(stdout);
+      std::exit(0);
     }
+    if (choice != 0) return false;
+    given[table[index].name] = optarg;
   }
-  if (options.folder.empty()) {
-    options.folder = "soak-" + std::to_string(options.seed);
-  }
-  return optind == argc && options.seconds > 0 && options.jobs_per_second > 0;
+  const auto value = [&](const char* name, const std::string& otherwise) {
+    const auto found = given.find(name);
+    return found == given.end() ? otherwise : found->second;
+  };
+  const std::string seed = value("seed", "1");
+  options.seed = std::strtoull(seed.c_str(), nullptr, 10);
+  options.seconds = std::atoll(value("seconds", "40").c_str());
+  options.jobs_per_second = std::atof(value("rate", "10").c_str());
+  options.shape = value("shape", "stepcare");
+  options.daemons = std::atoi(value("daemons", "9").c_str());
+  options.workers = std::atoi(value("workers", "48").c_str());
+  options.daemon_program = value("daemon", "build/dotterelcove-celld");
+  options.folder = value("folder", "soak-" + seed);
+  const bool known_kinds =
+      !given.contains("only") || ParseKinds(given["only"], options.only);
+  return known_kinds && optind == argc && options.seconds > 0 &&
+         options.jobs_per_second > 0 && options.daemons > 0 &&
+         options.workers > 0;
 }
 
 /// Plays traffic and faults; returns what was seen.
@@ -206,8 +194,8 @@
   about.seed = options.seed;
   about.daemon_program = options.daemon_program;
   about.folder = options.folder;
-  if (options.daemons > 0) about.shape.daemons = options.daemons;
-  if (options.workers > 0) about.shape.workers = options.workers;
+  about.shape.daemons = options.daemons;
+  about.shape.workers = options.workers;
   Cell cell(about);
   cell.Say("seed " + std::to_string(options.seed) + ", shape " + options.shape +
            ", " + std::to_string(options.seconds) + " s");
--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 #include <utility>
 
+#include "base/Base64.h"
+
 namespace dotterelcove::soak {
 namespace {
 
@@ -14,12 +16,8 @@
 
 /// Time of one answer, as at the users' store.
 constexpr int64_t kAnswerMs = 4;
-/// How often a call that is held looks whether the store has stopped.
-constexpr int64_t kPollMs = 50;
 constexpr size_t kMaxRows = 500;
 constexpr size_t kMaxRowBytes = 65'536;
-constexpr const char* kAlphabet =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 std::string Field(const Request& request, const char* name) {
   const auto found = request.query.find(name);
@@ -47,25 +45,6 @@
 
 }  // namespace
 
-std::string ToBase64(const std::string& bytes) {
-  std::string text;
-  uint32_t bits = 0;
-  int count = 0;
-  for (const char c : bytes) {
-    bits = (bits << 8U) | static_cast<unsigned char>(c);
-    count += 8;
-    while (count >= 6) {
-      count -= 6;
-      text += kAlphabet[(bits >> static_cast<unsigned>(count)) & 63U];
-    }
-  }
-  if (count > 0) {
-    text += kAlphabet[(bits << static_cast<unsigned>(6 - count)) & 63U];
-  }
-  while (text.size() % 4 != 0) text += '=';
-  return text;
-}
-
 bool StoreStandin::Serve(const std::string& caller, const std::string& ip,
                          uint16_t port) {
   auto server = std::make_unique<Server>(
@@ -96,11 +75,9 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (this->stopped) return;
   this->late.emplace_back([this, request, late_ms] {
-    for (int64_t waited_ms = 0; waited_ms < late_ms; waited_ms += kPollMs) {
-      if (this->is_stopped()) return;
-      SleepMs(kPollMs);
-    }
-    this->Perform(request);
+    const bool waited =
+        SleepUnless(late_ms, [this] { return this->is_stopped(); });
+    if (waited) this->Perform(request);
   });
 }
 
@@ -136,12 +113,7 @@
 }
 
 Reply StoreStandin::Hold() {
-  // Longer than any caller waits for an answer.
-  constexpr int64_t kSilenceMs = 8'000;
-  for (int64_t held_ms = 0; held_ms < kSilenceMs && !this->is_stopped();
-       held_ms += kPollMs) {
-    SleepMs(kPollMs);
-  }
+  SleepUnless(kNoAnswerMs, [this] { return this->is_stopped(); });
   Reply reply;
   reply.reset = true;
   return reply;
@@ -165,7 +137,7 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     written = ++this->version;
-    this->Apply({table, "", key}, ToBase64(text), false, written);
+    this->Apply({table, "", key}, EncodeBase64(text), false, written);
   }
   this->changed.notify_all();
   return written;
--- a/tests/platform/soak/StoreStandin.h
+++ b/tests/platform/soak/StoreStandin.h
@@ -29,8 +29,6 @@
   bool dropped = false;
 };
 
-std::string ToBase64(const std::string& bytes);
-
 /// What the store does with the calls of one daemon.
 enum class StoreFaultKind : uint8_t {
   kNone,
--- a/tests/platform/soak/Traffic.cpp
+++ b/tests/platform/soak/Traffic.cpp
@@ -13,21 +13,18 @@
 enum class JobKind : uint8_t { kShort, kChain, kLasting, kFailing, kGang };
 
 /// Shares of the kinds of job, in percent.
-struct Share {
-  JobKind kind;
-  uint32_t percent;
-};
-constexpr Share kShares[] = {{JobKind::kShort, 62},
-                             {JobKind::kChain, 28},
-                             {JobKind::kLasting, 5},
-                             {JobKind::kFailing, 5}};
+constexpr std::pair<JobKind, uint64_t> kShares[] = {{JobKind::kShort, 54},
+                                                    {JobKind::kChain, 26},
+                                                    {JobKind::kGang, 10},
+                                                    {JobKind::kLasting, 5},
+                                                    {JobKind::kFailing, 5}};
 
 JobKind DrawKind(std::mt19937_64& random) {
   constexpr uint64_t kAll = 100;
   uint64_t drawn = random() % kAll;
-  for (const Share& share : kShares) {
-    if (drawn < share.percent) return share.kind;
-    drawn -= share.percent;
+  for (const auto& [kind, percent] : kShares) {
+    if (drawn < percent) return kind;
+    drawn -= percent;
   }
   return JobKind::kShort;
 }
@@ -60,10 +57,12 @@
   job->spec.attempts = this->cell.about().attempts;
   Json steps = Json::array();
   std::string spec;
+  constexpr uint64_t kOneInSpreads = 4;
   switch (DrawKind(this->random)) {
     case JobKind::kShort:
       spec = "ms=800";
       steps.push_back(MakeStep(6, 1'300, 800));
+      if (this->random() % kOneInSpreads == 0) steps[0]["max_per_server"] = 1;
       job->spec.steps.push_back({6, {}, false, false});
       break;
     case JobKind::kChain:
@@ -82,12 +81,23 @@
       steps[0]["long_running"] = true;
       job->spec.steps.push_back({4, {}, false, true});
       break;
-    default:
+    case JobKind::kGang:
+      spec = "ms=1500 gang=0:4";
+      steps.push_back(MakeStep(4, 1'500, 1'500));
+      steps.push_back(MakeStep(2, 500, 1'500));
+      steps[0]["gang"] = true;
+      steps[1]["after"] = {0};
+      job->spec.steps.push_back({4, {}, true, false});
+      job->spec.steps.push_back({2, {0}, false, false});
+      break;
+    case JobKind::kFailing:
       spec = "ms=300 fail";
       steps.push_back(MakeStep(2, 500, 300));
       job->spec.steps.push_back({2, {}, false, false});
       break;
   }
+  constexpr uint64_t kMostLuck = 1'000'000;
+  spec += " luck=" + std::to_string(1 + this->random() % kMostLuck);
   job->body = Json{{"spec", spec}, {"steps", steps}}.dump();
   job->steps = this->DrawClient();
   job->daemon = this->random();
