--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -87,6 +87,11 @@
   std::fflush(stdout);
 }
 
+bool Cell::Fail(const std::string& problem) {
+  this->Say(problem);
+  return false;
+}
+
 bool Cell::ChooseAddresses() {
   constexpr int kTries = 20;
   for (int i = 0; i < kTries; ++i) {
@@ -278,25 +283,17 @@
 }
 
 bool Cell::Start() {
-  if (!std::filesystem::exists(this->options.daemon_program)) {
-    this->Say(this->options.daemon_program + " does not exist");
-    return false;
-  }
-  if (!this->ChooseAddresses()) {
-    this->Say("no free addresses for the store");
-    return false;
-  }
+  if (!std::filesystem::exists(this->options.daemon_program))
+    return this->Fail(this->options.daemon_program + " does not exist");
+  if (!this->ChooseAddresses())
+    return this->Fail("no free addresses for the store");
   this->WriteManifest({});
-  if (!this->StartWorkers()) {
-    this->Say("the address of a worker is in use");
-    return false;
-  }
+  if (!this->StartWorkers())
+    return this->Fail("the address of a worker is in use");
   this->vms = std::make_unique<VmService>(this->net + kVmServiceIp, kStorePort,
                                           this->workers, *this->store);
-  if (!this->vms->Start()) {
-    this->Say("the address of the VM service is in use");
-    return false;
-  }
+  if (!this->vms->Start())
+    return this->Fail("the address of the VM service is in use");
   const CellShape& shape = this->options.shape;
   for (int i = 0; i < shape.daemons; ++i) {
     Daemon daemon;
@@ -329,8 +326,7 @@
         });
     if (ready) return true;
   }
-  this->Say("the daemons are not ready");
-  return false;
+  return this->Fail("the daemons are not ready");
 }
 
 void Cell::NoteJob(const JobSpec& job) {
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -117,6 +117,7 @@
   std::unique_ptr<VmService> vms;
 
  private:
+  bool Fail(const std::string& problem);
   bool ChooseAddresses();
   bool StartWorkers();
   void WriteSettings(const Daemon& daemon);
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -43,7 +43,7 @@
   this->Crash();
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->ended = true;
+    this->has_ended = true;
   }
   for (std::thread& thread : this->late) thread.join();
 }
@@ -99,11 +99,6 @@
   if (this->ticker.joinable()) this->ticker.join();
 }
 
-uint64_t CellWorker::Life() const {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->life;
-}
-
 void CellWorker::SetId(const std::string& id) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->former[this->options.id] = this->registered_ms + kSilenceMs;
@@ -142,7 +137,7 @@
       if (now_ms >= until_ms) expired.push_back(id);
     }
     for (const std::string& id : expired) this->former.erase(id);
-    const bool is_silent = !this->up || this->cut;
+    const bool is_silent = !this->up || this->is_cut;
     if (is_silent && now_ms - this->registered_ms >= kSilenceMs) {
       expired.push_back(this->options.id);
     }
@@ -192,7 +187,7 @@
       {"labels", {this->options.kind, this->options.rack}}};
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->cut) return;
+    if (this->is_cut) return;
     json["clock_ms"] = this->Clock();
     json["born"] = this->born;
     json["seq"] = ++this->seq;
@@ -279,19 +274,4 @@
   this->Note(how, task, run);
 }
 
-void CellWorker::SetCut(bool is_cut) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  this->cut = is_cut;
-}
-
-bool CellWorker::is_cut() const {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->cut;
-}
-
-bool CellWorker::has_ended() const {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->ended;
-}
-
 }  // namespace dotterelcove::soak
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -5,6 +5,7 @@
 /// the run, end `failed`. With "gang=S:N" step S is a gang of N.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -76,10 +77,8 @@
   std::function<bool(const std::string& path, const std::string& task,
                      int64_t& late_ms)>
       lose;
-  /// Whether orders that are carried out late also reach a later life.
-  bool late_across_lives = false;
   /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
-  void SetCut(bool cut);
+  std::atomic<bool> is_cut{false};
   /// Reports that the worker leaves in `ms` at the earliest.
   void Drain(int64_t ms);
   /// Ends a life that drained: its entry is removed.
@@ -128,9 +127,6 @@
   Reply Stop(const std::string& body, uint64_t number);
   Reply Hold(const std::string& body, uint64_t life);
   void CarryOutLate(const Request& request, int64_t late_ms);
-  uint64_t Life() const;
-  bool is_cut() const;
-  bool has_ended() const;
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
   Reply Perform(const Request& request, uint64_t life, bool is_late);
@@ -158,10 +154,9 @@
   std::unique_ptr<Server> server;
   std::thread ticker;
   bool up = false;
-  bool cut = false;
   /// When it leaves at the earliest, 0 while it does not drain.
   int64_t leaves_ms = 0;
-  bool ended = false;
+  std::atomic<bool> has_ended{false};
   /// Ids of former lives, and when their entries are removed.
   std::map<std::string, int64_t> former;
   std::vector<WorkerLife> all_lives;
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -1,7 +1,6 @@
 /// The orders that a worker carries out.
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <cstdlib>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -20,7 +19,6 @@
 constexpr size_t kMaxEnds = 500;
 constexpr int64_t kCheckpointMs = 500;
 constexpr int64_t kRestoreMs = 600;
-constexpr int kHexBase = 16;
 
 /// The number behind "NAME=" in a task's spec, 0 without one.
 int64_t NumberIn(const std::string& spec, const std::string& name) {
@@ -50,10 +48,7 @@
 std::string CheckpointAt(int64_t worked_ms) {
   if (worked_ms < kCheckpointMs) return {};
   const int64_t saved_ms = worked_ms / kCheckpointMs * kCheckpointMs;
-  char text[32];
-  std::snprintf(text, sizeof(text), "%016llx",
-                static_cast<unsigned long long>(saved_ms));
-  return text;
+  return std::to_string(saved_ms);
 }
 
 }  // namespace
@@ -82,13 +77,13 @@
   const std::string task =
       body.is_object() ? body.value("task", std::string()) : std::string();
   int64_t late_ms = -1;
-  if (this->is_cut()) return this->HoldBack();
+  if (this->is_cut) return this->HoldBack();
   if (this->lose && this->lose(path, task, late_ms)) {
     if (late_ms >= 0) this->CarryOutLate(request, late_ms);
     return this->HoldBack();
   }
   const Reply reply = this->Perform(request, number, false);
-  return this->is_cut() ? this->HoldBack() : reply;
+  return this->is_cut ? this->HoldBack() : reply;
 }
 
 Reply CellWorker::Perform(const Request& request, uint64_t number,
@@ -103,7 +98,7 @@
 }
 
 Reply CellWorker::HoldBack() {
-  SleepUnless(kNoAnswerMs, [this] { return this->has_ended(); });
+  SleepUnless(kNoAnswerMs, this->has_ended);
   Reply reply;
   reply.reset = true;
   return reply;
@@ -112,11 +107,10 @@
 void CellWorker::CarryOutLate(const Request& request, int64_t late_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const uint64_t number = this->life;
-  if (this->ended) return;
+  if (this->has_ended) return;
   this->late.emplace_back([this, request, late_ms, number] {
-    if (!SleepUnless(late_ms, [this] { return this->has_ended(); })) return;
-    this->Perform(request, this->late_across_lives ? this->Life() : number,
-                  true);
+    if (!SleepUnless(late_ms, this->has_ended)) return;
+    this->Perform(request, number, true);
   });
 }
 
@@ -134,8 +128,7 @@
   const int64_t fails_ms = FailsAfterMs(spec, task, run, begun.work_ms);
   if (fails_ms > 0) begun.fails_ms = now_ms + fails_ms;
   if (!checkpoint.empty()) {
-    begun.began_ms +=
-        kRestoreMs - std::strtoll(checkpoint.c_str(), nullptr, kHexBase);
+    begun.began_ms += kRestoreMs - std::atoll(checkpoint.c_str());
   }
   const std::string step = task.substr(0, task.rfind('.'));
   const size_t gang = spec.find("gang=");
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -258,9 +258,9 @@
   this->Restart(worker, fault.same_id);
   if (!cut_after) return;
   SleepMs(fault.delay_ms);
-  worker.SetCut(true);
+  worker.is_cut = true;
   SleepMs(fault.for_ms);
-  worker.SetCut(false);
+  worker.is_cut = false;
 }
 
 void FaultInjector::DrainWorker(CellWorker& worker, const PlannedFault& fault) {
@@ -294,12 +294,12 @@
   std::vector<size_t> cut;
   for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
     if (!this->cell.workers[i]->free.try_acquire()) continue;
-    this->cell.workers[i]->SetCut(true);
+    this->cell.workers[i]->is_cut = true;
     cut.push_back(i);
   }
   SleepMs(fault.for_ms);
   for (const size_t i : cut) {
-    this->cell.workers[i]->SetCut(false);
+    this->cell.workers[i]->is_cut = false;
     this->cell.workers[i]->free.release();
   }
 }
--- a/tests/platform/soak/RawHttp.cpp
+++ b/tests/platform/soak/RawHttp.cpp
@@ -8,7 +8,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <cctype>
 #include <cerrno>
 #include <chrono>
@@ -35,13 +34,13 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-bool SleepUnless(int64_t ms, const std::function<bool()>& ended) {
+bool SleepUnless(int64_t ms, const std::atomic<bool>& ended) {
   constexpr int64_t kPollMs = 50;
   for (const int64_t until_ms = NowMs() + ms; NowMs() < until_ms;) {
-    if (ended()) return false;
+    if (ended) return false;
     SleepMs(std::min(kPollMs, until_ms - NowMs() + 1));
   }
-  return !ended();
+  return !ended;
 }
 
 struct ServerState {
--- a/tests/platform/soak/RawHttp.h
+++ b/tests/platform/soak/RawHttp.h
@@ -1,6 +1,7 @@
-/// Minimal blocking HTTP/1.1 server and client for the review's stand-ins.
+/// Minimal blocking HTTP/1.1 server and client for the stand-ins of the soak.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -16,8 +17,8 @@
 /// Unix milliseconds.
 int64_t WallNowMs();
 void SleepMs(int64_t ms);
-/// Sleeps, and returns false as soon as `ended` returns true.
-bool SleepUnless(int64_t ms, const std::function<bool()>& ended);
+/// Sleeps, and returns false as soon as `ended` is set.
+bool SleepUnless(int64_t ms, const std::atomic<bool>& ended);
 /// Longer than any caller waits for an answer.
 inline constexpr int64_t kNoAnswerMs = 8'000;
 
--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -59,24 +59,18 @@
 void StoreStandin::Stop() {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->stopped = true;
+    this->is_stopped = true;
   }
   this->changed.notify_all();
   for (const auto& [caller, server] : this->servers) server->Stop();
   for (std::thread& thread : this->late) thread.join();
 }
 
-bool StoreStandin::is_stopped() const {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->stopped;
-}
-
 void StoreStandin::PerformLate(const Request& request, int64_t late_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->stopped) return;
+  if (this->is_stopped) return;
   this->late.emplace_back([this, request, late_ms] {
-    const bool waited =
-        SleepUnless(late_ms, [this] { return this->is_stopped(); });
+    const bool waited = SleepUnless(late_ms, this->is_stopped);
     if (waited) this->Perform(request);
   });
 }
@@ -113,7 +107,7 @@
 }
 
 Reply StoreStandin::Hold() {
-  SleepUnless(kNoAnswerMs, [this] { return this->is_stopped(); });
+  SleepUnless(kNoAnswerMs, this->is_stopped);
   Reply reply;
   reply.reset = true;
   return reply;
@@ -329,7 +323,7 @@
           this->history.begin(), this->history.end(),
           [&](const Row& row) { return row.version <= after; }) -
       this->history.begin());
-  while (!this->stopped) {
+  while (!this->is_stopped) {
     for (; at < this->history.size(); ++at) {
       const Row& row = this->history[at];
       if (row.table == table) found.push_back(row);
@@ -341,7 +335,7 @@
     if (after < this->forgotten) return Error(410);
     at = std::min(at, this->history.size());
   }
-  if (this->stopped) return Error(503);
+  if (this->is_stopped) return Error(503);
   Reply reply;
   reply.body = this->RowsToJson(found, false);
   return reply;
--- a/tests/platform/soak/StoreStandin.h
+++ b/tests/platform/soak/StoreStandin.h
@@ -2,6 +2,7 @@
 /// transactions, range reads and a feed of changes, as PROTOCOL.md tells.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -109,7 +110,6 @@
   StoreFault DrawFault(const std::string& caller);
   /// Performs the call after `late_ms`, unless the store stops first.
   void PerformLate(const Request& request, int64_t late_ms);
-  bool is_stopped() const;
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply Hold();
   Reply Transact(const Request& request);
@@ -128,7 +128,7 @@
   uint64_t version = 0;
   /// Version of the newest change that was forgotten.
   uint64_t forgotten = 0;
-  bool stopped = false;
+  std::atomic<bool> is_stopped{false};
   std::map<std::string, StoreFault> faults;
   std::mt19937_64 random;
   std::map<std::string, std::unique_ptr<Server>> servers;
