No change is lost between a wait's end and its answer in the soak's feed

When the wait of a feed read ended by time while a change was written, the answer had no rows and the newest version, so that its reader never saw the change. The same held for changes that came right after the history had been dropped. The rows are now looked for after each wait, from the version that the reader named. Found by reading; the soak did not show it.

--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -317,23 +317,19 @@
   std::unique_lock<std::mutex> lock(this->mutex);
   if (after < this->forgotten) return Error(410);
   std::vector<Row> found;
-  // Versions rise along the history.
-  auto at = static_cast<size_t>(
-      std::partition_point(
-          this->history.begin(), this->history.end(),
-          [&](const Row& row) { return row.version <= after; }) -
-      this->history.begin());
+  bool timed_out = false;
   while (!this->is_stopped) {
-    for (; at < this->history.size(); ++at) {
-      const Row& row = this->history[at];
-      if (row.table == table) found.push_back(row);
-    }
-    if (!found.empty()) break;
-    if (this->changed.wait_until(lock, until) == std::cv_status::timeout) {
-      break;
+    // Versions rise along the history, which may be another one by now.
+    auto at = std::partition_point(
+        this->history.begin(), this->history.end(),
+        [&](const Row& row) { return row.version <= after; });
+    for (; at != this->history.end(); ++at) {
+      if (at->table == table) found.push_back(*at);
     }
+    if (!found.empty() || timed_out) break;
+    timed_out =
+        this->changed.wait_until(lock, until) == std::cv_status::timeout;
     if (after < this->forgotten) return Error(410);
-    at = std::min(at, this->history.size());
   }
   if (this->is_stopped) return Error(503);
   Reply reply;
