A submission logs its attempts

On-call could not tell why a job was refused: `job_not_accepted` named the last path only, so a refusal after an attempt in doubt looked like any other, and the owner's insert on behalf of another daemon had no line at all.

`job_not_accepted` now lists the attempts in order, with path, answer, the store's status or the failure, duration and row version, and tells whether one was in doubt; `job_accepted` does so only after a doubt. The list holds the first and the last four attempts, so neither the line nor memory grows with the caller's deadline. `job_inserted_for_peer` of the owner leads from the job's id to the outcome.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -20,16 +20,25 @@
   std::string key;
   std::string value;
   TimeMs deadline_ms = 0;
-  JobAnswerCallback done;
+  JobOutcomeCallback done;
   /// An earlier attempt without an answer may have taken effect.
   bool in_doubt = false;
   int refusals = 0;
+  uint32_t calls = 0;
+  /// How the last call ended, see StoreAnswer::reason.
+  std::string reason;
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
 using Step = void (*)(const AttemptPtr&);
 
 void Finish(const AttemptPtr& attempt, JobAnswer answer, StoreRow row = {}) {
-  std::exchange(attempt->done, nullptr)(answer, std::move(row));
+  std::exchange(attempt->done, nullptr)(
+      {answer, std::move(row), attempt->reason, attempt->calls});
+}
+
+void CountCall(Attempt& attempt, const StoreAnswer& answer) {
+  attempt.calls++;
+  attempt.reason = answer.reason;
 }
 
 /// After an attempt without a usable answer, schedules a retry or finishes.
@@ -56,6 +65,7 @@
       {workflow::kJobTable, attempt->key, attempt->value});
   attempt->store.transact(
       std::move(transaction), [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status == StoreStatus::kOk) {
           StoreRow row{workflow::kJobTable, attempt->key, attempt->value,
                        answer.version, false};
@@ -86,6 +96,7 @@
       {workflow::kJobTable, attempt->key + workflow::kCancelSuffix, "1"});
   attempt->store.transact(
       std::move(transaction), [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status == StoreStatus::kOk) {
           StoreRow row{workflow::kJobTable,
                        attempt->key + workflow::kCancelSuffix, "1",
@@ -106,6 +117,7 @@
 void TryCancel(const AttemptPtr& attempt) {
   attempt->store.read_one(
       workflow::kJobTable, attempt->key, [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status != StoreStatus::kOk) {
           TryAgain(attempt, answer.status, TryCancel);
           return;
@@ -124,7 +136,7 @@
 
 AttemptPtr MakeAttempt(const Runtime& runtime, const RowStore& store,
                        const std::string& key, TimeMs deadline_ms,
-                       JobAnswerCallback done) {
+                       JobOutcomeCallback done) {
   auto attempt = std::make_shared<Attempt>();
   attempt->runtime = runtime;
   attempt->store = store;
@@ -138,14 +150,14 @@
 
 void InsertJobOnce(const Runtime& runtime, const RowStore& store,
                    const std::string& key, const std::string& value,
-                   JobAnswerCallback done) {
+                   JobOutcomeCallback done) {
   // With a deadline in the past there are no retries.
   InsertJob(runtime, store, key, value, 0, std::move(done));
 }
 
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, JobAnswerCallback done) {
+               TimeMs deadline_ms, JobOutcomeCallback done) {
   const AttemptPtr attempt =
       MakeAttempt(runtime, store, key, deadline_ms, std::move(done));
   attempt->value = value;
@@ -154,7 +166,7 @@
 
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
                         const std::string& id, TimeMs deadline_ms,
-                        JobAnswerCallback done) {
+                        JobOutcomeCallback done) {
   TryCancel(MakeAttempt(runtime, store, id, deadline_ms, std::move(done)));
 }
 
--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -29,25 +29,35 @@
                               {JobAnswer::kRefused, "refused"},
                               {JobAnswer::kUnknown, "unknown"}});
 
-using JobAnswerCallback = std::function<void(JobAnswer, StoreRow stored)>;
+/// How a change to the job table ended.
+struct JobOutcome {
+  JobAnswer answer = JobAnswer::kUnknown;
+  /// The stored row if known.
+  StoreRow row;
+  /// How the last call of the store ended, see StoreAnswer::reason.
+  std::string reason;
+  /// Calls of the store that were made.
+  uint32_t calls = 0;
+};
+using JobOutcomeCallback = std::function<void(JobOutcome)>;
 
 /// Stores a job unless its id is already stored, without retries.
 void InsertJobOnce(const Runtime& runtime, const RowStore& store,
                    const std::string& key, const std::string& value,
-                   JobAnswerCallback done);
+                   JobOutcomeCallback done);
 
 /// The same with retries until the outcome is known: an insert without an
 /// answer is repeated, which is idempotent and resolves it. Gives kUnknown only
 /// if `deadline_ms` (monotonic) passes first.
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, JobAnswerCallback done);
+               TimeMs deadline_ms, JobOutcomeCallback done);
 
 /// Stores a cancellation request for a job, with retries as in InsertJob. For a
 /// job that has ended it gives kStored without writing a row.
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
                         const std::string& id, TimeMs deadline_ms,
-                        JobAnswerCallback done);
+                        JobOutcomeCallback done);
 
 struct JobLookup {
   /// Status of the read; `found` and `phase` are valid for kOk.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -412,18 +412,7 @@
     return;
   }
   if (const auto* insert = frame.body.AsJobInsert()) {
-    const uint64_t call = insert->call;
-    InsertJob(this->runtime, this->ports.store, insert->key, insert->value,
-              this->runtime.now() + kOwnerInsertTimeoutMs,
-              [this, call, link = info.link, alive = this->alive](
-                  JobAnswer answer, const StoreRow& row) {
-                if (!*alive) return;
-                if (answer == JobAnswer::kStored) this->NotifyOwner(row);
-                wire::JobInsertReplyT reply;
-                reply.call = call;
-                reply.status = static_cast<uint8_t>(answer);
-                this->peers->Send(link, reply);
-              });
+    this->InsertForPeer(info, *insert);
     return;
   }
   if (const auto* ask = frame.body.AsPermitAsk()) {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -115,7 +115,9 @@
   void NotifyOwner(const StoreRow& row);
   bool OwnerReachesStore() const;
   void InsertThroughOwner(const std::string& key, const std::string& value,
-                          std::function<void(JobAnswer)> done);
+                          JobOutcomeCallback done);
+  /// Stores a job on behalf of a peer and sends it the answer.
+  void InsertForPeer(const PeerInfo& peer, const wire::JobInsertT& insert);
 
   EventLoop& loop;
   Runtime runtime;
--- a/src/node/NodeCallers.cpp
+++ b/src/node/NodeCallers.cpp
@@ -31,9 +31,9 @@
 }
 
 void Node::InsertThroughOwner(const std::string& key, const std::string& value,
-                              std::function<void(JobAnswer)> done) {
+                              JobOutcomeCallback done) {
   if (this->owner_link == 0) {
-    done(JobAnswer::kRefused);
+    done({JobAnswer::kRefused, {}, "no_owner"});
     return;
   }
   const uint64_t call =
@@ -41,9 +41,12 @@
               [done = std::move(done)](const wire::FrameT* frame) {
                 const auto* reply =
                     frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
-                // Without an answer the owner may have stored the job.
-                done(reply == nullptr ? JobAnswer::kUnknown
-                                      : static_cast<JobAnswer>(reply->status));
+                if (reply == nullptr) {
+                  // The owner may have stored the job.
+                  done({JobAnswer::kUnknown, {}, "no_reply"});
+                  return;
+                }
+                done({static_cast<JobAnswer>(reply->status), {}, "reply"});
               });
   wire::JobInsertT insert;
   insert.call = call;
@@ -57,53 +60,69 @@
                       });
 }
 
+void Node::InsertForPeer(const PeerInfo& peer, const wire::JobInsertT& insert) {
+  const TimeMs began_ms = this->runtime.now();
+  InsertJob(
+      this->runtime, this->ports.store, insert.key, insert.value,
+      began_ms + kOwnerInsertTimeoutMs,
+      [this, began_ms, call = insert.call, key = insert.key, link = peer.link,
+       process = peer.process, alive = this->alive](const JobOutcome& outcome) {
+        if (!*alive) return;
+        const bool stored = outcome.answer == JobAnswer::kStored;
+        Log(stored ? LogLevel::kInfo : LogLevel::kWarning,
+            "job_inserted_for_peer",
+            {F("job", key), F("peer", process),
+             F("answer", NameOf(kJobAnswerNames, outcome.answer)),
+             F("reason", outcome.reason), F("calls", outcome.calls),
+             F("took_ms", this->runtime.now() - began_ms),
+             F("version", outcome.row.version)});
+        if (stored) this->NotifyOwner(outcome.row);
+        wire::JobInsertReplyT reply;
+        reply.call = call;
+        reply.status = static_cast<uint8_t>(outcome.answer);
+        this->peers->Send(link, reply);
+      });
+}
+
 void Node::Submit(const workflow::JobSpec& spec, TimeMs timeout_ms,
                   std::function<void(JobAnswer)> done) {
   const std::string key = spec.id;
   const std::string value = workflow::EncodeJob(spec);
   const TimeMs began_ms = this->runtime.now();
-  const auto finish = [this, key, began_ms, queue = spec.queue,
-                       done = std::move(done)](JobAnswer answer,
-                                               const char* through) {
-    const TimeMs took_ms = this->runtime.now() - began_ms;
-    this->metrics.ObserveSeconds("wait_seconds",
-                                 static_cast<double>(took_ms) / 1'000,
-                                 {{"of", "accept"}});
-    this->metrics.Count(
-        "submissions_total",
-        {{"answer", std::string(NameOf(kJobAnswerNames, answer))}});
-    const bool stored = answer == JobAnswer::kStored;
-    Log(stored ? LogLevel::kInfo : LogLevel::kWarning,
-        stored ? "job_accepted" : "job_not_accepted",
-        {F("job", key), F("queue", queue),
-         F("answer", NameOf(kJobAnswerNames, answer)), F("through", through),
-         F("took_ms", took_ms)});
-    done(answer);
-  };
   SubmissionPorts ports;
   ports.runtime = this->runtime;
   ports.insert_directly = [this, key, value,
-                           alive = this->alive](JobAnswerCallback answered) {
+                           alive = this->alive](JobOutcomeCallback answered) {
     if (!*alive) return;
     InsertJobOnce(this->runtime, this->ports.store, key, value,
                   std::move(answered));
   };
-  ports.insert_through_owner = [this, key, value, alive = this->alive](
-                                   std::function<void(JobAnswer)> answered) {
-    if (!*alive) return;
-    this->InsertThroughOwner(key, value, std::move(answered));
-  };
+  ports.insert_through_owner =
+      [this, key, value, alive = this->alive](JobOutcomeCallback answered) {
+        if (!*alive) return;
+        this->InsertThroughOwner(key, value, std::move(answered));
+      };
   ports.store_unresponsive_ms = this->ports.store_unresponsive_ms;
   ports.owner_reaches_store = [this, alive = this->alive] {
     return *alive && this->OwnerReachesStore();
   };
-  SubmitJob(std::move(ports), began_ms + timeout_ms,
-            [this, finish, alive = this->alive](
-                JobAnswer answer, const char* through, const StoreRow& row) {
-              if (!*alive) return;
-              if (answer == JobAnswer::kStored) this->NotifyOwner(row);
-              finish(answer, through);
-            });
+  SubmitJob(
+      std::move(ports), began_ms + timeout_ms,
+      [this, key, queue = spec.queue, began_ms, done = std::move(done),
+       alive = this->alive](const SubmissionResult& result) {
+        if (!*alive) return;
+        if (result.answer == JobAnswer::kStored) this->NotifyOwner(result.row);
+        const TimeMs now_ms = this->runtime.now();
+        const TimeMs took_ms = now_ms - began_ms;
+        this->metrics.ObserveSeconds("wait_seconds",
+                                     static_cast<double>(took_ms) / 1'000,
+                                     {{"of", "accept"}});
+        this->metrics.Count(
+            "submissions_total",
+            {{"answer", std::string(NameOf(kJobAnswerNames, result.answer))}});
+        LogSubmission(key, queue, result, now_ms, took_ms);
+        done(result.answer);
+      });
 }
 
 bool Node::OwnerReachesStore() const {
@@ -115,13 +134,16 @@
                   std::function<void(JobAnswer)> done) {
   InsertCancellation(
       this->runtime, this->ports.store, id, this->runtime.now() + timeout_ms,
-      [this, id, done = std::move(done), alive = this->alive](
-          JobAnswer answer, const StoreRow& row) {
+      [this, id, done = std::move(done),
+       alive = this->alive](const JobOutcome& outcome) {
         if (!*alive) return;
         Log(LogLevel::kInfo, "cancel_answered",
-            {F("job", id), F("answer", NameOf(kJobAnswerNames, answer))});
-        if (answer == JobAnswer::kStored) this->NotifyOwner(row);
-        done(answer);
+            {F("job", id), F("answer", NameOf(kJobAnswerNames, outcome.answer)),
+             F("reason", outcome.reason), F("calls", outcome.calls)});
+        if (outcome.answer == JobAnswer::kStored) {
+          this->NotifyOwner(outcome.row);
+        }
+        done(outcome.answer);
       });
 }
 
--- a/src/node/Submission.cpp
+++ b/src/node/Submission.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "telemetry/Log.h"
+
 namespace dotterelcove {
 namespace {
 
@@ -15,8 +17,7 @@
   SubmissionPorts ports;
   TimeMs deadline_ms = 0;
   SubmissionCallback done;
-  /// An attempt without an answer may have stored the job.
-  bool in_doubt = false;
+  SubmissionAttempts attempts;
   bool owner_tried = false;
   int refusals = 0;
 };
@@ -27,7 +28,8 @@
 void Finish(const SubmissionPtr& submission, JobAnswer answer,
             const char* through, const StoreRow& row = {}) {
   if (!submission->done) return;
-  std::exchange(submission->done, nullptr)(answer, through, row);
+  std::exchange(submission->done,
+                nullptr)({answer, through, row, submission->attempts});
 }
 
 void ContinueLater(const SubmissionPtr& submission) {
@@ -35,30 +37,28 @@
                                   [submission] { Continue(submission); });
 }
 
+/// Makes one attempt and continues after it unless the job is stored.
+void Try(const SubmissionPtr& submission, const char* path,
+         const std::function<void(JobOutcomeCallback)>& insert) {
+  BeginAttempt(submission->attempts, path, submission->ports.runtime.now());
+  insert([submission, path](const JobOutcome& outcome) {
+    EndAttempt(submission->attempts, outcome, submission->ports.runtime.now());
+    if (outcome.answer == JobAnswer::kStored) {
+      Finish(submission, outcome.answer, path, outcome.row);
+      return;
+    }
+    if (outcome.answer == JobAnswer::kRefused) submission->refusals++;
+    ContinueLater(submission);
+  });
+}
+
 void TryDirectInsert(const SubmissionPtr& submission) {
-  submission->ports.insert_directly(
-      [submission](JobAnswer answer, const StoreRow& row) {
-        if (answer == JobAnswer::kStored) {
-          Finish(submission, answer, "store", row);
-          return;
-        }
-        if (answer == JobAnswer::kUnknown) submission->in_doubt = true;
-        if (answer == JobAnswer::kRefused) submission->refusals++;
-        ContinueLater(submission);
-      });
+  Try(submission, "store", submission->ports.insert_directly);
 }
 
 void TryOwnerInsert(const SubmissionPtr& submission) {
   submission->owner_tried = true;
-  submission->ports.insert_through_owner([submission](JobAnswer answer) {
-    if (answer == JobAnswer::kStored) {
-      Finish(submission, answer, "owner");
-      return;
-    }
-    if (answer == JobAnswer::kUnknown) submission->in_doubt = true;
-    if (answer == JobAnswer::kRefused) submission->refusals++;
-    ContinueLater(submission);
-  });
+  Try(submission, "owner", submission->ports.insert_through_owner);
 }
 
 void Continue(const SubmissionPtr& submission) {
@@ -77,7 +77,7 @@
   }
   // A job that is certainly not stored does not wait for an unresponsive store:
   // after an attempt without an answer it could no longer be refused.
-  if (!submission->in_doubt) {
+  if (!submission->attempts.in_doubt) {
     Finish(submission, JobAnswer::kRefused, "store_away");
     return;
   }
@@ -100,4 +100,24 @@
   Continue(submission);
 }
 
+void LogSubmission(const std::string& job, const std::string& queue,
+                   const SubmissionResult& result, TimeMs now_ms,
+                   TimeMs took_ms) {
+  const bool stored = result.answer == JobAnswer::kStored;
+  const LogLevel level = stored ? LogLevel::kInfo : LogLevel::kWarning;
+  const char* event = stored ? "job_accepted" : "job_not_accepted";
+  const std::string_view answer = NameOf(kJobAnswerNames, result.answer);
+  if (stored && !result.attempts.in_doubt) {
+    Log(level, event,
+        {F("job", job), F("queue", queue), F("answer", answer),
+         F("through", result.through), F("took_ms", took_ms)});
+    return;
+  }
+  Log(level, event,
+      {F("job", job), F("queue", queue), F("answer", answer),
+       F("through", result.through), F("took_ms", took_ms),
+       F("in_doubt", result.attempts.in_doubt),
+       F("attempts", FormatAttempts(result.attempts, now_ms))});
+}
+
 }  // namespace dotterelcove
--- a/src/node/Submission.h
+++ b/src/node/Submission.h
@@ -7,6 +7,7 @@
 
 #include "base/Runtime.h"
 #include "node/JobStore.h"
+#include "node/SubmissionAttempts.h"
 
 namespace dotterelcove {
 
@@ -17,22 +18,34 @@
 struct SubmissionPorts {
   Runtime runtime;
   /// One insert by this process, without retries.
-  std::function<void(JobAnswerCallback)> insert_directly;
+  std::function<void(JobOutcomeCallback)> insert_directly;
   /// One request to the owner to insert the job.
-  std::function<void(std::function<void(JobAnswer)>)> insert_through_owner;
+  std::function<void(JobOutcomeCallback)> insert_through_owner;
   /// How long the store has not answered this process, 0 while it does.
   std::function<TimeMs()> store_unresponsive_ms;
   std::function<bool()> owner_reaches_store;
 };
 
-/// `through` names the path that gave the answer: "store", "owner",
-/// "store_away" or "deadline". `row` is the stored row if known.
-using SubmissionCallback = std::function<void(
-    JobAnswer answer, const char* through, const StoreRow& row)>;
+struct SubmissionResult {
+  JobAnswer answer = JobAnswer::kUnknown;
+  /// The path that gave the answer: "store", "owner", "store_away" or
+  /// "deadline".
+  const char* through = "";
+  /// The stored row if known.
+  StoreRow row;
+  SubmissionAttempts attempts;
+};
+using SubmissionCallback = std::function<void(const SubmissionResult&)>;
 
 /// Calls back once, at `deadline_ms` (monotonic) at the latest. The answer is
 /// kRefused only if no attempt can have stored the job.
 void SubmitJob(SubmissionPorts ports, TimeMs deadline_ms,
                SubmissionCallback done);
 
+/// Writes one line about a submission that took `took_ms`. It lists the
+/// attempts unless the job was accepted without one in doubt.
+void LogSubmission(const std::string& job, const std::string& queue,
+                   const SubmissionResult& result, TimeMs now_ms,
+                   TimeMs took_ms);
+
 }  // namespace dotterelcove
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -78,6 +78,8 @@
   uint64_t version = 0;
   /// The store's monotonic clock at the time of the answer, 0 if not given.
   int64_t store_clock_ms = 0;
+  /// How the call ended, for logs: an HTTP status or the name of a failure.
+  std::string reason;
 };
 
 /// The store applies transactions on one shard of a table one at a time. The
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -311,13 +311,12 @@
   constexpr TimeMs kWaitMs = 2'800;
   InsertJob(MakeModelRuntime(cell, index, daemon.alive),
             MakeStore(cell, index, daemon.alive), id, workflow::EncodeJob(spec),
-            cell.time.now_ms + kWaitMs,
-            [&cell, id](JobAnswer answer, const StoreRow& row) {
+            cell.time.now_ms + kWaitMs, [&cell, id](const JobOutcome& outcome) {
               CallerJob& submitted = cell.jobs.at(id);
-              submitted.refused = answer == JobAnswer::kRefused;
-              submitted.accepted = answer == JobAnswer::kStored;
+              submitted.refused = outcome.answer == JobAnswer::kRefused;
+              submitted.accepted = outcome.answer == JobAnswer::kStored;
               submitted.accepted_ms = cell.time.now_ms;
-              if (submitted.accepted) NotifyOwners(cell, row);
+              if (submitted.accepted) NotifyOwners(cell, outcome.row);
             });
 }
 
@@ -328,13 +327,13 @@
   InsertCancellation(MakeModelRuntime(cell, index, daemon.alive),
                      MakeStore(cell, index, daemon.alive), id,
                      cell.time.now_ms + kWaitMs,
-                     [&cell, id](JobAnswer answer, const StoreRow& row) {
-                       if (answer != JobAnswer::kStored) return;
+                     [&cell, id](const JobOutcome& outcome) {
+                       if (outcome.answer != JobAnswer::kStored) return;
                        CallerJob& submitted = cell.jobs.at(id);
                        if (submitted.cancelled_ms < 0) {
                          submitted.cancelled_ms = cell.time.now_ms;
                        }
-                       NotifyOwners(cell, row);
+                       NotifyOwners(cell, outcome.row);
                      });
 }
 
--- a/tests/CellModelStore.cpp
+++ b/tests/CellModelStore.cpp
@@ -6,6 +6,12 @@
 namespace dotterelcove::model {
 namespace {
 
+StoreAnswer MakeFailure(StoreStatus status) {
+  StoreAnswer answer;
+  answer.status = status;
+  return answer;
+}
+
 StoreAnswer Apply(ModelStore& store, const RowTransaction& transaction) {
   StoreAnswer answer;
   for (const RowCondition& condition : transaction.conditions) {
@@ -41,18 +47,16 @@
               const RowTransaction& transaction, const StoreCallback& done) {
   const StoreFaults faults = cell.store.faults;
   if (IsRefused(cell, daemon)) {
-    Deliver(cell, daemon, alive, faults.latency_ms, [done] {
-      done({StoreStatus::kRefused, {}, false, 0});
-    });
+    Deliver(cell, daemon, alive, faults.latency_ms,
+            [done] { done(MakeFailure(StoreStatus::kRefused)); });
     return;
   }
   if (faults.lost_answer_share > 0 && Chance(cell) < faults.lost_answer_share) {
     constexpr TimeMs kLostTimeoutMs = 900;
     cell.time.After(faults.latency_ms + faults.lost_write_delay_ms,
                     [&cell, transaction] { Apply(cell.store, transaction); });
-    Deliver(cell, daemon, alive, kLostTimeoutMs, [done] {
-      done({StoreStatus::kUnknown, {}, false, 0});
-    });
+    Deliver(cell, daemon, alive, kLostTimeoutMs,
+            [done] { done(MakeFailure(StoreStatus::kUnknown)); });
     return;
   }
   cell.time.After(faults.latency_ms / 2,
--- a/tests/SubmissionTest.cpp
+++ b/tests/SubmissionTest.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "node/Submission.h"
+#include "telemetry/Log.h"
 #include "tests/CellModel.h"
 
 namespace dotterelcove {
@@ -26,6 +27,7 @@
   int answers = 0;
   JobAnswer answer = JobAnswer::kNotFound;
   std::string through;
+  SubmissionResult result;
   TimeMs answered_ms = 0;
 };
 
@@ -36,18 +38,18 @@
                                    std::function<void()> callback) {
     harness.time.After(delay_ms, std::move(callback));
   };
-  ports.insert_directly = [&harness](const JobAnswerCallback& done) {
+  ports.insert_directly = [&harness](const JobOutcomeCallback& done) {
     const size_t index =
         std::min(harness.direct_tries++, harness.direct_answers.size() - 1);
     const auto [answer, delay_ms] = harness.direct_answers[index];
-    harness.time.After(delay_ms, [done, answer] { done(answer, {}); });
+    harness.time.After(delay_ms, [done, answer] { done({answer, {}, "503"}); });
+  };
+  ports.insert_through_owner = [&harness](const JobOutcomeCallback& done) {
+    harness.owner_tries++;
+    harness.time.After(harness.owner_delay_ms, [&harness, done] {
+      done({harness.owner_answer, {}, "reply"});
+    });
   };
-  ports.insert_through_owner =
-      [&harness](const std::function<void(JobAnswer)>& done) {
-        harness.owner_tries++;
-        harness.time.After(harness.owner_delay_ms,
-                           [&harness, done] { done(harness.owner_answer); });
-      };
   ports.store_unresponsive_ms = [&harness] {
     return harness.store_unresponsive_ms;
   };
@@ -56,11 +58,11 @@
   };
   const TimeMs began_ms = harness.time.now_ms;
   SubmitJob(std::move(ports), began_ms + kDeadlineMs,
-            [&harness, began_ms](JobAnswer answer, const char* through,
-                                 const StoreRow&) {
+            [&harness, began_ms](const SubmissionResult& result) {
               harness.answers++;
-              harness.answer = answer;
-              harness.through = through;
+              harness.answer = result.answer;
+              harness.through = result.through;
+              harness.result = result;
               harness.answered_ms = harness.time.now_ms - began_ms;
             });
   harness.time.RunUntil(began_ms + 20'000);
@@ -124,4 +126,64 @@
   cr_expect(harness.answer == JobAnswer::kUnknown);
 }
 
+// Guards against a refusal that logs cannot explain: its line told the last
+// path only, so a refusal after an attempt in doubt looked like any other.
+Test(Submission, refused_job_is_logged_with_its_attempts) {
+  std::vector<std::string> lines;
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+  SubmissionHarness harness;
+  harness.direct_answers = {{JobAnswer::kRefused, 5}};
+  harness.owner_answer = JobAnswer::kRefused;
+  Submit(harness);
+  LogSubmission("71f6feee1b777b16", "q/", harness.result, harness.answered_ms,
+                harness.answered_ms);
+  SetLogOutput(nullptr);
+  cr_assert_eq(lines.size(), 1U);
+  cr_expect(lines[0].find(R"("event":"job_not_accepted")") !=
+            std::string::npos);
+  cr_expect(lines[0].find(R"("in_doubt":false)") != std::string::npos);
+  cr_expect(lines[0].find("store=refused/503/5 store=refused/503/5 "
+                          "owner=refused/reply/20") != std::string::npos,
+            "%s", lines[0].c_str());
+}
+
+// Guards against an accepted job whose doubtful attempt no line tells, and
+// against longer lines for all other accepted jobs.
+Test(Submission, accepted_job_is_logged_with_its_attempts_after_a_doubt) {
+  for (const bool in_doubt : {false, true}) {
+    std::vector<std::string> lines;
+    SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+    SubmissionHarness harness;
+    harness.direct_answers = {
+        {in_doubt ? JobAnswer::kUnknown : JobAnswer::kStored, 250},
+        {JobAnswer::kStored, 5}};
+    Submit(harness);
+    LogSubmission("71f6feee1b777b16", "q/", harness.result, harness.answered_ms,
+                  harness.answered_ms);
+    SetLogOutput(nullptr);
+    cr_assert_eq(lines.size(), 1U);
+    cr_expect_eq(lines[0].find("attempts") != std::string::npos, in_doubt);
+  }
+}
+
+// Guards against a line, or memory, that grows with the caller's deadline, and
+// against a missing entry for the attempt that the deadline cut off.
+Test(Submission, list_of_attempts_is_bounded) {
+  SubmissionHarness harness;
+  harness.direct_answers = {{JobAnswer::kUnknown, 1}};
+  Submit(harness);
+  const SubmissionAttempts& attempts = harness.result.attempts;
+  cr_expect_gt(attempts.total, 30U);
+  cr_expect(attempts.in_doubt);
+  const std::string text = FormatAttempts(attempts, kDeadlineMs);
+  cr_expect_leq(text.size(), 300U, "%s", text.c_str());
+  cr_expect(text.find(" +") != std::string::npos);
+  SubmissionHarness slow;
+  slow.direct_answers = {{JobAnswer::kUnknown, 9'000}};
+  Submit(slow);
+  const TimeMs ended_ms = model::VirtualTime().now_ms + kDeadlineMs;
+  cr_expect_str_eq(FormatAttempts(slow.result.attempts, ended_ms).c_str(),
+                   "store=open/2850");
+}
+
 }  // namespace dotterelcove
