Only 503 and 429 of the store are refusals

Callers got 503 for jobs that the store had stored, when it or something before it answered the insert with 500, 502, 504, 408 or an odd 2xx: the adapter took every status but 200, 410 and 412 for "certainly nothing was done". The protocol says so of 503 and 429 only.

A 400, 403, 404, 405, 413 or 422 rejects the transaction itself, for its form, its tables or its size, and gets the same answer each time, so an insert ends at once. It ends as unknown (504): nothing promises that it was not stored.

Ruled out: a commit that takes effect twice, which its condition prevents.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -36,6 +36,12 @@
       {answer, std::move(row), attempt->reason, attempt->calls});
 }
 
+/// The store rejects the change itself, so that no retry would resolve it.
+void FinishRejected(const AttemptPtr& attempt) {
+  std::exchange(attempt->done, nullptr)(
+      {JobAnswer::kUnknown, {}, attempt->reason, attempt->calls, true});
+}
+
 void CountCall(Attempt& attempt, const StoreAnswer& answer) {
   attempt.calls++;
   attempt.reason = answer.reason;
@@ -43,6 +49,10 @@
 
 /// After an attempt without a usable answer, schedules a retry or finishes.
 void TryAgain(const AttemptPtr& attempt, StoreStatus status, Step step) {
+  if (status == StoreStatus::kInvalid) {
+    FinishRejected(attempt);
+    return;
+  }
   if (status == StoreStatus::kRefused) {
     attempt->refusals++;
     if (!attempt->in_doubt && attempt->refusals >= kMaxRefusals) {
@@ -81,7 +91,8 @@
           Finish(attempt, JobAnswer::kStored, std::move(row));
           return;
         }
-        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        // Only a refusal proves that nothing was written.
+        if (answer.status != StoreStatus::kRefused) attempt->in_doubt = true;
         TryAgain(attempt, answer.status, TryInsert);
       });
 }
@@ -109,7 +120,8 @@
           TryCancel(attempt);
           return;
         }
-        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        // Only a refusal proves that nothing was written.
+        if (answer.status != StoreStatus::kRefused) attempt->in_doubt = true;
         TryAgain(attempt, answer.status, TryCancel);
       });
 }
--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -38,6 +38,8 @@
   std::string reason;
   /// Calls of the store that were made.
   uint32_t calls = 0;
+  /// The store rejects the request itself: another attempt is useless.
+  bool is_final = false;
 };
 using JobOutcomeCallback = std::function<void(JobOutcome)>;
 
@@ -48,7 +50,8 @@
 
 /// The same with retries until the outcome is known: an insert without an
 /// answer is repeated, which is idempotent and resolves it. Gives kUnknown only
-/// if `deadline_ms` (monotonic) passes first.
+/// if `deadline_ms` (monotonic) passes first, or if the store rejects the
+/// request itself.
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
                TimeMs deadline_ms, JobOutcomeCallback done);
--- a/src/node/Submission.cpp
+++ b/src/node/Submission.cpp
@@ -47,6 +47,10 @@
       Finish(submission, outcome.answer, path, outcome.row);
       return;
     }
+    if (outcome.is_final) {
+      Finish(submission, outcome.answer, path);
+      return;
+    }
     if (outcome.answer == JobAnswer::kRefused) submission->refusals++;
     ContinueLater(submission);
   });
--- a/src/store/RowStore.h
+++ b/src/store/RowStore.h
@@ -54,17 +54,22 @@
   kConflict,
   /// The request was certainly not carried out.
   kRefused,
-  /// No answer: a transaction may have taken effect or may still do so.
+  /// No answer, or one that tells nothing of the outcome: a transaction may
+  /// have taken effect or may still do so.
   kUnknown,
   /// The store no longer has the changes after the given version.
   kHistoryLost,
+  /// The store rejects the transaction itself, for example for its size: it
+  /// gets the same answer each time. Whether it took effect is not known.
+  kInvalid,
 };
 inline constexpr auto kStoreStatusNames =
     MakeNameTable<StoreStatus>({{StoreStatus::kOk, "ok"},
                                 {StoreStatus::kConflict, "conflict"},
                                 {StoreStatus::kRefused, "refused"},
                                 {StoreStatus::kUnknown, "unknown"},
-                                {StoreStatus::kHistoryLost, "history_lost"}});
+                                {StoreStatus::kHistoryLost, "history_lost"},
+                                {StoreStatus::kInvalid, "invalid"}});
 
 struct StoreAnswer {
   StoreStatus status = StoreStatus::kUnknown;
