An owner gives up for a commit that the store rejects as such

A commit that the store rejects for its form or size was sent again every 80 ms for ever. Nothing behind it was stored, so no job ended, and the owner's reports kept the standbys from taking over until they counted it as cut off from the store.

After three rejections, each resolved by reading the owner row, the owner gives ownership up as if it had been replaced. Nothing of the commit was confirmed to anyone, so the next owner begins with what is stored. This may be the same process after its pause: the row still names its epoch then, which must not be taken for a takeover whose answer was lost. One rejection is not enough, since it may come from something between the process and the store.

--- a/src/store/Leadership.cpp
+++ b/src/store/Leadership.cpp
@@ -179,7 +179,11 @@
       this->runtime, this->store, held, this->options.commit,
       [weak = this->weak_from_this()] {
         const auto self = weak.lock();
-        if (self) self->OnLost();
+        if (!self) return;
+        // The row may still name this epoch, if the store rejects its commits.
+        // It must not be taken for a takeover whose answer was lost.
+        self->attempted_epoch = 0;
+        self->OnLost();
       });
   this->committer->Start();
   this->callbacks.acquired(this->committer);
--- a/src/store/OwnerCommitter.cpp
+++ b/src/store/OwnerCommitter.cpp
@@ -8,6 +8,13 @@
 #include "telemetry/Log.h"
 
 namespace dotterelcove {
+namespace {
+
+/// A single rejection may come from something between this process and the
+/// store.
+constexpr int kMaxRejections = 3;
+
+}  // namespace
 
 std::string OwnerRowToJson(const OwnerRow& row) {
   return nlohmann::json{
@@ -186,9 +193,11 @@
   }
   Log(LogLevel::kWarning, "commit_unanswered",
       {F("status", NameOf(kStoreStatusNames, answer.status)),
-       F("epoch", this->current.epoch), F("sequence", this->next.sequence),
+       F("reason", answer.reason), F("epoch", this->current.epoch),
+       F("sequence", this->next.sequence), F("records", this->in_flight.size()),
        F("age_ms", this->store_age_ms())});
   const bool refused = answer.status == StoreStatus::kRefused;
+  if (answer.status == StoreStatus::kInvalid) this->rejections++;
   this->runtime.after(this->options.retry_ms,
                       [weak = this->weak_from_this(), refused] {
                         const auto self = weak.lock();
@@ -232,16 +241,30 @@
     this->OnCommitted(row.version);
     return;
   }
+  if (this->rejections >= kMaxRejections) {
+    this->OnRejected();
+    return;
+  }
   this->current.version = row.version;
   this->Send();
 }
 
+void OwnerCommitter::OnRejected() {
+  Log(LogLevel::kError, "commit_rejected",
+      {F("epoch", this->current.epoch), F("sequence", this->next.sequence),
+       F("records", this->in_flight.size())});
+  this->Stop();
+  if (this->released) std::exchange(this->released, nullptr)();
+  this->deposed();
+}
+
 void OwnerCommitter::OnCommitted(uint64_t version) {
   this->last_answer_ms = this->runtime.now();
   this->last_commit_ms = this->last_answer_ms - this->last_write_ms;
   this->current = this->next;
   this->current.version = version;
   this->writing = false;
+  this->rejections = 0;
   const std::vector<Record> committed =
       std::exchange(this->in_flight, std::vector<Record>());
   const bool was_release = this->releasing;
--- a/src/store/OwnerCommitter.h
+++ b/src/store/OwnerCommitter.h
@@ -61,7 +61,8 @@
 
 /// Group commit of the owner in one epoch, with at most one transaction in
 /// flight. Created by a process that has just taken ownership over; ends when
-/// another process takes over.
+/// another process takes over, or when the store keeps rejecting a transaction
+/// itself: the next owner begins with what is stored.
 class OwnerCommitter : public std::enable_shared_from_this<OwnerCommitter> {
  public:
   OwnerCommitter(Runtime runtime, RowStore store, OwnerRow row,
@@ -103,6 +104,8 @@
   void OnAnswer(const StoreAnswer& answer);
   /// Reads the owner row to resolve a transaction with an unknown outcome.
   void ReadBack();
+  /// Gives ownership up, since the transaction in flight is never accepted.
+  void OnRejected();
   void OnRow(const OwnerRow& row);
   void OnCommitted(uint64_t version);
   void OnDeposed(const OwnerRow& row);
@@ -118,6 +121,8 @@
   /// The owner row that the transaction in flight writes.
   OwnerRow next;
   bool writing = false;
+  /// Times that the store has rejected the transaction in flight itself.
+  int rejections = 0;
   /// When the pending timer fires, -1 if none is set.
   TimeMs armed_for_ms = -1;
   bool stopped = false;
