A peer's reply with an unknown value tells nothing of the outcome

The status of the owner's reply to an insert was cast without a check. A value of another version counted neither as refused nor as in doubt, so the submission went on as if nothing could be stored, and could end with 503 for a job that the owner had stored. In the same way a caller was shown a phase that does not exist, and permits were read from a reply that could not be.

Such a reply is an unknown outcome, a look-up in the store, a failed request for permits. A reply ends a request only if it comes over the connection that the request was sent over.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -6,6 +6,7 @@
 #include "base/Clock.h"
 #include "base/Hash.h"
 #include "base/Random.h"
+#include "node/PeerReplies.h"
 #include "telemetry/Log.h"
 
 namespace dotterelcove {
@@ -31,19 +32,6 @@
   return info.process + "/" + std::to_string(info.incarnation);
 }
 
-workflow::PermitAnswer ReadPermitReply(const wire::FrameT* frame) {
-  workflow::PermitAnswer answer;
-  if (frame == nullptr) return answer;
-  const wire::PermitReplyT* reply = frame->body.AsPermitReply();
-  if (reply == nullptr) return answer;
-  answer.status = static_cast<workflow::PermitStatus>(reply->status);
-  answer.validity_ms = reply->validity_ms;
-  for (const auto& row : reply->granted) {
-    answer.grants.push_back({row->worker, row->ticket});
-  }
-  return answer;
-}
-
 }  // namespace
 
 Node::Node(EventLoop& loop, Runtime runtime, NodeOptions options,
@@ -424,19 +412,19 @@
     return;
   }
   if (const auto* reply = frame.body.AsWorkerReply()) {
-    EndCall(this->calls, reply->call, &frame);
+    EndCallWithReply(this->calls, info.link, reply->call, frame);
     return;
   }
   if (const auto* reply = frame.body.AsPermitReply()) {
-    EndCall(this->calls, reply->call, &frame);
+    EndCallWithReply(this->calls, info.link, reply->call, frame);
     return;
   }
   if (const auto* reply = frame.body.AsJobQueryReply()) {
-    EndCall(this->calls, reply->call, &frame);
+    EndCallWithReply(this->calls, info.link, reply->call, frame);
     return;
   }
   if (const auto* reply = frame.body.AsJobInsertReply()) {
-    EndCall(this->calls, reply->call, &frame);
+    EndCallWithReply(this->calls, info.link, reply->call, frame);
   }
 }
 
--- a/src/node/NodeCallers.cpp
+++ b/src/node/NodeCallers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "node/Node.h"
+#include "node/PeerReplies.h"
 #include "node/Submission.h"
 #include "telemetry/Log.h"
 
@@ -39,14 +40,7 @@
   const uint64_t call =
       AddCall(this->calls, this->owner_link,
               [done = std::move(done)](const wire::FrameT* frame) {
-                const auto* reply =
-                    frame == nullptr ? nullptr : frame->body.AsJobInsertReply();
-                if (reply == nullptr) {
-                  // The owner may have stored the job.
-                  done({JobAnswer::kUnknown, {}, "no_reply"});
-                  return;
-                }
-                done({static_cast<JobAnswer>(reply->status), {}, "reply"});
+                done(ReadJobInsertReply(frame));
               });
   wire::JobInsertT insert;
   insert.call = call;
@@ -172,18 +166,15 @@
     from_store();
     return;
   }
-  const uint64_t call =
-      AddCall(this->calls, this->owner_link,
-              [done, from_store](const wire::FrameT* frame) {
-                const auto* reply =
-                    frame == nullptr ? nullptr : frame->body.AsJobQueryReply();
-                if (reply == nullptr || !reply->known) {
-                  from_store();
-                  return;
-                }
-                done({true, true, static_cast<workflow::JobPhase>(reply->phase),
-                      "owner"});
-              });
+  const uint64_t call = AddCall(this->calls, this->owner_link,
+                                [done, from_store](const wire::FrameT* frame) {
+                                  const auto phase = ReadJobQueryReply(frame);
+                                  if (!phase) {
+                                    from_store();
+                                    return;
+                                  }
+                                  done({true, true, *phase, "owner"});
+                                });
   wire::JobQueryT query;
   query.call = call;
   query.job = id;
--- a/src/node/PeerCalls.h
+++ b/src/node/PeerCalls.h
@@ -8,6 +8,7 @@
 
 #include "dotterelcove/Types.h"
 #include "peer/Framing.h"
+#include "telemetry/Log.h"
 
 namespace dotterelcove {
 
@@ -43,6 +44,20 @@
   done(answer);
 }
 
+/// Ends a request with a reply that arrived over `link`. Ignores a reply from
+/// another peer than the one asked, and one to a request that has already
+/// ended.
+inline void EndCallWithReply(PeerCalls& calls, uint64_t link, uint64_t call,
+                             const wire::FrameT& reply) {
+  const auto found = calls.open_calls.find(call);
+  if (found == calls.open_calls.end()) return;
+  if (found->second.link != link) {
+    Log(LogLevel::kWarning, "peer_reply_misdirected", {F("call", call)});
+    return;
+  }
+  EndCall(calls, call, &reply);
+}
+
 /// Ends every request sent over a lost connection without an answer.
 inline void EndCallsOnLink(PeerCalls& calls, uint64_t link) {
   std::vector<uint64_t> ended;
