Test that a request which was read never counts as not sent

"Not sent" is what a refusal rests on where there was no answer. The HTTP client takes it from CURLINFO_REQUEST_SIZE being 0, which must also hold after libcurl's own second attempt: refused by the server, or rejected by the client because the call is no read. The test covers POST, PUT and GET, small and large bodies, new and reused connections, closed and reset, with and without a server to connect to again. No fault was found; the sum covers all attempts.

--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/Clock.h"
 #include "border/endpoint/EndpointClient.h"
@@ -122,6 +123,56 @@
   }
 }
 
+// Guards against a request that the server has read and that counts as not
+// sent, because libcurl tries again on a new connection by itself and nothing
+// is sent there: the connection is refused, or the second attempt is rejected.
+Test(HttpClient, request_that_was_read_is_never_not_sent) {
+  constexpr size_t kSmall = 1;
+  constexpr size_t kLarge = 4 << 20;
+  struct Case {
+    const char* method;
+    size_t body_bytes;
+    bool is_reused;
+    bool resets;
+    bool stops_listening;
+  };
+  std::vector<Case> cases;
+  for (const char* method : {"POST", "GET", "PUT"}) {
+    for (const size_t bytes : {kSmall, kLarge}) {
+      for (const int bits : {0, 1, 2, 3, 4, 5, 6, 7}) {
+        cases.push_back(
+            {method, bytes, (bits & 1) != 0, (bits & 2) != 0, (bits & 4) != 0});
+      }
+    }
+  }
+  for (const Case& each : cases) {
+    EventLoop loop;
+    HttpClient client(loop);
+    ScriptedServer server(loop);
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    HttpCall call;
+    call.method = each.method;
+    call.url = server.url();
+    call.body = "x";
+    if (each.is_reused) {
+      cr_assert(CallOnce(loop, client, call).failure == HttpFailure::kNone);
+      server.close_after = 1;
+    } else {
+      server.answer.clear();
+      server.close_each = true;
+    }
+    server.resets = each.resets;
+    server.stops_listening_at_close = each.stops_listening;
+    call.body = std::string(each.body_bytes, 'x');
+    call.timeout_ms = 2'000;
+    const HttpFailure failure = CallOnce(loop, client, call).failure;
+    cr_expect(failure == HttpFailure::kBroken, "%s %zu %d %d %d: %s",
+              each.method, each.body_bytes, each.is_reused, each.resets,
+              each.stops_listening,
+              std::string(NameOf(kHttpFailureNames, failure)).c_str());
+  }
+}
+
 // Guards against a request sent after its deadline because the process was
 // paused between queueing and sending it.
 Test(EndpointClient, nothing_is_sent_after_the_deadline) {
--- a/tests/ScriptedServer.h
+++ b/tests/ScriptedServer.h
@@ -27,12 +27,25 @@
     this->accept_watch.Start(this->listener, EV_READ);
   }
   ~ScriptedServer() {
-    this->accept_watch.Stop();
     this->watch.reset();
-    close(this->listener);
+    this->StopListening();
     if (this->fd >= 0) close(this->fd);
   }
 
+  /// Connections are refused from now on.
+  void StopListening() {
+    if (this->listener < 0) return;
+    this->accept_watch.Stop();
+    close(this->listener);
+    this->listener = -1;
+  }
+
+  /// Makes closing the connection send a reset.
+  void SetReset() const {
+    const linger at_once{1, 0};
+    setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
+
   void Accept() {
     if (this->fd >= 0) close(this->fd);
     this->fd = accept(this->listener, nullptr, nullptr);
@@ -59,6 +72,8 @@
       if (!this->close_each) return;
     }
     this->watch->Stop();
+    if (this->resets) this->SetReset();
+    if (this->stops_listening_at_close) this->StopListening();
     close(this->fd);
     this->fd = -1;
   }
@@ -78,6 +93,9 @@
   /// of its own.
   std::string later_answer;
   bool close_each = false;
+  /// Connections are reset in place of closed, also with unread bytes.
+  bool resets = false;
+  bool stops_listening_at_close = false;
   /// Requests answered in total; each later one closes its connection without a
   /// response. 0 means no limit.
   int close_after = 0;
