A conflict accepts a job only if it shows the job's row

A 412 to an insert counted as proof that the job is stored, whatever it showed: the caller got 200 although the answer held no such row. It is an unknown outcome now, resolved by the next attempt.

Evidence: PlatformStore/conflict_without_the_row_accepts_nothing fails before.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -84,12 +84,12 @@
         }
         if (answer.status == StoreStatus::kConflict) {
           // The id is already stored, by an earlier attempt or another process.
-          StoreRow row;
           for (const StoreRow& each : answer.rows) {
-            if (each.key == attempt->key) row = each;
+            if (each.key != attempt->key || each.version == 0) continue;
+            Finish(attempt, JobAnswer::kStored, each);
+            return;
           }
-          Finish(attempt, JobAnswer::kStored, std::move(row));
-          return;
+          // Without the row it does not show that the job is stored.
         }
         // Only a refusal proves that nothing was written.
         if (answer.status != StoreStatus::kRefused) attempt->in_doubt = true;
--- a/tests/platform/StoreErrorTest.cpp
+++ b/tests/platform/StoreErrorTest.cpp
@@ -141,6 +141,22 @@
   }
 }
 
+// Guards against a job that is accepted and stored nowhere: a conflict counted
+// as proof of its row, whatever it showed.
+Test(PlatformStore, conflict_without_the_row_accepts_nothing) {
+  for (const char* body : {"{}", R"({"rows": []})", "no JSON"}) {
+    FailingStore fake;
+    fake.failing_path = "/rows-tx";
+    fake.failures = 1;
+    fake.failing_status = 412;
+    fake.failing_body = body;
+    cr_expect(InsertOnce(fake).answer == JobAnswer::kUnknown, "%s", body);
+    const JobOutcome outcome = InsertOnce(fake);
+    cr_expect(outcome.answer == JobAnswer::kStored);
+    cr_expect_gt(outcome.row.version, 0U);
+  }
+}
+
 // Guards against a job in doubt whose every further attempt gets an error: it
 // must end as unknown at the deadline, not as refused.
 Test(PlatformStore, insert_in_doubt_ends_unknown) {
