A cancellation that meets conflicts ends at its deadline

A conflict began the next attempt at once, without a look at the deadline. A store that answers every attempt with 412 was called as fast as it answered, and the caller got nothing. The next attempt now follows the pause and the deadline of all others.

Evidence: PlatformStore/cancellation_in_conflict_ends_at_its_deadline fails before (no answer within 2 s, deadline 400 ms).

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -115,13 +115,11 @@
           Finish(attempt, JobAnswer::kStored, std::move(row));
           return;
         }
-        if (answer.status == StoreStatus::kConflict) {
-          // The job row has changed since it was read: the job has ended.
-          TryCancel(attempt);
-          return;
-        }
-        // Only a refusal proves that nothing was written.
-        if (answer.status != StoreStatus::kRefused) attempt->in_doubt = true;
+        // On a conflict nothing was written: the job row has changed since it
+        // was read, so the job has ended.
+        const bool is_unwritten = answer.status == StoreStatus::kRefused ||
+                                  answer.status == StoreStatus::kConflict;
+        if (!is_unwritten) attempt->in_doubt = true;
         TryAgain(attempt, answer.status, TryCancel);
       });
 }
--- a/tests/platform/StoreErrorTest.cpp
+++ b/tests/platform/StoreErrorTest.cpp
@@ -157,6 +157,27 @@
   }
 }
 
+// Guards against a cancellation that is tried for ever, as fast as the store
+// answers, while each attempt meets a conflict.
+Test(PlatformStore, cancellation_in_conflict_ends_at_its_deadline) {
+  FailingStore fake;
+  cr_assert(InsertOnce(fake).answer == JobAnswer::kStored);
+  fake.failing_path = "/rows-tx";
+  fake.failures = -1;
+  fake.failing_status = 412;
+  fake.calls.clear();
+  JobOutcome got;
+  bool done = false;
+  InsertCancellation(fake.runtime, fake.store, kJob, MonotonicMs() + 400,
+                     [&](JobOutcome outcome) {
+                       got = std::move(outcome);
+                       done = true;
+                     });
+  cr_assert(fake.loop.RunUntil([&] { return done; }, 2'000));
+  cr_expect(got.answer == JobAnswer::kRefused);
+  cr_expect_leq(fake.calls["/rows-tx"], 10);
+}
+
 // Guards against a job in doubt whose every further attempt gets an error: it
 // must end as unknown at the deadline, not as refused.
 Test(PlatformStore, insert_in_doubt_ends_unknown) {
