Table and object clients: only some statuses prove that nothing was done

docs/platform-protocol.md promises it of 400 and 503, and a 409 is a condition that was not met. The clients took all of 4xx for it, the object client also odd 2xx and 3xx. A write that was performed and answered so counted as not executed; the record writer sent it again, met its own conflict and gave up as owner (by reading).

Evidence: TableClient/only_some_statuses_prove_that_nothing_was_done fails before.

--- a/src/border/objects/ObjectClient.cpp
+++ b/src/border/objects/ObjectClient.cpp
@@ -18,7 +18,8 @@
   if (answer.failure == HttpFailure::kNotSent) return TableStatus::kUnavailable;
   if (answer.failure != HttpFailure::kNone) return TableStatus::kUnknown;
   if (answer.status == 200 || answer.status == 404) return TableStatus::kOk;
-  if (answer.status == 503 || answer.status < 500) {
+  // Only these two promise that nothing was done.
+  if (answer.status == 400 || answer.status == 503) {
     return TableStatus::kUnavailable;
   }
   return TableStatus::kUnknown;
@@ -36,7 +37,7 @@
                      result.status = ToStatus(answer);
                      // 404 is not a valid response to a write.
                      if (answer.status == 404)
-                       result.status = TableStatus::kUnavailable;
+                       result.status = TableStatus::kUnknown;
                      result.found = result.status == TableStatus::kOk;
                      done(std::move(result));
                    });
--- a/src/border/tables/TableClient.cpp
+++ b/src/border/tables/TableClient.cpp
@@ -24,14 +24,13 @@
   return call;
 }
 
-/// Status of a call without a usable answer. A service that answers 4xx or 503
-/// has rejected the request without executing it.
+/// Status of a call without a usable answer. Only 400, 409 (a condition was not
+/// met) and 503 promise that nothing was done.
 TableStatus ClassifyFailure(const HttpResult& result) {
   if (result.failure == HttpFailure::kNotSent) return TableStatus::kUnavailable;
   if (result.failure != HttpFailure::kNone) return TableStatus::kUnknown;
-  if (result.status == 503) return TableStatus::kUnavailable;
-  if (result.status >= 400 && result.status < 500) {
-    return TableStatus::kUnavailable;
+  for (const int undone : {400, 409, 503}) {
+    if (result.status == undone) return TableStatus::kUnavailable;
   }
   return TableStatus::kUnknown;
 }
--- a/tests/TableClientTest.cpp
+++ b/tests/TableClientTest.cpp
@@ -1,9 +1,12 @@
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "border/tables/JsonBytes.h"
 #include "tests/PlatformHarness.h"
+#include "tests/ScriptedServer.h"
 
 namespace dotterelcove {
 namespace {
@@ -184,6 +187,35 @@
   }
 }
 
+// Guards against a write that was carried out, and answered with an odd status,
+// and counts as not executed: the owner sent it again, met its own conflict and
+// gave up.
+Test(TableClient, only_some_statuses_prove_that_nothing_was_done) {
+  const std::pair<int, TableStatus> cases[] = {
+      {400, TableStatus::kUnavailable}, {503, TableStatus::kUnavailable},
+      {201, TableStatus::kUnknown},     {302, TableStatus::kUnknown},
+      {404, TableStatus::kUnknown},     {408, TableStatus::kUnknown},
+      {429, TableStatus::kUnknown},     {500, TableStatus::kUnknown},
+      {504, TableStatus::kUnknown}};
+  for (const auto& [status, meaning] : cases) {
+    EventLoop loop;
+    HttpClient http(loop);
+    ScriptedServer server(loop);
+    server.answer = "HTTP/1.1 " + std::to_string(status) +
+                    " Odd\r\nContent-Length: 2\r\n\r\n{}";
+    std::optional<TableStatus> transacted;
+    std::optional<TableStatus> put;
+    Transact({http, server.url(), 1'000}, {{}, {{"row", "x", false}}},
+             [&](const TransactResult& result) { transacted = result.status; });
+    cr_assert(loop.RunUntil([&] { return transacted.has_value(); }, 3'000));
+    PutObject({http, server.url(), 1'000}, "a", "x",
+              [&](const ObjectResult& result) { put = result.status; });
+    cr_assert(loop.RunUntil([&] { return put.has_value(); }, 3'000));
+    cr_expect_eq(Int(*transacted), Int(meaning), "%d", status);
+    cr_expect_eq(Int(*put), Int(meaning), "%d", status);
+  }
+}
+
 // Guards against a lost or truncated object.
 Test(ObjectClient, stores_whole_objects_and_tells_absent_ones) {
   PlatformHarness platform;
