--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -20,20 +20,39 @@
   std::string key;
   std::string value;
   TimeMs deadline_ms = 0;
-  JobAnswerCallback done;
+  JobOutcomeCallback done;
   /// An earlier attempt without an answer may have taken effect.
   bool in_doubt = false;
   int refusals = 0;
+  uint32_t calls = 0;
+  /// How the last call ended, see StoreAnswer::reason.
+  std::string reason;
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
 using Step = void (*)(const AttemptPtr&);
 
 void Finish(const AttemptPtr& attempt, JobAnswer answer, StoreRow row = {}) {
-  std::exchange(attempt->done, nullptr)(answer, std::move(row));
+  std::exchange(attempt->done, nullptr)(
+      {answer, std::move(row), attempt->reason, attempt->calls});
+}
+
+/// The store rejects the change itself, so that no retry would resolve it.
+void FinishRejected(const AttemptPtr& attempt) {
+  std::exchange(attempt->done, nullptr)(
+      {JobAnswer::kUnknown, {}, attempt->reason, attempt->calls, true});
+}
+
+void CountCall(Attempt& attempt, const StoreAnswer& answer) {
+  attempt.calls++;
+  attempt.reason = answer.reason;
 }
 
 /// After an attempt without a usable answer, schedules a retry or finishes.
 void TryAgain(const AttemptPtr& attempt, StoreStatus status, Step step) {
+  if (status == StoreStatus::kInvalid) {
+    FinishRejected(attempt);
+    return;
+  }
   if (status == StoreStatus::kRefused) {
     attempt->refusals++;
     if (!attempt->in_doubt && attempt->refusals >= kMaxRefusals) {
@@ -56,6 +75,7 @@
       {workflow::kJobTable, attempt->key, attempt->value});
   attempt->store.transact(
       std::move(transaction), [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status == StoreStatus::kOk) {
           StoreRow row{workflow::kJobTable, attempt->key, attempt->value,
                        answer.version, false};
@@ -64,14 +84,15 @@
         }
         if (answer.status == StoreStatus::kConflict) {
           // The id is already stored, by an earlier attempt or another process.
-          StoreRow row;
           for (const StoreRow& each : answer.rows) {
-            if (each.key == attempt->key) row = each;
+            if (each.key != attempt->key || each.version == 0) continue;
+            Finish(attempt, JobAnswer::kStored, each);
+            return;
           }
-          Finish(attempt, JobAnswer::kStored, std::move(row));
-          return;
+          // Without the row it does not show that the job is stored.
         }
-        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        // Only a refusal proves that nothing was written.
+        if (answer.status != StoreStatus::kRefused) attempt->in_doubt = true;
         TryAgain(attempt, answer.status, TryInsert);
       });
 }
@@ -86,6 +107,7 @@
       {workflow::kJobTable, attempt->key + workflow::kCancelSuffix, "1"});
   attempt->store.transact(
       std::move(transaction), [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status == StoreStatus::kOk) {
           StoreRow row{workflow::kJobTable,
                        attempt->key + workflow::kCancelSuffix, "1",
@@ -93,12 +115,11 @@
           Finish(attempt, JobAnswer::kStored, std::move(row));
           return;
         }
-        if (answer.status == StoreStatus::kConflict) {
-          // The job row has changed since it was read: the job has ended.
-          TryCancel(attempt);
-          return;
-        }
-        if (answer.status == StoreStatus::kUnknown) attempt->in_doubt = true;
+        // On a conflict nothing was written: the job row has changed since it
+        // was read, so the job has ended.
+        const bool is_unwritten = answer.status == StoreStatus::kRefused ||
+                                  answer.status == StoreStatus::kConflict;
+        if (!is_unwritten) attempt->in_doubt = true;
         TryAgain(attempt, answer.status, TryCancel);
       });
 }
@@ -106,6 +127,7 @@
 void TryCancel(const AttemptPtr& attempt) {
   attempt->store.read_one(
       workflow::kJobTable, attempt->key, [attempt](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
         if (answer.status != StoreStatus::kOk) {
           TryAgain(attempt, answer.status, TryCancel);
           return;
@@ -124,7 +146,7 @@
 
 AttemptPtr MakeAttempt(const Runtime& runtime, const RowStore& store,
                        const std::string& key, TimeMs deadline_ms,
-                       JobAnswerCallback done) {
+                       JobOutcomeCallback done) {
   auto attempt = std::make_shared<Attempt>();
   attempt->runtime = runtime;
   attempt->store = store;
@@ -138,14 +160,14 @@
 
 void InsertJobOnce(const Runtime& runtime, const RowStore& store,
                    const std::string& key, const std::string& value,
-                   JobAnswerCallback done) {
+                   JobOutcomeCallback done) {
   // With a deadline in the past there are no retries.
   InsertJob(runtime, store, key, value, 0, std::move(done));
 }
 
 void InsertJob(const Runtime& runtime, const RowStore& store,
                const std::string& key, const std::string& value,
-               TimeMs deadline_ms, JobAnswerCallback done) {
+               TimeMs deadline_ms, JobOutcomeCallback done) {
   const AttemptPtr attempt =
       MakeAttempt(runtime, store, key, deadline_ms, std::move(done));
   attempt->value = value;
@@ -154,7 +176,7 @@
 
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
                         const std::string& id, TimeMs deadline_ms,
-                        JobAnswerCallback done) {
+                        JobOutcomeCallback done) {
   TryCancel(MakeAttempt(runtime, store, id, deadline_ms, std::move(done)));
 }
 
