--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -181,8 +181,6 @@
   }
   // No daemon outlives the soak, however that ends.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  // A reload that comes before the program has its handlers ends nothing.
-  std::signal(SIGHUP, SIG_IGN);
   const int out = open(daemon.log_file.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(out, STDOUT_FILENO);
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -191,6 +191,9 @@
     return kExitUsage;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // The daemons inherit it: a reload that comes before one has its handlers
+  // does not end it.
+  std::signal(SIGHUP, SIG_IGN);
   about.seed = options.seed;
   about.daemon_program = options.daemon_program;
   about.folder = options.folder;
