--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -98,6 +98,7 @@
     const int second = 16 + (static_cast<int>(getpid()) + i * 37) % 220;
     this->net = "127." + std::to_string(second) + ".";
     this->store = std::make_unique<StoreStandin>(this->options.seed);
+    this->store->plant = this->options.plant;
     this->store->on_put = [this](const Row& row) {
       if (row.table != "owner") return;
       const auto bytes = DecodeBase64(row.value);
@@ -286,6 +287,7 @@
     about.memory_mb = shape.memory_mb;
     about.max_hold_ms = shape.max_hold_ms;
     about.clock_rate = kRates[i % 3];
+    about.plant = this->options.plant;
     this->workers.push_back(std::make_unique<CellWorker>(
         about, *this->store, this->gangs, this->log));
     if (!this->workers.back()->Boot()) return false;
@@ -310,6 +312,7 @@
     return this->Fail("the address of a worker is in use");
   this->vms = std::make_unique<VmService>(this->net + kVmServiceIp, kStorePort,
                                           this->workers, *this->store);
+  this->vms->plant = this->options.plant;
   if (!this->vms->Start())
     return this->Fail("the address of the VM service is in use");
   const CellShape& shape = this->options.shape;
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -16,6 +16,7 @@
 
 #include "tests/platform/soak/CellWorker.h"
 #include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/Plant.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
 #include "tests/platform/soak/VmService.h"
@@ -50,6 +51,7 @@
   std::string folder;
   /// Runs of a task that may end `failed`.
   uint32_t attempts = 3;
+  Plant plant = Plant::kNone;
 };
 
 struct Daemon {
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -271,7 +271,11 @@
   }
   this->runs.erase(found);
   this->over[task] = std::max(this->over[task], run);
-  this->ends.push_back({++this->last_end, task, run, how});
+  const Plant plant = this->options.plant;
+  const bool hides = plant == Plant::kBudget && how == RunEventKind::kFailed;
+  this->ends.push_back(
+      {++this->last_end, task, run, hides ? RunEventKind::kStopped : how});
+  if (plant == Plant::kOrder && how == RunEventKind::kDone) return;
   this->Note(how, task, run);
 }
 
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -21,6 +21,7 @@
 
 #include "tests/platform/soak/GangBoard.h"
 #include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/Plant.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
 
@@ -51,6 +52,7 @@
   int64_t max_hold_ms = 6'000;
   /// Rate of its steady clock, which may be 2 % slow.
   double clock_rate = 1;
+  Plant plant = Plant::kNone;
 };
 
 /// One worker, which can crash and start again.
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -222,11 +222,20 @@
 }
 
 void CellWorker::Acknowledge(const End& end) {
-  if (end.how == RunEventKind::kFailed) {
+  const Plant plant = this->options.plant;
+  const bool is_hidden =
+      plant == Plant::kBudget && end.how == RunEventKind::kStopped;
+  if (end.how == RunEventKind::kFailed || is_hidden) {
     this->Note(RunEventKind::kFailedAcknowledged, end.task, end.run);
   }
   if (end.how != RunEventKind::kDone) return;
   this->Note(RunEventKind::kDoneAcknowledged, end.task, end.run);
+  if (plant != Plant::kTwice || end.number % 8 != 0) return;
+  Run again;
+  again.run = end.run + 1;
+  again.began_ms = NowMs();
+  this->runs[end.task] = again;
+  this->Note(RunEventKind::kStart, end.task, again.run);
 }
 
 Reply CellWorker::Hold(const std::string& text, uint64_t number) {
--- /dev/null
+++ b/tests/platform/soak/Plant.h
@@ -0,0 +1,41 @@
+/// Faults of the stand-ins themselves, each of which breaks one rule. They show
+/// that the judge finds it; a soak without them has none.
+#pragma once
+
+#include <cstdint>
+
+#include "base/NameTable.h"
+
+namespace dotterelcove::soak {
+
+enum class Plant : uint8_t {
+  kNone,
+  /// A worker begins a task again whose end `done` was acknowledged.
+  kTwice,
+  /// The store performs the transactions of some jobs and answers 503.
+  kRefused,
+  /// The store acknowledges some inserts of jobs without performing them.
+  kLost,
+  /// The store hides new manifests from one daemon.
+  kConfig,
+  /// Workers list ends `failed` as `stopped`.
+  kBudget,
+  /// Workers list tasks as `done` that they go on with.
+  kOrder,
+  /// The VM service accepts each order from another holder as well.
+  kOne,
+  /// Clients send another `spec` than they note.
+  kUnasked,
+};
+inline constexpr auto kPlantNames =
+    MakeNameTable<Plant>({{Plant::kNone, "NONE"},
+                          {Plant::kTwice, "TWICE"},
+                          {Plant::kRefused, "REFUSED"},
+                          {Plant::kLost, "LOST"},
+                          {Plant::kConfig, "CONFIG"},
+                          {Plant::kBudget, "BUDGET"},
+                          {Plant::kOrder, "ORDER"},
+                          {Plant::kOne, "ONE"},
+                          {Plant::kUnasked, "UNASKED"}});
+
+}  // namespace dotterelcove::soak
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -31,6 +31,7 @@
   int daemons = 0;
   int workers = 0;
   std::vector<FaultKind> only;
+  Plant plant = Plant::kNone;
 };
 
 void PrintUsage(std::FILE* out) {
@@ -45,6 +46,8 @@
       "  --daemons N    number of daemons; default 9\n"
       "  --workers N    number of workers; default 48\n"
       "  --only A,B     kinds of fault to choose from; default all\n"
+      "  --plant RULE   fault of a stand-in that breaks this rule, with no\n"
+      "                 other fault but those it needs; default NONE\n"
       "  --daemon FILE  program of the daemon; default "
       "build/dotterelcove-celld\n"
       "  --folder DIR   logs, settings and record; default soak-SEED\n"
@@ -65,6 +68,21 @@
   return true;
 }
 
+/// The faults that bring a planted one to light; empty for all kinds.
+std::vector<FaultKind> KindsOf(Plant plant) {
+  switch (plant) {
+    case Plant::kNone:
+      return {};
+    case Plant::kLost:
+      // A lost row is missed once another owner has read the rows.
+      return {FaultKind::kOwnerKilled};
+    case Plant::kOne:
+      return {FaultKind::kMaintenanceWave};
+    default:
+      return {FaultKind::kManifestChanged};
+  }
+}
+
 /// Returns false for wrong usage.
 bool ParseOptions(int argc, char** argv, SoakOptions& options) {
   const option table[] = {{"seed", required_argument, nullptr, 0},
@@ -74,6 +92,7 @@
                           {"daemons", required_argument, nullptr, 0},
                           {"workers", required_argument, nullptr, 0},
                           {"only", required_argument, nullptr, 0},
+                          {"plant", required_argument, nullptr, 0},
                           {"daemon", required_argument, nullptr, 0},
                           {"folder", required_argument, nullptr, 0},
                           {"help", no_argument, nullptr, 'h'},
@@ -102,6 +121,10 @@
   options.workers = std::atoi(value("workers", "48").c_str());
   options.daemon_program = value("daemon", "build/dotterelcove-celld");
   options.folder = value("folder", "soak-" + seed);
+  const auto plant = ValueOf(kPlantNames, value("plant", "NONE"));
+  if (!plant) return false;
+  options.plant = *plant;
+  options.only = KindsOf(*plant);
   const bool known_kinds =
       !given.contains("only") || ParseKinds(given["only"], options.only);
   return known_kinds && optind == argc && options.seconds > 0 &&
@@ -194,6 +217,7 @@
   about.seed = options.seed;
   about.daemon_program = options.daemon_program;
   about.folder = options.folder;
+  about.plant = options.plant;
   about.shape.daemons = options.daemons;
   about.shape.workers = options.workers;
   Cell cell(about);
--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -17,6 +17,8 @@
 /// Time of one answer, as at the users' store.
 constexpr int64_t kAnswerMs = 4;
 constexpr size_t kMaxRows = 500;
+/// Where the daemons keep jobs.
+constexpr const char* kJobTable = "job";
 constexpr size_t kMaxRowBytes = 65'536;
 
 std::string Field(const Request& request, const char* name) {
@@ -157,7 +159,50 @@
       .dump();
 }
 
+Reply StoreStandin::HideChanges(const Request& request) {
+  Reply reply;
+  if (request.path == "/rows-feed") {
+    SleepMs(std::atoll(Field(request, "wait_ms").c_str()));
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    reply.body = this->RowsToJson({}, false);
+    return reply;
+  }
+  reply = this->Perform(request);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->first_manifest.empty()) this->first_manifest = reply.body;
+  reply.body = this->first_manifest;
+  return reply;
+}
+
+bool StoreStandin::RefusesInsert(const Request& request) const {
+  if (this->plant != Plant::kRefused || request.path != "/rows-tx") {
+    return false;
+  }
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("puts")) return false;
+  return std::any_of(
+      body["puts"].begin(), body["puts"].end(), [](const Json& put) {
+        const std::string key = put.at("key");
+        return put.at("table") == kJobTable && key.ends_with('0');
+      });
+}
+
+bool StoreStandin::LosesInsert(const Row& row) {
+  if (this->plant != Plant::kLost || row.table != kJobTable) return false;
+  constexpr uint64_t kOneIn = 3;
+  return ++this->inserts % kOneIn == 0;
+}
+
 Reply StoreStandin::Handle(const std::string& caller, const Request& request) {
+  if (this->RefusesInsert(request)) {
+    this->Perform(request);
+    return Error(503);
+  }
+  const bool is_hidden =
+      caller == "daemon-1" && Field(request, "table") == "op";
+  if (this->plant == Plant::kConfig && is_hidden) {
+    return this->HideChanges(request);
+  }
   const StoreFault fault = this->DrawFault(caller);
   Reply reset;
   reset.reset = true;
@@ -248,7 +293,12 @@
     }
     const uint64_t new_version = ++this->version;
     for (const Json& put : puts) {
-      this->Apply(key_of(put), put.at("value"), false, new_version);
+      const Key key = key_of(put);
+      if (!this->rows.contains(key) &&
+          this->LosesInsert({std::get<0>(key), {}, {}, {}, 0, false})) {
+        continue;
+      }
+      this->Apply(key, put.at("value"), false, new_version);
       written.push_back(this->history.back());
     }
     for (const Json& removal : removals) {
--- a/tests/platform/soak/StoreStandin.h
+++ b/tests/platform/soak/StoreStandin.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "tests/platform/soak/Plant.h"
 #include "tests/platform/soak/RawHttp.h"
 
 namespace dotterelcove::soak {
@@ -98,6 +99,7 @@
   /// Forgets all changes so far: a feed from an earlier version is refused.
   void DropHistory();
 
+  Plant plant = Plant::kNone;
   /// Called with each row of a transaction of a daemon.
   std::function<void(const Row&)> on_put;
 
@@ -106,6 +108,13 @@
 
   Reply Handle(const std::string& caller, const Request& request);
   Reply Perform(const Request& request);
+  /// For the plant CONFIG: no change within the wait, and the first manifest to
+  /// all reads.
+  Reply HideChanges(const Request& request);
+  /// For the plant REFUSED: whether to answer 503 after the transaction.
+  bool RefusesInsert(const Request& request) const;
+  /// For the plant LOST: whether to lose the transaction.
+  bool LosesInsert(const Row& row);
   /// The fault that meets the next call.
   StoreFault DrawFault(const std::string& caller);
   /// Performs the call after `late_ms`, unless the store stops first.
@@ -131,6 +140,8 @@
   std::atomic<bool> is_stopped{false};
   std::map<std::string, StoreFault> faults;
   std::mt19937_64 random;
+  uint64_t inserts = 0;
+  std::string first_manifest;
   std::map<std::string, std::unique_ptr<Server>> servers;
   /// Threads of calls that are performed late.
   std::vector<std::thread> late;
--- a/tests/platform/soak/Traffic.cpp
+++ b/tests/platform/soak/Traffic.cpp
@@ -106,6 +106,7 @@
     job->spec.steps[i].milli_cores = steps[i]["cpu"];
   }
   job->spec.spec = spec;
+  if (this->cell.about().plant == Plant::kUnasked) spec += " ";
   job->body = Json{{"spec", spec}, {"steps", steps}}.dump();
   job->steps = this->DrawClient();
   job->daemon = this->random();
--- a/tests/platform/soak/VmService.cpp
+++ b/tests/platform/soak/VmService.cpp
@@ -133,6 +133,9 @@
   }
   this->orders.push_back(
       {NowMs(), name, HeaderOf(request, "x-duty-holder"), token});
+  if (this->plant == Plant::kOne) {
+    this->orders.push_back({NowMs(), name, "another holder", token});
+  }
   // A call that gets no answer may have been carried out.
   constexpr size_t kOneInLosesAnswer = 5;
   reply.reset = this->orders.size() % kOneInLosesAnswer == 0;
--- a/tests/platform/soak/VmService.h
+++ b/tests/platform/soak/VmService.h
@@ -35,6 +35,8 @@
   /// The orders that were accepted.
   std::vector<VmOrder> Orders() const;
 
+  Plant plant = Plant::kNone;
+
  private:
   struct Vm {
     /// Waves that ask for its maintenance, and those in which it has begun.
