--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -98,6 +98,7 @@
     const int second = 16 + (static_cast<int>(getpid()) + i * 37) % 220;
     this->net = "127." + std::to_string(second) + ".";
     this->store = std::make_unique<StoreStandin>(this->options.seed);
+    this->store->plant = this->options.plant;
     this->store->on_put = [this](const Row& row) {
       if (row.table != "owner") return;
       const auto bytes = DecodeBase64(row.value);
@@ -174,6 +175,10 @@
   const std::string variable = "DOTTERELCOVE_SETTINGS=" + daemon.settings_file;
   const std::string program = this->options.daemon_program;
   daemon.restart_ms = 0;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->seen.daemon_starts.push_back({NowMs(), daemon.name});
+  }
   const pid_t pid = fork();
   if (pid != 0) {
     daemon.pid = pid;
@@ -233,6 +238,8 @@
                      {"max_conns", 64},  {"protocol", "h1"},
                      {"tls", false},     {"admission_check", false},
                      {"standby", false}};
+  const std::lock_guard<std::mutex> one_at_a_time(this->manifest_mutex);
+  const int64_t sent_ms = NowMs();
   // Versions rise in uneven steps.
   constexpr uint64_t kStep = 7;
   this->manifest_version += kStep;
@@ -244,7 +251,19 @@
                        .dump());
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->seen.manifests.push_back(
-      {NowMs(), this->manifest_version, std::move(queues)});
+      {NowMs(), this->manifest_version, std::move(queues), sent_ms});
+}
+
+std::vector<std::string> Cell::ChangedQueues() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<std::string> changed;
+  const auto& all = this->seen.manifests;
+  for (size_t i = all.size() - std::min<size_t>(all.size(), 2); i < all.size();
+       ++i) {
+    changed.insert(changed.end(), all[i].queues.begin() + 1,
+                   all[i].queues.end());
+  }
+  return changed;
 }
 
 void Cell::NoteDisruption(Disruption disruption) {
@@ -266,6 +285,7 @@
     about.memory_mb = shape.memory_mb;
     about.max_hold_ms = shape.max_hold_ms;
     about.clock_rate = kRates[i % 3];
+    about.plant = this->options.plant;
     this->workers.push_back(std::make_unique<CellWorker>(
         about, *this->store, this->gangs, this->log));
     if (!this->workers.back()->Boot()) return false;
@@ -290,6 +310,7 @@
     return this->Fail("the address of a worker is in use");
   this->vms = std::make_unique<VmService>(this->net + kVmServiceIp, kStorePort,
                                           this->workers, *this->store);
+  this->vms->plant = this->options.plant;
   if (!this->vms->Start())
     return this->Fail("the address of the VM service is in use");
   const CellShape& shape = this->options.shape;
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -16,6 +16,7 @@
 
 #include "tests/platform/soak/CellWorker.h"
 #include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/Plant.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
 #include "tests/platform/soak/VmService.h"
@@ -50,6 +51,7 @@
   std::string folder;
   /// Runs of a task that may end `failed`.
   uint32_t attempts = 3;
+  Plant plant = Plant::kNone;
 };
 
 struct Daemon {
@@ -99,6 +101,8 @@
   void NoteEnd(Daemon& daemon, int status);
   /// Writes the next manifest; `extra_queues` are added to the first queue.
   void WriteManifest(const std::vector<std::string>& extra_queues);
+  /// The queues of the newest two manifests beside the first queue.
+  std::vector<std::string> ChangedQueues() const;
   /// Notes a disruption for the judge; the end may be changed later.
   void NoteDisruption(Disruption disruption);
 
@@ -131,6 +135,7 @@
   Observations seen;
   bool record_written = false;
   int64_t began_ms = 0;
+  std::mutex manifest_mutex;
   uint64_t manifest_version = 0;
   std::atomic<bool> stopping{false};
   std::thread janitor;
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -21,6 +21,7 @@
 
 #include "tests/platform/soak/GangBoard.h"
 #include "tests/platform/soak/Observations.h"
+#include "tests/platform/soak/Plant.h"
 #include "tests/platform/soak/RawHttp.h"
 #include "tests/platform/soak/StoreStandin.h"
 
@@ -51,6 +52,7 @@
   int64_t max_hold_ms = 6'000;
   /// Rate of its steady clock, which may be 2 % slow.
   double clock_rate = 1;
+  Plant plant = Plant::kNone;
 };
 
 /// One worker, which can crash and start again.
@@ -113,6 +115,7 @@
     RunEventKind how = RunEventKind::kDone;
     /// The lease has lapsed since.
     bool lapsed = false;
+    bool listed = false;
   };
 
   Reply Handle(const Request& request);
@@ -141,7 +144,8 @@
   void Register();
   void Tick(uint64_t life);
   void Note(RunEventKind kind, const std::string& task, uint32_t run,
-            bool is_late = false);
+            bool is_late = false, const std::string& spec = {});
+  void Acknowledge(const End& end);
   /// When the lease lapses, on the soak's clock.
   int64_t LapseMs() const;
 
