Lines on lost and absent runs tell what the owner concluded it from

worker_unreachable and task_lost now have the incarnation, its clock as last read and the lease end on that clock, worker_unreachable also the time until runs that no sync has listed lapse, and task_lost whether the run was one of them. run_absent has the reason in place of `stopped`: stop_answered, start_confirmed or token_raised. No line is new. One line for each sync would exceed the 400 lines a second of an event from about 400 workers on; the last lease end granted is what a lapse is counted from, and these lines have it.

Test: CellModel/line_on_a_lapsed_run_tells_its_lease; fails without lease_end_clock_ms in task_lost.

--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -134,30 +134,60 @@
             {F("worker", worker.info.id), F("tasks", adopted)});
 }
 
-/// Removes runs that the worker does not list although the sync was sent after
-/// it had confirmed their start or answered their stop, or with a higher token
-/// than their start, which the worker refuses from then on. How they ended is
-/// not known any more.
+/// Why a run that a worker does not list has ended or will never begin.
+enum class AbsenceProof : uint8_t {
+  /// The sync was sent after the worker had answered the stop.
+  kStopAnswered,
+  /// The sync was sent after the worker had confirmed the start.
+  kStartConfirmed,
+  /// The sync has a higher token than the start, which the worker refuses from
+  /// then on.
+  kTokenRaised,
+};
+constexpr auto kAbsenceProofNames = MakeNameTable<AbsenceProof>(
+    {{AbsenceProof::kStopAnswered, "stop_answered"},
+     {AbsenceProof::kStartConfirmed, "start_confirmed"},
+     {AbsenceProof::kTokenRaised, "token_raised"}});
+
+/// Null if the run may still be there although the answer to `sync` does not
+/// list it.
+std::optional<AbsenceProof> FindAbsenceProof(const Controller& c,
+                                             const Worker& worker,
+                                             const PlacedRun& run,
+                                             uint64_t sync) {
+  if (run.stop_answered && run.syncs_before_stopped < sync) {
+    return AbsenceProof::kStopAnswered;
+  }
+  if (run.confirmed && run.syncs_before_confirmed < sync &&
+      !run.start_in_doubt) {
+    return AbsenceProof::kStartConfirmed;
+  }
+  if (!run.listed && run.token < TokenFor(c, worker)) {
+    return AbsenceProof::kTokenRaised;
+  }
+  return std::nullopt;
+}
+
+/// Removes runs that are certainly not on the worker. How they ended is not
+/// known any more.
 void DropAbsentRuns(Controller& c, Worker& worker, const SyncAnswer& answer,
                     uint64_t sync) {
   std::set<std::string> listed;
   for (const ReportedRun& run : answer.running) listed.insert(run.task);
-  std::vector<std::string> absent;
+  std::vector<std::pair<std::string, AbsenceProof>> absent;
   for (const auto& [name, run] : worker.runs) {
     if (listed.contains(name)) continue;
-    const bool stopped = run.stop_answered && run.syncs_before_stopped < sync;
-    const bool confirmed = run.confirmed && run.syncs_before_confirmed < sync &&
-                           !run.start_in_doubt;
-    const bool fenced = !run.listed && run.token < TokenFor(c, worker);
-    if (stopped || confirmed || fenced) absent.push_back(name);
+    const auto proof = FindAbsenceProof(c, worker, run, sync);
+    if (proof) absent.emplace_back(name, *proof);
   }
-  for (const std::string& name : absent) {
+  for (const auto& [name, proof] : absent) {
     const TaskRef task = worker.runs[name].task;
     const uint64_t gang = worker.runs[name].gang;
-    LogAlways(LogLevel::kInfo, "run_absent",
-              {F("task", name), F("run", worker.runs[name].run),
-               F("worker", worker.info.id), F("sync", sync),
-               F("stopped", worker.runs[name].stop_answered)});
+    LogAlways(
+        LogLevel::kInfo, "run_absent",
+        {F("task", name), F("run", worker.runs[name].run),
+         F("worker", worker.info.id), F("incarnation", worker.info.incarnation),
+         F("sync", sync), F("reason", NameOf(kAbsenceProofNames, proof))});
     const uint32_t number = worker.runs[name].run;
     const std::optional<CrashPhase> crash = worker.runs[name].crash;
     RemoveRun(worker, name);
@@ -239,7 +269,12 @@
         {F("worker", worker.info.id),
          F("status", NameOf(kOrderStatusNames, status)),
          F("runs", worker.runs.size()),
-         F("lapses_in_ms", worker.lease_expires_ms - c.runtime.now())});
+         F("incarnation", worker.info.incarnation),
+         F("clock_ms", worker.clock_ms),
+         F("lease_end_clock_ms", worker.lease_end_clock_ms),
+         F("lapses_in_ms", worker.lease_expires_ms - c.runtime.now()),
+         F("unlisted_lapse_in_ms",
+           worker.unlisted_expire_ms - c.runtime.now())});
   }
   worker.reachable = false;
   CordonWorker(c, worker);
@@ -469,6 +504,10 @@
     LogAlways(LogLevel::kWarning, "task_lost",
               {F("task", name), F("run", run), F("worker", worker.info.id),
                F("reason", NameOf(kRunLossNames, loss)),
+               F("listed", found->second.listed),
+               F("incarnation", worker.info.incarnation),
+               F("clock_ms", worker.clock_ms),
+               F("lease_end_clock_ms", worker.lease_end_clock_ms),
                F("sync_age_ms", c.runtime.now() - worker.clock_read_ms)});
     RemoveRun(worker, name);
     const bool was_held = TaskOf(task).worker == worker.info.id;
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -2,8 +2,11 @@
 // or sent must not be taken for the state of the next one.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
+#include "telemetry/Log.h"
 #include "tests/CellModelDays.h"
 
 namespace dotterelcove::model {
@@ -147,4 +150,29 @@
   ExpectNoViolations(cell, false);
 }
 
+// Guards against lines on a lost run that do not tell the lease which the owner
+// has waited for: whether it was too short cannot be seen without it.
+Test(CellModel, line_on_a_lapsed_run_tells_its_lease) {
+  std::vector<std::string> lines;
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+  Cell cell({.workers = 2, .failure_share = 0});
+  cell.time.RunUntil(5 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 3 * kSecond));
+  while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
+  cell.time.RunUntil(cell.time.now_ms + kSecond);
+  cell.workers.at(cell.run_records.front().worker).partitioned = true;
+  cell.time.RunUntil(20 * kSecond);
+  SetLogOutput(nullptr);
+  const auto lost =
+      std::find_if(lines.begin(), lines.end(), [](const std::string& line) {
+        return line.find("\"reason\":\"lease_lapsed\"") != std::string::npos;
+      });
+  cr_assert(lost != lines.end());
+  for (const char* field : {"listed", "incarnation", "clock_ms",
+                            "lease_end_clock_ms", "sync_age_ms"}) {
+    const std::string name = std::string("\"") + field + "\":";
+    cr_expect(lost->find(name) != std::string::npos, "no %s", field);
+  }
+}
+
 }  // namespace dotterelcove::model
