A successor waits for the longest lease of a worker that has restarted lately

Callers saw: tasks run twice (TWICE) when the owner is lost right after workers have restarted under their id and are cut off: all tasks of all such workers at a time. A candidate for the bulk of TWICE on the users' machines at a takeover; there it is suspected only.

Cause: a call that was made for the earlier incarnation gives the next one the longest lease that a worker grants (6 s, at the yard 10 s), since its clock has begun anew. The lost owner knew that, or had not noticed the restart; its successor waited 5.1 s for every silent worker.

Ruled out: a longer wait for all silent workers, which would hold the jobs of before each takeover back by up to 6.7 s more wherever one worker is silent.

Change: a worker whose restart was noticed less than a longest lease ago is recorded as such in the fleet row, and a successor waits for the longest lease of it; likewise if the list shows a later incarnation than the row. All others are waited for as before. The new field is absent for workers that have not restarted; older versions ignore it.

Test: CellModel/takeover_after_an_unnoticed_restart_runs_nothing_twice.

Open: a worker that is cut off from the store too before it has registered anew.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -138,13 +138,19 @@
       }
       c.recovery_pending[worker.info.id] =
           worker.cordoned ? worker.cordoned_version : UINT64_MAX;
+      if (worker.restarted_lately) {
+        c.pending_longest_lease.insert(worker.info.id);
+      }
       recorded.push_back(std::move(worker));
     }
   }
-  c.recovery_deadline_ms =
-      c.runtime.now() + c.options.isolation_ms +
-      static_cast<TimeMs>(static_cast<double>(c.options.lease_ms) *
-                          (1 + c.options.clock_rate_error));
+  const auto deadline_for = [&](TimeMs lease_ms) {
+    return c.runtime.now() + c.options.isolation_ms +
+           static_cast<TimeMs>(static_cast<double>(lease_ms) *
+                               (1 + c.options.clock_rate_error));
+  };
+  c.recovery_deadline_ms = deadline_for(c.options.lease_ms);
+  c.longest_lease_deadline_ms = deadline_for(c.options.max_lease_ms);
   Log(LogLevel::kInfo, "records_read",
       {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
        F("ended_jobs", c.ended.size()), F("workers", recorded.size())});
@@ -157,6 +163,7 @@
     worker.cordoned = known.cordoned;
     worker.cordoned_version = known.cordoned_version;
     worker.recorded = !known.cordoned;
+    if (known.restarted_lately) worker.restarted_ms = c.runtime.now();
     if (worker.synced) {
       c.recovery_pending.erase(known.info.id);
     } else if (worker.syncs == 0) {
@@ -289,14 +296,19 @@
 
 void CheckRecovery(Controller& c) {
   if (!c.loaded || c.recovery_pending.empty()) return;
-  if (c.runtime.now() < c.recovery_deadline_ms) return;
-  for (const auto& [id, version] : c.recovery_pending) {
-    Log(LogLevel::kWarning, "worker_waited_out",
-        {F("worker", id), F("epoch", c.epoch),
-         F("jobs_up_to_version", version)});
-  }
-  c.recovery_pending.clear();
-  RequestSchedule(c);
+  const TimeMs now_ms = c.runtime.now();
+  if (now_ms < c.recovery_deadline_ms) return;
+  const size_t waited_out = std::erase_if(
+      c.recovery_pending,
+      [&](const std::pair<const std::string, uint64_t>& it) {
+        const bool longest = c.pending_longest_lease.contains(it.first);
+        if (longest && now_ms < c.longest_lease_deadline_ms) return false;
+        Log(LogLevel::kWarning, "worker_waited_out",
+            {F("worker", it.first), F("epoch", c.epoch),
+             F("jobs_up_to_version", it.second), F("longest_lease", longest)});
+        return true;
+      });
+  if (waited_out > 0) RequestSchedule(c);
 }
 
 /// Logs the load once a second, so that a slow owner can be told from slow
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -145,9 +145,12 @@
   bool loaded = false;
   /// The predecessor's workers that have not answered yet. Each maps to the
   /// store version up to which an accepted job may have a task on it. Those
-  /// jobs wait for the worker, at most until `recovery_deadline_ms`.
+  /// jobs wait for the worker, at most until `recovery_deadline_ms`, or for a
+  /// worker that may hold the longest lease until `longest_lease_deadline_ms`.
   std::map<std::string, uint64_t> recovery_pending;
+  std::set<std::string> pending_longest_lease;
   TimeMs recovery_deadline_ms = 0;
+  TimeMs longest_lease_deadline_ms = 0;
   /// Updates that arrived while the stored tables were being read.
   std::vector<StoreRow> early_rows;
   std::vector<WorkerInfo> early_fleet;
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -87,8 +87,9 @@
   FleetRecords records;
   for (const auto& [key, text] : c.fleet_rows) by_row[key];
   for (const auto& [id, worker] : c.fleet.workers) {
-    by_row[FleetKeyOf(id)].push_back(
-        {worker.info, worker.cordoned, worker.cordoned_version});
+    by_row[FleetKeyOf(id)].push_back({worker.info, worker.cordoned,
+                                      worker.cordoned_version,
+                                      MayHoldLongestLease(c, worker)});
     records[id] = {worker.cordoned, worker.state_changes};
   }
   std::vector<RowPut> puts;
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -210,7 +210,11 @@
 /// doubled with each quarantine that no success came after.
 void Quarantine(Controller& controller, Worker& worker, TimeMs base_ms,
                 const char* reason);
+/// Whether this owner still waits for what its predecessor's workers run.
 bool IsRecovering(const Controller& controller);
+/// Whether a call that was made for an earlier incarnation of the worker may
+/// have given the present one a lease that has not ended yet.
+bool MayHoldLongestLease(const Controller& controller, const Worker& worker);
 
 // Pacing.
 /// Adjusts the pace of the worker's fillers to its latest report.
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -427,6 +427,11 @@
                IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
                RunSet::kListed);
   worker.info.incarnation = incarnation;
+  worker.restarted_ms = c.runtime.now();
+  // The predecessor may have called it for its earlier incarnation.
+  if (c.recovery_pending.contains(worker.info.id)) {
+    c.pending_longest_lease.insert(worker.info.id);
+  }
   worker.token_increment = ++c.worker_restarts;
   RemoveOrphans(c, worker);
   worker.deferred_ends.clear();
@@ -534,8 +539,13 @@
 }
 
 bool IsRecovering(const Controller& c) {
-  return !c.loaded || (!c.recovery_pending.empty() &&
-                       c.runtime.now() < c.recovery_deadline_ms);
+  return !c.loaded || !c.recovery_pending.empty();
+}
+
+bool MayHoldLongestLease(const Controller& c, const Worker& worker) {
+  if (worker.restarted_ms < 0) return false;
+  return c.runtime.now() - worker.restarted_ms <
+         LeaseWaitMs(c, c.options.max_lease_ms);
 }
 
 }  // namespace dotterelcove::workflow
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -44,6 +44,9 @@
   /// Store version at which it was cordoned: no job accepted later can have a
   /// task on it. 0 if its row was written before that was known.
   uint64_t cordoned_version = 0;
+  /// It was seen to have restarted so short a time before that it may hold the
+  /// longest lease, from a call that was made for its earlier incarnation.
+  bool restarted_lately = false;
 };
 
 /// One run that occupies a worker.
@@ -163,6 +166,8 @@
   /// The same for a run that no sync has listed: it may be on a later
   /// incarnation, with the longest lease that a call can have given that one.
   TimeMs unlisted_expire_ms = 0;
+  /// When it was last seen to have restarted, -1 for never.
+  TimeMs restarted_ms = -1;
   /// The lower part of the fencing token of calls to the worker, see
   /// TokenFor(). Rises with each of its incarnations.
   uint64_t token_increment = 0;
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -273,8 +273,10 @@
   Json json = Json::array();
   for (const RecordedWorker& worker : workers) {
     const WorkerInfo& info = worker.info;
-    json.push_back({info.id, info.address, info.service, info.incarnation,
-                    worker.cordoned, worker.cordoned_version});
+    Json entry{info.id,          info.address,    info.service,
+               info.incarnation, worker.cordoned, worker.cordoned_version};
+    if (worker.restarted_lately) entry.push_back(true);
+    json.push_back(std::move(entry));
   }
   return json.dump();
 }
@@ -292,6 +294,8 @@
     whole.info.incarnation = entry.at(3).get<uint64_t>();
     whole.cordoned = entry.at(4).get<bool>();
     whole.cordoned_version = entry.at(5).get<uint64_t>();
+    // Earlier versions have written no such field.
+    if (entry.size() > 6) whole.restarted_lately = entry[6].get<bool>();
     worker = std::move(whole);
   } catch (const Json::exception& error) {
     Log(LogLevel::kError, "fleet_entry_damaged",
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -199,6 +199,7 @@
       });
     };
     workflow::AddPermitClient(c, "self", MakePermitPort(cell, index, alive));
+    c.options.max_lease_ms = cell.options.max_lease_ms;
     if (cell.configure_owner) cell.configure_owner(c);
     workflow::StartController(c);
   };
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -165,6 +165,8 @@
   bool permits = false;
   double allowed_share = 0.5;
   double failure_share = 0.02;
+  /// The longest lease that a worker grants itself, which the owners know.
+  TimeMs max_lease_ms = 6'000;
   /// A worker that a task has crashed returns under another id, at the same
   /// address.
   bool new_id_after_crash = false;
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -14,7 +14,6 @@
 /// Shortest and longest time that a run takes to stop.
 constexpr TimeMs kShortStopMs = 50;
 constexpr TimeMs kLongStopMs = 900;
-constexpr TimeMs kMaxLeaseMs = 6'000;
 /// Run time of a long-running task, longer than any simulation.
 constexpr TimeMs kLongRunningMs = 1'000'000;
 
@@ -69,7 +68,7 @@
 void RenewLease(const Cell& cell, ModelWorker& worker, int64_t end_clock_ms) {
   if (end_clock_ms <= 0) return;
   const TimeMs end_ms = std::min(end_clock_ms - worker.clock_offset_ms,
-                                 cell.time.now_ms + kMaxLeaseMs);
+                                 cell.time.now_ms + cell.options.max_lease_ms);
   worker.lease_end_ms = std::max(worker.lease_end_ms, end_ms);
 }
 
