--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -15,7 +15,7 @@
 constexpr TimeMs kCutMs = 6 * kSecond;
 
 /// Submits jobs whose tasks outlast every lease.
-void SubmitLongTasks(Cell &cell, TimeMs until_ms) {
+void SubmitLongTasks(Cell& cell, TimeMs until_ms) {
   constexpr TimeMs kEveryMs = 400;
   for (TimeMs at_ms = 0; at_ms < until_ms; at_ms += kEveryMs) {
     cell.time.After(at_ms, [&cell] {
@@ -27,10 +27,10 @@
 
 /// Cuts the worker off for a while, `delay_ms` after the first task has begun
 /// on its present incarnation.
-void CutOffOnceBusy(Cell &cell, const std::string &id, TimeMs delay_ms) {
+void CutOffOnceBusy(Cell& cell, const std::string& id, TimeMs delay_ms) {
   constexpr TimeMs kCheckMs = 10;
   cell.time.After(kCheckMs, [&cell, id, delay_ms] {
-    ModelWorker &worker = cell.workers.at(id);
+    ModelWorker& worker = cell.workers.at(id);
     if (worker.running.empty()) {
       CutOffOnceBusy(cell, id, delay_ms);
       return;
@@ -44,7 +44,7 @@
 }
 
 /// Crashes a worker, starts it again and cuts it off soon after.
-void RestartAndCutOff(Cell &cell, const std::string &id) {
+void RestartAndCutOff(Cell& cell, const std::string& id) {
   const TimeMs down_ms = UniformInt(cell.random, 100, 1'500);
   const TimeMs delay_ms = UniformInt(cell.random, 0, 2'500);
   CrashWorker(cell, id);
@@ -90,17 +90,17 @@
   Cell cell({.workers = 2, .failure_share = 0});
   // Between two syncs of idle workers.
   cell.time.RunUntil(5 * kSecond);
-  for (auto &[id, worker] : cell.workers) {
+  for (auto& [id, worker] : cell.workers) {
     worker.outdated_entry = worker.info;
     RestartWorker(cell, id);
   }
   Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 9 * kSecond));
   while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
-  ModelWorker &started = cell.workers.at(cell.run_records.front().worker);
+  ModelWorker& started = cell.workers.at(cell.run_records.front().worker);
   started.partitioned = true;
   cell.time.RunUntil(cell.time.now_ms + 12 * kSecond);
   started.partitioned = false;
-  for (auto &[id, worker] : cell.workers) worker.outdated_entry.reset();
+  for (auto& [id, worker] : cell.workers) worker.outdated_entry.reset();
   cell.time.RunUntil(60 * kSecond);
   cr_expect_eq(cell.run_records.size(), 2U);
   ExpectNoViolations(cell, true);
@@ -118,25 +118,25 @@
                .failure_share = 0,
                .max_lease_ms = kMaxLeaseMs});
     cell.time.RunUntil(5 * kSecond);
-    for (auto &[id, worker] : cell.workers) {
+    for (auto& [id, worker] : cell.workers) {
       worker.outdated_entry = worker.info;
       RestartWorker(cell, id);
     }
     Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 20 * kSecond));
     while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
-    ModelWorker &started = cell.workers.at(cell.run_records.front().worker);
+    ModelWorker& started = cell.workers.at(cell.run_records.front().worker);
     cell.time.RunUntil(cell.time.now_ms + UniformInt(cell.random, 0, 800));
     started.partitioned = true;
     // In every other seed the owner learns of the restart from the list, and
     // records the worker with its present incarnation, before it is lost.
     const TimeMs listed_ms = seed % 2 == 0 ? 1'500 : 0;
     if (listed_ms > 0) {
-      for (auto &[id, worker] : cell.workers) worker.outdated_entry.reset();
+      for (auto& [id, worker] : cell.workers) worker.outdated_entry.reset();
     }
     cell.time.RunUntil(cell.time.now_ms + listed_ms);
     KillDaemon(cell, FindOwner(cell));
     cell.time.RunUntil(cell.time.now_ms + 500);
-    for (auto &[id, worker] : cell.workers) worker.outdated_entry.reset();
+    for (auto& [id, worker] : cell.workers) worker.outdated_entry.reset();
     cell.time.RunUntil(cell.time.now_ms + 12 * kSecond);
     started.partitioned = false;
     cell.time.RunUntil(80 * kSecond);
@@ -153,7 +153,7 @@
     cell.time.RunUntil(2 * kSecond);
     Submit(cell, 0, MakeChain(cell, 1, 4, {1'000, 500, 0}, 2 * kSecond));
     while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
-    ModelWorker &lost = cell.workers.at(cell.run_records.front().worker);
+    ModelWorker& lost = cell.workers.at(cell.run_records.front().worker);
     CrashWorker(cell, lost.info.id);
     const TimeMs listed_ms = UniformInt(cell.random, 100, 2'000);
     cell.time.After(listed_ms, [&lost] { lost.info.incarnation++; });
@@ -168,14 +168,14 @@
 Test(CellModel, restarted_worker_is_used_by_its_new_labels_only,
      .init = DiscardLogs) {
   Cell cell({.workers = 2, .failure_share = 0});
-  ModelWorker &changed = cell.workers.at("w0");
+  ModelWorker& changed = cell.workers.at("w0");
   changed.info.labels = {"old"};
   cell.time.RunUntil(5 * kSecond);
   changed.outdated_entry = changed.info;
   changed.info.labels = {"new"};
   RestartWorker(cell, "w0");
   cell.time.RunUntil(8 * kSecond);
-  for (const char *label : {"old", "new"}) {
+  for (const char* label : {"old", "new"}) {
     workflow::JobSpec spec = MakeChain(cell, 1, 1, {1'000, 500, 0}, 200);
     spec.steps.front().required_label = label;
     Submit(cell, 0, spec);
@@ -192,7 +192,7 @@
 // has waited for: whether it was too short cannot be seen without it.
 Test(CellModel, line_on_a_lapsed_run_tells_its_lease) {
   std::vector<std::string> lines;
-  SetLogOutput([&](const std::string &line) { lines.push_back(line); });
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
   Cell cell({.workers = 2, .failure_share = 0});
   cell.time.RunUntil(5 * kSecond);
   Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 3 * kSecond));
@@ -202,11 +202,11 @@
   cell.time.RunUntil(20 * kSecond);
   SetLogOutput(nullptr);
   const auto lost =
-      std::find_if(lines.begin(), lines.end(), [](const std::string &line) {
+      std::find_if(lines.begin(), lines.end(), [](const std::string& line) {
         return line.find("\"reason\":\"lease_lapsed\"") != std::string::npos;
       });
   cr_assert(lost != lines.end());
-  for (const char *field : {"listed", "incarnation", "clock_ms",
+  for (const char* field : {"listed", "incarnation", "clock_ms",
                             "lease_end_clock_ms", "sync_age_ms"}) {
     const std::string name = std::string("\"") + field + "\":";
     cr_expect(lost->find(name) != std::string::npos, "no %s", field);
