The faults of orders belong to the cell in the soak

The injector set the function that loses orders while the workers already served calls, a data race found by reading. The workers now have the cell's order fault from their start, and the injector only changes it.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -58,7 +58,9 @@
 }
 
 Cell::Cell(CellOptions options)
-    : options(std::move(options)), began_ms(NowMs()) {
+    : order_fault(options.seed),
+      options(std::move(options)),
+      began_ms(NowMs()) {
   std::filesystem::create_directories(this->options.folder);
   this->record.open(this->options.folder + "/record.txt");
 }
@@ -267,7 +269,7 @@
     about.max_hold_ms = shape.max_hold_ms;
     about.clock_rate = kRates[i % 3];
     this->workers.push_back(std::make_unique<CellWorker>(
-        about, *this->store, this->gangs, this->log));
+        about, *this->store, this->gangs, this->order_fault, this->log));
     if (!this->workers.back()->Boot()) return false;
   }
   this->janitor = std::thread([this] {
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -111,6 +111,7 @@
 
   std::unique_ptr<StoreStandin> store;
   GangBoard gangs;
+  OrderFault order_fault;
   EventLog log;
   std::vector<std::unique_ptr<CellWorker>> workers;
   std::vector<Daemon> daemons;
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -35,9 +35,26 @@
   return all;
 }
 
+void OrderFault::Set(uint32_t share_percent, int64_t delay_ms) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->percent = share_percent;
+  this->late_ms = delay_ms;
+}
+
+bool OrderFault::Meets(int64_t& delay_ms) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  constexpr uint64_t kAll = 100;
+  delay_ms = this->late_ms;
+  return this->random() % kAll < this->percent;
+}
+
 CellWorker::CellWorker(CellWorkerOptions options, StoreStandin& store,
-                       GangBoard& gangs, EventLog& log)
-    : options(std::move(options)), store(store), gangs(gangs), log(log) {}
+                       GangBoard& gangs, OrderFault& order_fault, EventLog& log)
+    : options(std::move(options)),
+      store(store),
+      gangs(gangs),
+      order_fault(order_fault),
+      log(log) {}
 
 CellWorker::~CellWorker() {
   this->Crash();
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -9,11 +9,11 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <semaphore>
 #include <string>
 #include <thread>
@@ -37,6 +37,22 @@
   std::vector<RunEvent> events;
 };
 
+/// What the workers of a cell do with orders now.
+class OrderFault {
+ public:
+  explicit OrderFault(uint64_t seed) : random(seed) {}
+  /// A share of the orders gets no answer and is carried out after `late_ms`.
+  void Set(uint32_t percent, int64_t late_ms);
+  /// Whether the next order is such a one.
+  bool Meets(int64_t& late_ms);
+
+ private:
+  std::mutex mutex;
+  std::mt19937_64 random;
+  uint32_t percent = 0;
+  int64_t late_ms = 0;
+};
+
 struct CellWorkerOptions {
   std::string id;
   std::string ip;
@@ -57,7 +73,7 @@
 class CellWorker {
  public:
   CellWorker(CellWorkerOptions options, StoreStandin& store, GangBoard& gangs,
-             EventLog& log);
+             OrderFault& order_fault, EventLog& log);
   ~CellWorker();
   CellWorker(const CellWorker&) = delete;
   CellWorker& operator=(const CellWorker&) = delete;
@@ -71,12 +87,6 @@
   /// The id of the next life.
   void SetId(const std::string& id);
   CellWorkerOptions about() const;
-  /// Answers from now on: called for each order with its path; returns true if
-  /// the order shall get no answer. `late_ms` is then the time until it is
-  /// carried out; negative for never.
-  std::function<bool(const std::string& path, const std::string& task,
-                     int64_t& late_ms)>
-      lose;
   /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
   std::atomic<bool> is_cut{false};
   /// Reports that the worker leaves in `ms` at the earliest.
@@ -148,6 +158,7 @@
   CellWorkerOptions options;
   StoreStandin& store;
   GangBoard& gangs;
+  OrderFault& order_fault;
   EventLog& log;
   mutable std::mutex mutex;
   std::condition_variable changed;
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -60,7 +60,6 @@
 }
 
 Reply CellWorker::Handle(const Request& request) {
-  const std::string& path = request.path;
   uint64_t number = 0;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -73,13 +72,10 @@
       return reply;
     }
   }
-  const Json body = Json::parse(request.body, nullptr, false);
-  const std::string task =
-      body.is_object() ? body.value("task", std::string()) : std::string();
-  int64_t late_ms = -1;
   if (this->is_cut) return this->HoldBack();
-  if (this->lose && this->lose(path, task, late_ms)) {
-    if (late_ms >= 0) this->CarryOutLate(request, late_ms);
+  int64_t late_ms = 0;
+  if (this->order_fault.Meets(late_ms)) {
+    this->CarryOutLate(request, late_ms);
     return this->HoldBack();
   }
   const Reply reply = this->Perform(request, number, false);
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -16,24 +16,9 @@
 /// Most VMs of a wave that may be away at once.
 constexpr uint64_t kMostAway = 3;
 
-bool LoseOrder(OrderFault& fault, int64_t& late_ms) {
-  const std::lock_guard<std::mutex> lock(fault.mutex);
-  constexpr uint64_t kAll = 100;
-  if (fault.random() % kAll >= fault.percent) return false;
-  late_ms = fault.late_ms;
-  return true;
-}
-
 }  // namespace
 
-FaultInjector::FaultInjector(Cell& cell, uint64_t seed)
-    : cell(cell), order_fault(std::make_shared<OrderFault>()) {
-  this->order_fault->random.seed(seed);
-  for (const auto& worker : cell.workers) {
-    worker->lose = [fault = this->order_fault](
-                       const std::string&, const std::string&,
-                       int64_t& late_ms) { return LoseOrder(*fault, late_ms); };
-  }
+FaultInjector::FaultInjector(Cell& cell) : cell(cell) {
   for (size_t i = 0; i < cell.daemons.size(); ++i) {
     this->daemon_locks.push_back(std::make_unique<std::mutex>());
   }
@@ -306,16 +291,11 @@
 
 void FaultInjector::DisturbOrders(const PlannedFault& fault) {
   constexpr double kAllPercent = 100;
-  {
-    const std::lock_guard<std::mutex> lock(this->order_fault->mutex);
-    const bool late = fault.kind == FaultKind::kOrdersLate;
-    this->order_fault->late_ms = late ? fault.delay_ms : 0;
-    this->order_fault->percent =
-        static_cast<uint32_t>(fault.share * kAllPercent);
-  }
+  const bool late = fault.kind == FaultKind::kOrdersLate;
+  this->cell.order_fault.Set(static_cast<uint32_t>(fault.share * kAllPercent),
+                             late ? fault.delay_ms : 0);
   SleepMs(fault.for_ms);
-  const std::lock_guard<std::mutex> lock(this->order_fault->mutex);
-  this->order_fault->percent = 0;
+  this->cell.order_fault.Set(0, 0);
 }
 
 void FaultInjector::KeepProcessorBusy(const PlannedFault& fault) {
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
-#include <random>
 #include <thread>
 #include <vector>
 
@@ -13,20 +12,9 @@
 
 namespace dotterelcove::soak {
 
-/// What workers do with orders now. Shared with the workers, whose last calls
-/// come after the injector's end.
-struct OrderFault {
-  std::mutex mutex;
-  std::mt19937_64 random;
-  /// A lost order is carried out after this time, at once if 0.
-  int64_t late_ms = 0;
-  /// Share of the orders that are lost.
-  uint32_t percent = 0;
-};
-
 class FaultInjector {
  public:
-  FaultInjector(Cell& cell, uint64_t seed);
+  explicit FaultInjector(Cell& cell);
   /// Waits for the faults under way.
   ~FaultInjector();
   FaultInjector(const FaultInjector&) = delete;
@@ -60,7 +48,6 @@
                   int64_t extra_ms);
 
   Cell& cell;
-  std::shared_ptr<OrderFault> order_fault;
   std::vector<std::thread> threads;
   /// One thread at a time signals a daemon or waits for its end.
   std::vector<std::unique_ptr<std::mutex>> daemon_locks;
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -117,7 +117,7 @@
   const int64_t traffic_ms = options.seconds * kMsPerSecond;
   const std::vector<PlannedFault> plan =
       MakeFaultPlan(options.seed, traffic_ms, options.only);
-  FaultInjector injector(cell, options.seed);
+  FaultInjector injector(cell);
   Traffic traffic(cell, options.seed, options.jobs_per_second);
   const int64_t began_ms = NowMs();
   size_t next = 0;
