Log why a crash counts, and what a job given up for crashes rests on

On-call could not tell from the log whether a crash fell together with others, or which members of a gang it was counted for. worker_crashed_under_task now has ran_ms, unheard_ms, silent_workers and the list of crashes that count; job_closing has that list as well. No decision changes.

--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -17,6 +17,29 @@
   return task;
 }
 
+/// The crashes under a task, for a gang under its members, as
+/// `index:run/phase`, separated by spaces.
+std::string DescribeCrashes(const TaskRef& task) {
+  std::string text;
+  const std::vector<TaskState>& tasks = StepOf(task).tasks;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    if (!SpecOf(task).gang && i != task.index) continue;
+    for (const auto& [run, phase] : tasks[i].crashes) {
+      if (!text.empty()) text += ' ';
+      text += std::to_string(i) + ":" + std::to_string(run) + "/";
+      text += NameOf(kCrashPhaseNames, phase);
+    }
+  }
+  return text;
+}
+
+/// Workers that do not answer, which shows whether one crashed alone.
+size_t CountSilentWorkers(const Fleet& fleet) {
+  return static_cast<size_t>(
+      std::count_if(fleet.workers.begin(), fleet.workers.end(),
+                    [](const auto& entry) { return entry.second.cordoned; }));
+}
+
 }  // namespace
 
 bool IsSuspect(const TaskRef& task) { return IsSuspect(CrashesUnder(task)); }
@@ -53,14 +76,19 @@
   if (!is_new && known->second >= phase) return;
   known->second = phase;
   const TaskCrashes crashes = CrashesUnder(task);
-  LogAlways(LogLevel::kWarning, "worker_crashed_under_task",
-            {F("task", MakeTaskName(task)), F("run", run),
-             F("worker", worker.info.id), F("address", worker.info.address),
-             F("phase", NameOf(kCrashPhaseNames, phase)),
-             F("crashes", crashes.size())});
+  LogAlways(
+      LogLevel::kWarning, "worker_crashed_under_task",
+      {F("task", MakeTaskName(task)), F("run", run),
+       F("worker", worker.info.id), F("address", worker.info.address),
+       F("phase", NameOf(kCrashPhaseNames, phase)),
+       F("ran_ms", worker.heard_ms - state.started_ms),
+       F("unheard_ms", c.runtime.now() - worker.heard_ms),
+       F("silent_workers", CountSilentWorkers(c.fleet)),
+       F("crashes", crashes.size()), F("evidence", DescribeCrashes(task))});
   AvoidWorker(c, state, worker.info.id);
   if (MustGiveUp(crashes)) {
-    CloseJob(c, job, JobPhase::kFailed, "task_crashes_its_workers");
+    CloseJob(c, job, JobPhase::kFailed, "task_crashes_its_workers",
+             MakeTaskName(task) + " " + DescribeCrashes(task));
     return;
   }
   job.has_unstored_crashes = true;
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -126,9 +126,10 @@
 /// Commits changed progress to the store. Once it is stored, the ends behind it
 /// may be acknowledged to their workers.
 void FlushProgress(Controller& controller);
-/// Ends a job: stops its tasks and stores its outcome.
+/// Ends a job: stops its tasks and stores its outcome. `evidence` tells the log
+/// what the reason rests on.
 void CloseJob(Controller& controller, Job& job, JobPhase phase,
-              const char* reason);
+              const char* reason, const std::string& evidence = {});
 /// Moves outcomes from the progress table into the jobs' own rows, replacing
 /// the specification, which is no longer needed, and deletes outcomes past
 /// their retention period.
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -363,12 +363,13 @@
                 }));
 }
 
-void CloseJob(Controller& c, Job& job, JobPhase phase, const char* reason) {
+void CloseJob(Controller& c, Job& job, JobPhase phase, const char* reason,
+              const std::string& evidence) {
   if (IsFinal(job.phase)) return;
   job.phase = phase;
   Log(LogLevel::kInfo, "job_closing",
       {F("job", job.spec.id), F("phase", NameOf(kJobPhaseNames, phase)),
-       F("reason", reason)});
+       F("reason", reason), F("evidence", evidence)});
   StopJob(c, job, reason);
   c.dirty.insert(&job);
   job.closing = true;
