Weigh the crashes under a task by what else the fleet loses

Callers saw accepted jobs shown as failed although no task had used up its attempts (LOST).

Cause: a busy worker is heard of once a second, so a crash within a second of a start looked like one that the start caused, and two of those closed the job however many other workers crashed. Four crashes closed it at any time, and a gang added up the crashes under all its members.

Each crash now has a weight: the chance, in decibels, that the worker crashed just then although the task is not to blame, from the share of the fleet lost together with it and the rate of losses without a start. A job is given up at 45 dB, after two crashes in a sound fleet as before. A gang is judged by member, and as a whole with 10 log10(members) off each crash. Crashes long after a start never end a job; from the third on the task runs apart and its starts are spaced. Weights are stored beside the phases, which older daemons still read.

Ruled out: planned ends, drains and lapses that an answer follows.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -272,6 +272,7 @@
     worker.overdue = HasOverdueStart(c, worker);
     if (c.loaded && IsErasable(c, worker)) {
       const std::string id = worker.info.id;
+      if (worker.cordoned) NoteLoss(c, worker);
       Log(LogLevel::kInfo, "worker_removed", {F("worker", id)});
       c.fleet_dirty = true;
       RemoveWorker(c.fleet, id);
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -141,10 +141,21 @@
 enum class RunSet : uint8_t { kAll, kListed };
 
 // Crashes.
-/// Records that a worker crashed under a run of the task. A task that is to
-/// blame is given up and its job fails; any other waits until this is stored.
+/// A worker as it was when it crashed.
+struct CrashedWorker {
+  WorkerAddress address;
+  /// When it was last heard of.
+  TimeMs heard_ms = 0;
+};
+/// Records that a worker crashed under a run of the task, and weighs that as
+/// soon as other workers that crashed at the same time have fallen silent. A
+/// task that is to blame is given up and its job fails; any other waits until
+/// this is stored.
 void RecordCrash(Controller& controller, const TaskRef& task, uint32_t run,
-                 CrashPhase phase, const Worker& worker);
+                 CrashPhase phase, const CrashedWorker& worker);
+/// Remembers a worker that has ended without being planned to, see
+/// `WeighCrash`. Must be called before its runs are removed.
+void NoteLoss(Controller& controller, const Worker& worker);
 /// Handles a worker that has ended: its address answers as another worker. All
 /// its runs are gone, and it crashed under them unless it was to leave.
 void OnWorkerGone(Controller& controller, Worker& worker);
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -262,7 +262,10 @@
 void StopUnlisted(Controller& c, Worker& worker) {
   std::vector<RunKey> keys;
   for (auto& [name, run] : worker.runs) {
-    if (!IsLeaving(worker) && !run.crash) run.crash = PhaseAtCrash(worker, run);
+    if (!IsLeaving(worker) && !run.crash) {
+      run.crash = PhaseAtCrash(worker, run);
+      run.crash_heard_ms = worker.heard_ms;
+    }
     run.start_in_doubt = true;
     run.stop_wanted = true;
     run.stop_in_flight = false;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -160,10 +160,13 @@
                F("stopped", worker.runs[name].stop_answered)});
     const uint32_t number = worker.runs[name].run;
     const std::optional<CrashPhase> crash = worker.runs[name].crash;
+    const TimeMs heard_ms = worker.runs[name].crash_heard_ms;
     RemoveRun(worker, name);
     if (TaskOf(task).worker == worker.info.id) {
       ReleaseTask(c, task);
-      if (crash) RecordCrash(c, task, number, *crash, worker);
+      if (crash) {
+        RecordCrash(c, task, number, *crash, {AddressOf(worker), heard_ms});
+      }
     }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_absent");
     EraseIfClosed(c, *task.job);
@@ -387,6 +390,7 @@
   Log(LogLevel::kWarning, "worker_restarted",
       {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
        F("incarnation", incarnation)});
+  NoteLoss(c, worker);
   RecordLapsedCrashes(c, worker);
   MarkRunsLost(c, worker,
                IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
@@ -474,7 +478,7 @@
     const bool was_held = TaskOf(task).worker == worker.info.id;
     if (was_held) ReleaseTask(c, task);
     if (was_held && loss == RunLoss::kCrash) {
-      RecordCrash(c, task, run, phase, worker);
+      RecordCrash(c, task, run, phase, {AddressOf(worker), worker.heard_ms});
     }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_lost");
     EraseIfClosed(c, *task.job);
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -78,6 +79,8 @@
   /// Its worker has restarted and does not list it so far: how it ended if the
   /// restart ended it.
   std::optional<CrashPhase> crash;
+  /// When the worker was last heard of before that restart.
+  TimeMs crash_heard_ms = 0;
   /// When its end should have been reported, by its estimate or its reported
   /// progress; 0 for unknown.
   TimeMs expected_end_ms = 0;
@@ -205,12 +208,24 @@
   bool maintenance_planned = false;
 };
 
+/// A worker that has ended without being planned to.
+struct WorkerLoss {
+  std::string worker;
+  /// When it was last heard of.
+  TimeMs heard_ms = 0;
+  /// A run had just started there, so that its task may be to blame.
+  bool follows_start = false;
+};
+
 struct Fleet {
   /// By id.
   std::map<std::string, Worker> workers;
   /// By slot, null for a worker that was removed. A slot is not used again, so
   /// that what is recorded for it never applies to another worker.
   std::vector<Worker*> by_slot;
+  /// The losses of about the last `kLossMemoryMs`, in the order in which they
+  /// were noticed.
+  std::deque<WorkerLoss> losses;
 };
 
 /// Adds a worker, or returns the one that has the id already.
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -1,5 +1,6 @@
 #include "workflow/JobRows.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -117,18 +118,31 @@
 
 Json CrashesToJson(const TaskCrashes& crashes) {
   Json json = Json::object();
-  for (const auto& [run, phase] : crashes) {
-    json[std::to_string(run)] = NameOf(kCrashPhaseNames, phase);
+  for (const auto& [run, crash] : crashes) {
+    json[std::to_string(run)] = NameOf(kCrashPhaseNames, crash.phase);
   }
   return json;
 }
 
-TaskCrashes CrashesFromJson(const Json& json) {
+/// Beside the phases, so that daemons of older versions read those.
+Json CrashWeightsToJson(const TaskCrashes& crashes) {
+  Json json = Json::object();
+  for (const auto& [run, crash] : crashes) {
+    json[std::to_string(run)] = crash.weight;
+  }
+  return json;
+}
+
+/// Crashes without a weight were stored by a daemon of an older version.
+TaskCrashes CrashesFromJson(const Json& phases, const Json& weights) {
   TaskCrashes crashes;
-  for (const auto& [run, name] : json.items()) {
-    const auto phase = ValueOf(kCrashPhaseNames, name.get<std::string>());
-    crashes[static_cast<uint32_t>(std::stoul(run))] =
-        phase.value_or(CrashPhase::kUnconfirmed);
+  for (const auto& [run, name] : phases.items()) {
+    Crash crash;
+    crash.phase = ValueOf(kCrashPhaseNames, name.get<std::string>())
+                      .value_or(CrashPhase::kUnconfirmed);
+    const int full = FullWeight(crash.phase);
+    crash.weight = std::clamp(Get(weights, run.c_str(), full), 0, full);
+    crashes[static_cast<uint32_t>(std::stoul(run))] = crash;
   }
   return crashes;
 }
@@ -145,7 +159,8 @@
     if (untouched) continue;
     // Only ended runs are stored: the next owner adopts those that still run.
     others[std::to_string(i)] = {task.ended_run, task.failed_runs,
-                                 task.checkpoint, CrashesToJson(task.crashes)};
+                                 task.checkpoint, CrashesToJson(task.crashes),
+                                 CrashWeightsToJson(task.crashes)};
   }
   return {done, others};
 }
@@ -167,7 +182,9 @@
     task.failed_runs = value.at(1).get<std::set<uint32_t>>();
     task.checkpoint = value.at(2).get<std::string>();
     // Rows of older versions end here.
-    if (value.size() > 3) task.crashes = CrashesFromJson(value.at(3));
+    if (value.size() <= 3) continue;
+    const Json weights = value.size() > 4 ? value.at(4) : Json::object();
+    task.crashes = CrashesFromJson(value.at(3), weights);
   }
 }
 
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -153,6 +153,8 @@
   bool always_fails = false;
   /// Its first task crashes every worker that starts it.
   bool crashes_workers = false;
+  /// How long after the start of that task the worker crashes.
+  TimeMs crash_delay_ms = 10;
 };
 
 struct CellOptions {
--- a/tests/CellModelCrashTest.cpp
+++ b/tests/CellModelCrashTest.cpp
@@ -47,8 +47,148 @@
   }
 }
 
+/// Submits jobs of every kind over `seconds`: single tasks, gangs of up to 27,
+/// tasks that last.
+void SubmitMixedJobs(Cell& cell, int seconds) {
+  SubmitRandomJobs(cell, seconds, 6);
+  for (int i = 0; i < seconds; ++i) {
+    cell.time.After(i * kSecond, [&cell, i] {
+      constexpr uint32_t kLargestGang = 27;
+      const bool is_gang = i % 4 != 3;
+      const auto members =
+          static_cast<uint32_t>(UniformInt(cell.random, 2, kLargestGang));
+      workflow::JobSpec spec =
+          MakeChain(cell, 1, is_gang ? members : 2, {1'500, 1'000, 0},
+                    UniformInt(cell.random, 200, 1'500));
+      spec.steps.front().gang = is_gang;
+      spec.steps.front().long_running = !is_gang;
+      Submit(cell, 0, spec);
+    });
+  }
+}
+
+/// How many jobs were given up although no run of them had failed.
+size_t CountGivenUp(const Cell& cell) {
+  size_t given_up = 0;
+  for (const auto& [id, job] : cell.jobs) {
+    for (const char* table : {workflow::kJobTable, workflow::kProgressTable}) {
+      const auto row = cell.store.rows.find({table, id});
+      if (row == cell.store.rows.end()) continue;
+      const auto end = workflow::DecodeEnd(row->second.value);
+      if (!end || end->phase != workflow::JobPhase::kFailed) continue;
+      if (!job.crashes_workers) ++given_up;
+      break;
+    }
+  }
+  return given_up;
+}
+
+/// Plays a fleet of 24 workers that crash although no task is to blame.
+void PlayCrashingWorkers(uint64_t seed, CrashSpread spread, bool takeovers) {
+  CellOptions options = MakeCrashOptions(seed);
+  options.workers = 24;
+  Cell cell(options);
+  cell.time.RunUntil(2 * kSecond);
+  SubmitMixedJobs(cell, 24);
+  for (TimeMs at_ms = kSecond; at_ms < 28 * kSecond;) {
+    cell.time.After(at_ms, [&cell, spread] { CrashShare(cell, 0.33, spread); });
+    at_ms += UniformInt(cell.random, 2 * kSecond, 4 * kSecond);
+  }
+  if (takeovers) {
+    for (const TimeMs at_ms : {8 * kSecond, 19 * kSecond}) {
+      cell.time.After(at_ms, [&cell] {
+        const int owner = FindOwner(cell);
+        if (owner < 0) return;
+        KillDaemon(cell, owner);
+        cell.time.After(400, [&cell, owner] { StartDaemon(cell, owner); });
+      });
+    }
+  }
+  cell.time.RunUntil(120 * kSecond);
+  cr_expect_eq(CountGivenUp(cell), 0U, "seed %llu: %zu jobs given up",
+               static_cast<unsigned long long>(seed), CountGivenUp(cell));
+}
+
 }  // namespace
 
+// Guards against jobs that are given up because a third of the workers crash
+// at a time, every few seconds, with no task to blame (LOST of the incident on
+// the users' machines).
+Test(CellModel, workers_that_crash_together_end_no_job, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    PlayCrashingWorkers(seed, CrashSpread::kTogether, seed % 3 == 0);
+  }
+}
+
+// Guards against the same when the workers crash one by one.
+Test(CellModel, workers_that_crash_one_by_one_end_no_job, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    PlayCrashingWorkers(seed, CrashSpread::kOverOneSecond, seed % 3 == 0);
+  }
+}
+
+// Guards against a job that is given up for losses that are no crash of its
+// doing: power loss of the whole fleet, restarts under the same id, lapses that
+// an answer follows, drains.
+Test(CellModel, losses_of_the_whole_fleet_end_no_job, .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    CellOptions options = MakeCrashOptions(seed);
+    options.new_id_after_crash = false;
+    Cell cell(options);
+    cell.time.RunUntil(2 * kSecond);
+    SubmitMixedJobs(cell, 20);
+    for (int i = 0; i < 6; ++i) {
+      const TimeMs at_ms = kSecond + i * 4 * kSecond;
+      const TimeMs off_ms = i % 2 == 0 ? 200 : 1'500;
+      cell.time.After(at_ms, [&cell, off_ms] {
+        for (auto& [id, worker] : cell.workers) {
+          CrashWorker(cell, id);
+          cell.time.After(off_ms,
+                          [&cell, each = id] { RestartWorker(cell, each); });
+        }
+      });
+      cell.time.After(at_ms + 2 * kSecond, [&cell] {
+        for (auto& [id, worker] : cell.workers) worker.partitioned = true;
+      });
+      cell.time.After(at_ms + 2'600, [&cell] {
+        for (auto& [id, worker] : cell.workers) worker.partitioned = false;
+      });
+    }
+    cell.time.RunUntil(90 * kSecond);
+    cr_expect_eq(CountGivenUp(cell), 0U, "seed %llu: %zu jobs given up",
+                 static_cast<unsigned long long>(seed), CountGivenUp(cell));
+  }
+}
+
+// Guards against a job that is given up after four crashes long after the start
+// of its task, whoever is to blame: only ends `failed` count as attempts.
+Test(CellModel, four_crashes_long_after_a_start_end_no_job,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    CellOptions options = MakeCrashOptions(seed);
+    options.workers = 8;
+    Cell cell(options);
+    cell.time.RunUntil(2 * kSecond);
+    const workflow::JobSpec spec =
+        MakeChain(cell, 1, 1, {4'000, 256, 0}, 9 * kSecond);
+    Submit(cell, 0, spec);
+    for (int crashes = 0; crashes < 4;) {
+      cell.time.RunUntil(cell.time.now_ms + 100);
+      cr_assert_lt(cell.time.now_ms, 90 * kSecond);
+      if (cell.run_records.empty()) continue;
+      const RunRecord record = cell.run_records.back();
+      if (record.end_ms >= 0) continue;
+      if (cell.time.now_ms - record.begin_ms < 3 * kSecond) continue;
+      CrashForSeconds(cell, record.worker);
+      ++crashes;
+    }
+    cell.time.RunUntil(120 * kSecond);
+    cr_expect_eq(CountGivenUp(cell), 0U);
+    cr_expect_eq(cell.run_records.back().outcome, "done");
+    ExpectNoViolations(cell, true);
+  }
+}
+
 // Guards against a task that crashes worker after worker, up to the thirteenth
 // on the users' day.
 Test(CellModel, task_that_crashes_its_workers_is_given_up,
--- a/tests/CellModelDays.cpp
+++ b/tests/CellModelDays.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+#include <vector>
+
 #include "telemetry/Log.h"
 
 namespace dotterelcove::model {
@@ -32,4 +35,22 @@
   }
 }
 
+void CrashShare(Cell& cell, double share, CrashSpread spread) {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : cell.workers) {
+    constexpr double kShares = 1'000;
+    const bool is_hit =
+        static_cast<double>(UniformInt(cell.random, 0, 999)) < share * kShares;
+    if (worker.up && is_hit) ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    const TimeMs delay_ms = spread == CrashSpread::kTogether
+                                ? 0
+                                : UniformInt(cell.random, 0, kSecond);
+    cell.time.After(delay_ms, [&cell, id] {
+      if (cell.workers.at(id).up) CrashForSeconds(cell, id);
+    });
+  }
+}
+
 }  // namespace dotterelcove::model
--- a/tests/CellModelDays.h
+++ b/tests/CellModelDays.h
@@ -13,5 +13,9 @@
 void DiscardLogs();
 /// Schedules `jobs` submissions per second of random size for `seconds`.
 void SubmitRandomJobs(Cell& cell, int seconds, int jobs);
+/// Crashes a share of the workers that are up, at one moment or spread over a
+/// second. Each is back after some seconds.
+enum class CrashSpread : uint8_t { kTogether, kOverOneSecond };
+void CrashShare(Cell& cell, double share, CrashSpread spread);
 
 }  // namespace dotterelcove::model
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -108,19 +108,19 @@
 /// workers has just begun on it.
 void ScheduleCrash(Cell& cell, const ModelWorker& worker,
                    const workflow::StartOrder& order) {
-  constexpr TimeMs kCrashDelayMs = 10;
   workflow::TaskName name;
   workflow::ParseTaskName(order.task, name);
   const auto job = cell.jobs.find(name.job);
   if (job == cell.jobs.end() || !job->second.crashes_workers) return;
   if (name.step != 0 || name.index != 0) return;
-  cell.time.After(kCrashDelayMs, [&cell, id = worker.info.id, task = order.task,
-                                  run = order.run] {
-    const ModelWorker& there = cell.workers.at(id);
-    const auto found = there.running.find(task);
-    if (found == there.running.end() || found->second.run != run) return;
-    CrashForSeconds(cell, id);
-  });
+  cell.time.After(
+      job->second.crash_delay_ms,
+      [&cell, id = worker.info.id, task = order.task, run = order.run] {
+        const ModelWorker& there = cell.workers.at(id);
+        const auto found = there.running.find(task);
+        if (found == there.running.end() || found->second.run != run) return;
+        CrashForSeconds(cell, id);
+      });
 }
 
 workflow::OrderAnswer HandleStart(Cell& cell, int daemon, ModelWorker& worker,
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -332,7 +332,8 @@
   step.tasks[2].ended_run = 3;
   step.tasks[2].failed_runs = {1, 3};
   step.tasks[2].checkpoint = "save";
-  step.tasks[2].crashes = {{2, CrashPhase::kOnProbation}};
+  step.tasks[2].crashes = {{2, {CrashPhase::kOnProbation, 17}},
+                           {3, {CrashPhase::kRunning, 0}}};
   const auto copy = MakeOneStep(MakeStep(3, 1'000));
   cr_assert(ApplyProgress(EncodeProgress(*job), *copy));
   const StepState& read = copy->occurrences.at(0).steps.front();
@@ -347,6 +348,27 @@
   cr_expect_not(ApplyProgress("{\"occurrences\": 3}", *copy));
 }
 
+// Guards against crashes that daemons of two versions read differently: an
+// older one stores and reads phases only, a newer one weights as well.
+Test(JobRows, crashes_are_readable_across_versions) {
+  const auto job = MakeOneStep(MakeStep(1, 1'000));
+  TaskState& task = job->occurrences.at(0).steps.front().tasks[0];
+  task.ended_run = 2;
+  task.crashes = {{2, {CrashPhase::kOnProbation, 3}}};
+  std::string row = EncodeProgress(*job);
+  const std::string phases = R"({"2":"on_probation"})";
+  const std::string weights = R"(,{"2":3})";
+  cr_assert_neq(row.find(phases + weights), std::string::npos);
+  row.erase(row.find(phases + weights) + phases.size(), weights.size());
+  const auto copy = MakeOneStep(MakeStep(1, 1'000));
+  cr_assert(ApplyProgress(row, *copy));
+  const TaskCrashes& read =
+      copy->occurrences.at(0).steps.front().tasks[0].crashes;
+  cr_assert_eq(read.size(), 1U);
+  cr_expect(read.at(2).phase == CrashPhase::kOnProbation);
+  cr_expect_eq(read.at(2).weight, FullWeight(CrashPhase::kOnProbation));
+}
+
 // Guards against one damaged entry that hides the other workers of its row, or
 // ends the process: a new owner would not wait for the leases of workers that
 // it does not know of.
