Weigh losses against all workers of the fleet, not those that answer

While half of the fleet was down, the rate of losses counted twice as high, so a task that crashes its workers needed a third crash. Workers that the platform lists, or that answer, count now.

--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -74,12 +74,12 @@
     if (is_together(loss.heard_ms)) ++losses.together;
   }
   for (const auto& [id, worker] : fleet.workers) {
-    if (worker.reachable) ++losses.workers;
+    if (worker.listed || worker.reachable) ++losses.workers;
     if (!worker.cordoned || id == crashed) continue;
     if (IsNoted(fleet, worker) || FollowsStart(worker)) continue;
     if (is_together(worker.heard_ms)) ++losses.together;
   }
-  losses.workers += losses.together + 1;
+  losses.workers = std::max(losses.workers, losses.together + 1);
   return losses;
 }
 
