A read of the store is cut off by silence, not by its size

Cause: the time limit of a read was for the whole answer, 1.5 s at most. An answer that takes longer over the link was cut off each time, the read began anew, and the store counted as lost to this daemon meanwhile.

Transactions and orders keep a limit for the whole: their answers are small.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -25,11 +25,20 @@
   TimeMs deadline_ms = 0;
   /// Times that libcurl has begun to send the request.
   int attempts = 0;
+  /// Fires at the limit of silence; null without one.
+  std::unique_ptr<Timer> silence;
 };
 
+void NoteByte(Transfer& transfer) {
+  if (transfer.silence) {
+    transfer.silence->StartAfter(transfer.call.max_silence_ms);
+  }
+}
+
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
   auto* transfer = static_cast<Transfer*>(context);
   const size_t bytes = size * count;
+  NoteByte(*transfer);
   if (transfer->result.body.size() + bytes >
       transfer->call.max_response_bytes) {
     transfer->too_large = true;
@@ -41,6 +50,7 @@
 
 size_t OnHeader(char* data, size_t size, size_t count, void* context) {
   auto* transfer = static_cast<Transfer*>(context);
+  NoteByte(*transfer);
   std::string line(data, size * count);
   const size_t colon = line.find(':');
   if (colon == std::string::npos) return size * count;
@@ -161,10 +171,25 @@
       long status = 0;
       curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
       transfer->result.status = static_cast<int>(status);
+      curl_off_t first_byte_us = 0;
+      curl_easy_getinfo(transfer->easy, CURLINFO_STARTTRANSFER_TIME_T,
+                        &first_byte_us);
+      constexpr curl_off_t kUsPerMs = 1'000;
+      transfer->result.first_byte_ms = first_byte_us / kUsPerMs;
       this->Finish(transfer->id);
     }
   }
 
+  void OnSilence(uint64_t id) {
+    const auto found = this->transfers.find(id);
+    if (found == this->transfers.end()) return;
+    HttpResult& result = found->second->result;
+    result = HttpResult{};
+    result.failure = ClassifyFailure(*found->second, CURLE_OPERATION_TIMEDOUT);
+    result.detail = "the answer stalled";
+    this->Finish(id);
+  }
+
   CURL* AcquireHandle() {
     if (this->idle_handles.empty()) return curl_easy_init();
     CURL* easy = this->idle_handles.back();
@@ -257,6 +282,12 @@
                    static_cast<long>(sent.connect_timeout_ms));
   if (sent.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   const uint64_t id = transfer->id;
+  if (sent.max_silence_ms > 0) {
+    transfer->silence = std::make_unique<Timer>(
+        this->state->loop,
+        [state = this->state.get(), id] { state->OnSilence(id); });
+    transfer->silence->StartAfter(sent.max_silence_ms);
+  }
   this->state->transfers[id] = std::move(transfer);
   curl_multi_add_handle(this->state->multi, easy);
   return id;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -43,6 +43,10 @@
   /// no request is sent after it.
   int64_t timeout_ms = 5'000;
   int64_t connect_timeout_ms = 1'000;
+  /// Limit for the time without a byte of the answer, counted from the call and
+  /// from each byte; 0 for none. Unlike `timeout_ms`, it does not cut off a
+  /// large answer that keeps arriving over a slow link.
+  int64_t max_silence_ms = 0;
   size_t max_response_bytes = 16 << 20;
   /// Opens a new connection instead of reusing one, so that the call does not
   /// fail because a reused connection turns out to be dead.
@@ -61,6 +65,8 @@
   FieldMap headers;
   /// libcurl's error text; empty without a failure and for `kCancelled`.
   std::string detail;
+  /// Time from the call to the first byte of the answer, 0 without one.
+  int64_t first_byte_ms = 0;
 };
 
 using HttpCallback = std::function<void(HttpResult)>;
