One read of the manifest at a time

Each heartbeat of a peer with a newer manifest began another read of the whole table, four a second from each peer. The reads share the link of the daemon that is behind, so the larger the manifest, the less likely that one ends in time; the owner, to which all peers are connected, fares worst.

--- a/tests/platform/ManifestFollowerTest.cpp
+++ b/tests/platform/ManifestFollowerTest.cpp
@@ -1,13 +1,17 @@
 // Following the operator's configuration when it is large and the link slow.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/Clock.h"
+#include "platform/Manifest.h"
 #include "platform/StoreAdapter.h"
 #include "telemetry/Log.h"
+#include "tests/CellModel.h"
 #include "tests/RawSocket.h"
 
 namespace dotterelcove::platform {
@@ -107,6 +111,49 @@
   return result;
 }
 
+/// A store on virtual time whose reads are held until the test answers them.
+struct HeldStore {
+  HeldStore() {
+    SetLogOutput([](const std::string&) {});
+    this->follower->runtime.now = [this] { return this->time.now_ms; };
+    this->follower->runtime.after = [this](TimeMs delay_ms,
+                                           std::function<void()> callback) {
+      this->time.After(delay_ms, std::move(callback));
+    };
+    this->follower->store.read = [this](const std::string&, uint32_t,
+                                        const std::string&, uint32_t,
+                                        StoreCallback done) {
+      this->reads++;
+      this->held.push_back(std::move(done));
+      this->most_held = std::max(this->most_held, this->held.size());
+    };
+    this->follower->store.changes = [this](const std::string&, uint64_t, TimeMs,
+                                           StoreCallback) { this->feeds++; };
+    this->follower->changed = [](const Manifest&) {};
+  }
+  void RunFor(TimeMs ms) { this->time.RunUntil(this->time.now_ms + ms); }
+  /// Answers the read in flight; without a manifest, as unanswered.
+  void AnswerRead(const std::string& manifest) {
+    const StoreCallback done = std::move(this->held.front());
+    this->held.erase(this->held.begin());
+    StoreAnswer answer;
+    answer.status = manifest.empty() ? StoreStatus::kUnknown : StoreStatus::kOk;
+    answer.version = 10;
+    if (!manifest.empty()) {
+      answer.rows.push_back({kOperatorTable, "config", manifest, 10, false});
+    }
+    done(std::move(answer));
+  }
+
+  model::VirtualTime time;
+  std::shared_ptr<ManifestFollower> follower =
+      std::make_shared<ManifestFollower>();
+  std::vector<StoreCallback> held;
+  size_t most_held = 0;
+  int reads = 0;
+  int feeds = 0;
+};
+
 }  // namespace
 
 // Guards against a large manifest that is never read over a slow link, because
@@ -133,4 +180,28 @@
   cr_expect_leq(read.took_ms, 1'500);
 }
 
+// Guards against reads that pile up while a peer reports a newer manifest with
+// each of its heartbeats: they share the link, and none of them ends in time.
+Test(ManifestFollower, reports_of_peers_start_one_read_at_a_time) {
+  HeldStore store;
+  ReadManifestNow(*store.follower, 7);
+  ReadManifestNow(*store.follower, 7);
+  StartManifestFollower(*store.follower);
+  ReadManifestNow(*store.follower, 14);
+  cr_expect_eq(store.most_held, 1U);
+  // The read that began before the report does not have the newest version.
+  store.AnswerRead(R"({"version": 7, "routes": []})");
+  store.RunFor(1'000);
+  cr_expect_eq(store.feeds, 1);
+  cr_assert_eq(store.held.size(), 1U);
+  store.AnswerRead("");
+  store.RunFor(1'000);
+  cr_assert_eq(store.held.size(), 1U);
+  store.AnswerRead(R"({"version": 14, "routes": []})");
+  store.RunFor(1'000);
+  cr_expect(store.held.empty());
+  cr_expect_eq(store.reads, 3);
+  cr_expect_eq(store.follower->current.version, 14U);
+}
+
 }  // namespace dotterelcove::platform
