--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -124,6 +124,8 @@
   const TaskRef task = FindOpenTask(c, record.task);
   if (task.job == nullptr) return;
   TaskState& state = TaskOf(task);
+  // A later run may have ended well before this crash was weighed.
+  if (state.phase == TaskPhase::kDone) return;
   const auto found = state.crashes.find(record.run);
   if (found == state.crashes.end()) return;
   const FleetLosses losses =
--- a/tests/CellModelCrashTest.cpp
+++ b/tests/CellModelCrashTest.cpp
@@ -189,6 +189,39 @@
   }
 }
 
+// Guards against a job that is given up for the crashes under a task which has
+// been done since: a crash is weighed later than the task's next run may end.
+Test(CellModel, task_that_is_done_is_not_blamed_for_its_crashes,
+     .init = DiscardLogs) {
+  size_t done = 0;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Cell cell(MakeCrashOptions(seed));
+    cell.time.RunUntil(2 * kSecond);
+    const workflow::JobSpec spec =
+        MakeChain(cell, 2, 1, {1'500, 1'000, 0}, 100);
+    Submit(cell, 0, spec);
+    size_t crashes = 0;
+    while (crashes < 2) {
+      cell.time.RunUntil(cell.time.now_ms + 5);
+      cr_assert_lt(cell.time.now_ms, 60 * kSecond);
+      if (cell.run_records.size() <= crashes) continue;
+      const std::string id = cell.run_records.back().worker;
+      CrashWorker(cell, id);
+      cell.time.After(50, [&cell, id] { RestartWorker(cell, id); });
+      ++crashes;
+    }
+    cell.time.RunUntil(60 * kSecond);
+    const std::string first = spec.id + ".0.0.0";
+    for (const RunRecord& record : cell.run_records) {
+      if (record.task != first || record.outcome != "done") continue;
+      ++done;
+      cr_expect_eq(CountGivenUp(cell), 0U, "seed %llu",
+                   static_cast<unsigned long long>(seed));
+    }
+  }
+  cr_expect_gt(done, 0U);
+}
+
 // Guards against a task that crashes worker after worker, up to the thirteenth
 // on the users' day.
 Test(CellModel, task_that_crashes_its_workers_is_given_up,
