--- a/tests/platform/ManifestFollowerTest.cpp
+++ b/tests/platform/ManifestFollowerTest.cpp
@@ -204,4 +204,17 @@
   cr_expect_eq(store.follower->current.version, 14U);
 }
 
+// Guards against a read for each heartbeat of a peer while the store refuses
+// reads at once: the refusals come faster than the pause between two reads.
+Test(ManifestFollower, refused_reads_are_paced) {
+  HeldStore store;
+  for (int i = 0; i < 100; ++i) {
+    ReadManifestNow(*store.follower, 7);
+    if (!store.held.empty()) store.AnswerRead("");
+    store.RunFor(10);
+  }
+  cr_expect_leq(store.reads, 11);
+  cr_expect_geq(store.reads, 5);
+}
+
 }  // namespace dotterelcove::platform
