Each loss of ownership forgets its epoch; damaged fleet entries wait longest

The epoch was forgotten only when the committer gave up; after a refused token or a peer's report the process could acquire the epoch again that its row still named, past its pause. And the comment on a damaged entry of the fleet row promised the longest lease, which a successor waits for only where it is noted.

--- a/src/store/Leadership.cpp
+++ b/src/store/Leadership.cpp
@@ -179,11 +179,7 @@
       this->runtime, this->store, held, this->options.commit,
       [weak = this->weak_from_this()] {
         const auto self = weak.lock();
-        if (!self) return;
-        // The row may still name this epoch, if the store rejects its commits.
-        // It must not be taken for a takeover whose answer was lost.
-        self->attempted_epoch = 0;
-        self->OnLost();
+        if (self) self->OnLost();
       });
   this->committer->Start();
   this->callbacks.acquired(this->committer);
@@ -193,6 +189,9 @@
   if (!this->committer) return;
   this->committer->Stop();
   this->committer = nullptr;
+  // The row may still name this epoch. It must not be taken for a takeover
+  // whose answer was lost.
+  this->attempted_epoch = 0;
   this->report = {};
   this->row_known = false;
   this->cooldown_until_ms = this->runtime.now() + this->options.cooldown_ms;
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -130,7 +130,9 @@
           {F("key", row.key), F("entries", fleet.unnamed),
            F("version", row.version)});
       // No worker has this name, so the longest lease is waited out.
-      c.recovery_pending["damaged entry of " + row.key] = UINT64_MAX;
+      const std::string damaged = "damaged entry of " + row.key;
+      c.recovery_pending[damaged] = UINT64_MAX;
+      c.pending_longest_lease.insert(damaged);
     }
     for (RecordedWorker& worker : fleet.workers) {
       if (worker.cordoned && worker.cordoned_version == 0) {
