--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -29,7 +29,8 @@
       if (!text.empty()) text += ' ';
       text += std::to_string(i) + ":" + std::to_string(run) + "/";
       text += NameOf(kCrashPhaseNames, crash.phase);
-      text += "=" + std::to_string(crash.weight);
+      text += '=';
+      text += std::to_string(crash.weight);
     }
   }
   return text;
