--- a/src/workflow/Crashes.cpp
+++ b/src/workflow/Crashes.cpp
@@ -11,6 +11,9 @@
 /// The sum of weights at which a task is to blame: 45 dB is a chance of one in
 /// 30,000 for each task that is not.
 constexpr int kMaxWeight = 45;
+/// A task is not started again after this many crashes soon after its start,
+/// however many other workers are lost: with each it takes a worker down.
+constexpr size_t kMaxEarlyCrashes = 5;
 /// A task that had survived its start at this many crashes is started apart
 /// from others.
 constexpr size_t kLateCrashes = 3;
@@ -91,6 +94,8 @@
 }
 
 bool MustGiveUp(const TaskCrashes& crashes, size_t members) {
+  const size_t early = crashes.size() - CountLate(crashes);
+  if (members == 1 && early >= kMaxEarlyCrashes) return true;
   const int any_member =
       -ToDecibels(static_cast<double>(std::max<size_t>(members, 1)));
   size_t counted = 0;
--- a/src/workflow/Crashes.h
+++ b/src/workflow/Crashes.h
@@ -80,7 +80,8 @@
 int WeighCrash(CrashPhase phase, const FleetLosses& losses);
 
 /// Whether the task is to be given up: at least two workers have crashed under
-/// it, which is too unlikely if it is not to blame. With `members` above 1, the
+/// it, which is too unlikely if it is not to blame, or five soon after its
+/// start. With `members` above 1, the
 /// crashes are those of a gang of that size, each of which any of its workers
 /// can have caused.
 bool MustGiveUp(const TaskCrashes& crashes, size_t members = 1);
--- a/tests/CrashesTest.cpp
+++ b/tests/CrashesTest.cpp
@@ -77,6 +77,20 @@
                    CrashPhase::kJustStarted})));
 }
 
+// Guards against a task that crashes worker after worker and is never blamed,
+// because many others are lost at the same time.
+Test(Crashes, five_early_crashes_end_a_task_in_any_fleet) {
+  TaskCrashes crashes;
+  for (uint32_t run = 1; run <= 4; ++run) {
+    crashes[run] = {CrashPhase::kJustStarted, 0};
+  }
+  crashes[5] = {CrashPhase::kRunning, 0};
+  cr_expect_not(MustGiveUp(crashes));
+  crashes[6] = {CrashPhase::kOnProbation, 0};
+  cr_expect(MustGiveUp(crashes));
+  cr_expect_not(MustGiveUp(crashes, 27));
+}
+
 // Guards against blame for crashes that fall together with those of other
 // workers, or in a fleet that loses many.
 Test(Crashes, losses_of_other_workers_weaken_a_crash) {
