Soak: faults of the VM service, and workers that keep their id through maintenance

The service leaves orders unanswered, carries them out late, refuses or is silent, for 2 to 8 s. Every third worker comes back from maintenance under the id that it had.

--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -125,6 +125,11 @@
           this->Choose(fault, this->cell.workers.size()),
           static_cast<int>(1 + fault.seed % kMostAway));
       return;
+    case FaultKind::kVmService:
+      this->cell.vms->SetFault({fault.vms, fault.delay_ms});
+      SleepMs(fault.for_ms);
+      this->cell.vms->SetFault({});
+      return;
     case FaultKind::kOrdersLate:
     case FaultKind::kOrderAnswersLost:
       this->NoteWorkers(fault);
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -18,6 +18,10 @@
     StoreFaultKind::kResetBefore, StoreFaultKind::kResetAfter,
     StoreFaultKind::kSilent,      StoreFaultKind::kErrorAfter};
 
+constexpr VmFaultKind kVmFaults[] = {
+    VmFaultKind::kOrdersUnanswered, VmFaultKind::kOrdersLate,
+    VmFaultKind::kRefuses, VmFaultKind::kSilent};
+
 using Engine = std::mt19937_64;
 
 int64_t Between(Engine& random, int64_t least, int64_t most) {
@@ -84,6 +88,11 @@
     case FaultKind::kMaintenanceWave:
       fault.share = ShareBetween(random, 0.05, 0.2);
       return;
+    case FaultKind::kVmService:
+      fault.vms = kVmFaults[Between(random, 0, std::size(kVmFaults) - 1)];
+      fault.for_ms = Between(random, 2'000, 8'000);
+      fault.delay_ms = Between(random, 2'000, 12'000);
+      return;
     case FaultKind::kOrdersLate:
     case FaultKind::kOrderAnswersLost:
       fault.share = ShareBetween(random, 0.05, 0.5);
@@ -140,6 +149,9 @@
   if (fault.store != StoreFaultKind::kNone) {
     text += ", " + std::string(NameOf(kStoreFaultKindNames, fault.store));
   }
+  if (fault.vms != VmFaultKind::kNone) {
+    text += ", " + std::string(NameOf(kVmFaultKindNames, fault.vms));
+  }
   if (fault.delay_ms > 0) {
     text += ", delay " + std::to_string(fault.delay_ms) + " ms";
   }
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -7,6 +7,7 @@
 
 #include "base/NameTable.h"
 #include "tests/platform/soak/StoreStandin.h"
+#include "tests/platform/soak/VmService.h"
 
 namespace dotterelcove::soak {
 
@@ -37,6 +38,8 @@
   kWorkersDrain,
   /// The operator asks for the maintenance of some workers' VMs.
   kMaintenanceWave,
+  /// The VM service fails, or leaves orders unanswered.
+  kVmService,
   /// Workers answer no order and carry it out late.
   kOrdersLate,
   /// Workers carry orders out and do not answer.
@@ -63,6 +66,7 @@
      {FaultKind::kWorkersRestartAndCut, "workers-restart-and-cut"},
      {FaultKind::kWorkersDrain, "workers-drain"},
      {FaultKind::kMaintenanceWave, "maintenance-wave"},
+     {FaultKind::kVmService, "vm-service"},
      {FaultKind::kOrdersLate, "orders-late"},
      {FaultKind::kOrderAnswersLost, "order-answers-lost"},
      {FaultKind::kProcessorBusy, "processor-busy"}});
@@ -75,6 +79,8 @@
   double share = 1;
   /// How the store behaves, for faults of the store.
   StoreFaultKind store = StoreFaultKind::kNone;
+  /// What the VM service does, for faults of it.
+  VmFaultKind vms = VmFaultKind::kNone;
   /// Delay of late or slow calls.
   int64_t delay_ms = 0;
   /// Restarted workers keep their id.
--- a/tests/platform/soak/VmService.cpp
+++ b/tests/platform/soak/VmService.cpp
@@ -37,14 +37,16 @@
 }
 
 VmService::~VmService() {
-  this->server.Stop();
   std::vector<std::thread> last;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->ended = true;
     last.swap(this->threads);
   }
+  this->server.Stop();
   for (std::thread& thread : last) thread.join();
+  constexpr int64_t kPollMs = 5;
+  while (this->held_back > 0) SleepMs(kPollMs);
 }
 
 bool VmService::Start() { return this->server.Start(); }
@@ -69,19 +71,58 @@
                       .dump());
 }
 
+void VmService::SetFault(VmFault next) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->fault = next;
+}
+
 std::vector<VmOrder> VmService::Orders() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->orders;
 }
 
 Reply VmService::Handle(const Request& request) {
-  if (request.path == "/machines") return this->List();
-  if (request.path == "/machine-upkeep") return this->Maintain(request);
+  VmFault now;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    now = this->fault;
+  }
+  if (now.kind == VmFaultKind::kSilent) return this->HoldBack();
   Reply reply;
+  if (now.kind == VmFaultKind::kRefuses) {
+    reply.status = 503;
+    return reply;
+  }
+  if (request.path == "/machines") return this->List();
+  if (request.path == "/machine-upkeep") return this->Order(request, now);
   reply.status = 400;
   return reply;
 }
 
+Reply VmService::HoldBack() {
+  ++this->held_back;
+  SleepUnless(kNoAnswerMs, this->ended);
+  --this->held_back;
+  Reply reply;
+  reply.reset = true;
+  return reply;
+}
+
+Reply VmService::Order(const Request& request, const VmFault& now) {
+  if (now.kind == VmFaultKind::kOrdersLate) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->ended) {
+      this->threads.emplace_back([this, request, delay_ms = now.delay_ms] {
+        if (SleepUnless(delay_ms, this->ended)) this->Maintain(request);
+      });
+    }
+  }
+  if (now.kind == VmFaultKind::kOrdersLate) return this->HoldBack();
+  const Reply reply = this->Maintain(request);
+  if (now.kind == VmFaultKind::kOrdersUnanswered) return this->HoldBack();
+  return reply;
+}
+
 Reply VmService::List() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   Json machines = Json::array();
@@ -147,8 +188,13 @@
   SleepMs(kMaintenanceMs);
   CellWorker& worker = *this->workers[index];
   {
+    // Every third worker comes back under the id that it had.
+    constexpr uint64_t kOneInKeepsId = 3;
     const std::lock_guard<std::mutex> lock(this->mutex);
-    worker.SetId("i-" + std::to_string(20'000 + this->restarts++));
+    const uint64_t restart = this->restarts++;
+    if (restart % kOneInKeepsId != 0) {
+      worker.SetId("i-" + std::to_string(20'000 + restart));
+    }
   }
   while (!worker.Boot()) SleepMs(kPollMs);
   const std::lock_guard<std::mutex> lock(this->mutex);
--- a/tests/platform/soak/VmService.h
+++ b/tests/platform/soak/VmService.h
@@ -2,6 +2,7 @@
 /// carries out their maintenance, as PROTOCOL.md tells.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -17,6 +18,31 @@
 
 namespace dotterelcove::soak {
 
+/// What the VM service does with calls.
+enum class VmFaultKind : uint8_t {
+  kNone,
+  /// Carries orders out and does not answer them.
+  kOrdersUnanswered,
+  /// The same, and carries them out late.
+  kOrdersLate,
+  /// Refuses all calls.
+  kRefuses,
+  /// Does nothing and does not answer.
+  kSilent,
+};
+inline constexpr auto kVmFaultKindNames =
+    MakeNameTable<VmFaultKind>({{VmFaultKind::kNone, "none"},
+                                {VmFaultKind::kOrdersUnanswered, "unanswered"},
+                                {VmFaultKind::kOrdersLate, "late"},
+                                {VmFaultKind::kRefuses, "refuses"},
+                                {VmFaultKind::kSilent, "silent"}});
+
+struct VmFault {
+  VmFaultKind kind = VmFaultKind::kNone;
+  /// Delay of late orders.
+  int64_t delay_ms = 0;
+};
+
 class VmService {
  public:
   /// The VM with index i is that of the worker with index i.
@@ -32,6 +58,7 @@
   bool Start();
   /// Writes the operator's request for the maintenance of these VMs.
   void RequestWave(const std::vector<size_t>& vms, int cap);
+  void SetFault(VmFault next);
   /// The orders that were accepted.
   std::vector<VmOrder> Orders() const;
 
@@ -48,7 +75,10 @@
 
   Reply Handle(const Request& request);
   Reply List();
+  Reply Order(const Request& request, const VmFault& now);
   Reply Maintain(const Request& request);
+  /// Holds a call without an answer until its caller has given up.
+  Reply HoldBack();
   void Restart(size_t index);
 
   std::vector<std::unique_ptr<CellWorker>>& workers;
@@ -58,7 +88,10 @@
   std::vector<VmOrder> orders;
   uint64_t last_wave = 0;
   uint64_t restarts = 0;
-  bool ended = false;
+  VmFault fault;
+  std::atomic<bool> ended{false};
+  /// Calls that are held without an answer.
+  std::atomic<int> held_back{0};
   std::vector<std::thread> threads;
   Server server;
 };
