--- a/src/workflow/ControllerCrashes.cpp
+++ b/src/workflow/ControllerCrashes.cpp
@@ -246,9 +246,9 @@
       {F("worker", worker.info.id), F("address", worker.info.address),
        F("runs_lost", worker.runs.size()), F("leaving", IsLeaving(worker)),
        F("silent_ms", c.runtime.now() - worker.heard_ms)});
-  MarkRunsLost(c, worker,
-               IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
-               RunSet::kAll);
+  const RunLoss loss =
+      IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash;
+  MarkRunsLost(c, worker, {loss, LossEvidence::kOtherWorker}, RunSet::kAll);
   RemoveOrphans(c, worker);
   RequestSchedule(c);
 }
@@ -267,7 +267,8 @@
     if (TaskOf(run.task).worker != worker.info.id) continue;
     worker.lapsed.push_back({name, run.run, PhaseAtCrash(worker, run)});
   }
-  MarkRunsLost(c, worker, RunLoss::kLeaseExpired, set);
+  MarkRunsLost(c, worker, {RunLoss::kLeaseExpired, LossEvidence::kLeaseTime},
+               set);
   if (IsLeaving(worker)) return;
   for (size_t i = earlier; i < worker.lapsed.size(); ++i) {
     const LapsedRun& run = worker.lapsed[i];
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -60,7 +60,7 @@
   worker.listed = true;
   if (worker.info.incarnation != 0 &&
       info.incarnation > worker.info.incarnation) {
-    OnRestarted(c, worker, info.incarnation);
+    OnRestarted(c, worker, info.incarnation, LossEvidence::kWorkerList);
     worker.info = info;
     worker.entry_outdated = false;
     Sync(c, worker, 0);
@@ -141,7 +141,9 @@
     worker.token_increment = ++c.worker_restarts;
     c.fleet_dirty = true;
     Log(LogLevel::kInfo, "worker_listed",
-        {F("worker", info.id), F("zone", info.zone), F("rack", info.rack),
+        {F("worker", info.id), F("incarnation", info.incarnation),
+         F("epoch", c.epoch), F("token_increment", worker.token_increment),
+         F("zone", info.zone), F("rack", info.rack),
          F("cores", info.capacity.milli_cores)});
     Sync(c, worker, 0);
   }
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -200,16 +200,40 @@
 /// is not known is deferred.
 void ApplyReportedEnd(Controller& controller, Worker& worker,
                       const ReportedEnd& end);
-/// Handles a worker restart: nothing from the previous incarnation runs on it.
-void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation);
 /// Why runs ended without a report.
 enum class RunLoss : uint8_t { kLeaseExpired, kCrash, kWorkerLeft };
 inline constexpr auto kRunLossNames =
     MakeNameTable<RunLoss>({{RunLoss::kLeaseExpired, "lease_lapsed"},
                             {RunLoss::kCrash, "worker_crashed"},
                             {RunLoss::kWorkerLeft, "worker_left"}});
+/// What shows that runs have ended without a report.
+enum class LossEvidence : uint8_t {
+  /// The lease must have expired.
+  kLeaseTime,
+  /// The list of workers names a later incarnation.
+  kWorkerList,
+  /// A later incarnation answered a sync.
+  kSyncAnswer,
+  /// Another worker answered at the address.
+  kOtherWorker,
+  /// The maintenance order for this incarnation was confirmed.
+  kMaintenanceOrder,
+};
+inline constexpr auto kLossEvidenceNames = MakeNameTable<LossEvidence>(
+    {{LossEvidence::kLeaseTime, "lease_time"},
+     {LossEvidence::kWorkerList, "worker_list"},
+     {LossEvidence::kSyncAnswer, "sync_answer"},
+     {LossEvidence::kOtherWorker, "other_worker"},
+     {LossEvidence::kMaintenanceOrder, "maintenance_order"}});
+struct RunLossCause {
+  RunLoss loss = RunLoss::kLeaseExpired;
+  LossEvidence evidence = LossEvidence::kLeaseTime;
+};
+/// Handles a worker restart: nothing from the previous incarnation runs on it.
+void OnRestarted(Controller& controller, Worker& worker, uint64_t incarnation,
+                 LossEvidence evidence);
 /// Handles the loss of runs that have ended without a report.
-void MarkRunsLost(Controller& controller, Worker& worker, RunLoss loss,
+void MarkRunsLost(Controller& controller, Worker& worker, RunLossCause cause,
                   RunSet set);
 /// Updates the stored list of workers that may hold tasks.
 void RecordFleet(Controller& controller);
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -88,7 +88,9 @@
   Worker* worker = FindWorker(c.fleet, vm.target.id);
   if (worker == nullptr || !IsTarget(vm, *worker)) return;
   // A run that no sync has listed may yet begin on the next incarnation.
-  MarkRunsLost(c, *worker, RunLoss::kWorkerLeft, RunSet::kListed);
+  MarkRunsLost(c, *worker,
+               {RunLoss::kWorkerLeft, LossEvidence::kMaintenanceOrder},
+               RunSet::kListed);
   worker->reachable = false;
   worker->synced = false;
 }
@@ -99,7 +101,8 @@
   vm.next_order_ms = c.runtime.now() + kOrderRetryMs;
   Log(LogLevel::kInfo, "maintenance_ordered",
       {F("wave", state.wave.number), F("vm", name),
-       F("status", NameOf(kVmOrderStatusNames, status)), F("epoch", c.epoch)});
+       F("status", NameOf(kVmOrderStatusNames, status)), F("epoch", c.epoch),
+       F("target", vm.target.id), F("incarnation", vm.target.incarnation)});
   switch (status) {
     case VmOrderStatus::kOk:
       OnMaintenanceConfirmed(c, state, name, vm);
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -111,6 +111,8 @@
   LogAlways(LogLevel::kWarning, "start_refused",
             {F("task", key.task), F("run", key.run), F("worker", key.worker),
              F("status", NameOf(kOrderStatusNames, answer.status)),
+             F("incarnation", key.incarnation), F("token", key.token),
+             F("sent_ago_ms", c.runtime.now() - found.run->placed_ms),
              F("worker_clock_ms", answer.clock_ms),
              F("clock_age_ms", c.runtime.now() - worker.clock_read_ms)});
   const TaskRef task = found.run->task;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -132,7 +132,8 @@
 }
 
 /// One entry of the log line of a step, with what decided it: the processors
-/// that were free on the worker and the age of its last report.
+/// that were free on the worker, the age of its last report and the part of the
+/// fencing token that identifies its incarnation.
 std::string DescribePlacement(const Controller& c, uint32_t index, uint32_t run,
                               const Worker& worker) {
   std::string text = std::to_string(index);
@@ -140,6 +141,7 @@
   text += '@' + worker.info.id;
   text += '/' + std::to_string(FreeOf(worker).milli_cores);
   text += '/' + std::to_string(c.runtime.now() - worker.clock_read_ms);
+  text += '/' + std::to_string(worker.token_increment);
   return text;
 }
 
@@ -152,7 +154,7 @@
       step.job->occurrences.at(step.occurrence).steps[step.step];
   LogAlways(LogLevel::kInfo, "tasks_placed",
             {F("step", MakeStepName(*step.job, step.occurrence, step.step)),
-             F("tasks", tasks), F("unplaced", unplaced),
+             F("tasks", tasks), F("unplaced", unplaced), F("epoch", c.epoch),
              F("waited_ms", c.runtime.now() - state.ready_since_ms)});
 }
 
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -187,7 +187,9 @@
         LogLevel::kInfo, "run_absent",
         {F("task", name), F("run", worker.runs[name].run),
          F("worker", worker.info.id), F("incarnation", worker.info.incarnation),
-         F("sync", sync), F("reason", NameOf(kAbsenceProofNames, proof))});
+         F("sync", sync), F("reason", NameOf(kAbsenceProofNames, proof)),
+         F("epoch", c.epoch), F("token", worker.runs[name].token),
+         F("placed_ago_ms", c.runtime.now() - worker.runs[name].placed_ms)});
     const uint32_t number = worker.runs[name].run;
     const std::optional<CrashPhase> crash = worker.runs[name].crash;
     const TimeMs heard_ms = worker.runs[name].crash_heard_ms;
@@ -338,7 +340,7 @@
     return;
   }
   if (answer.incarnation != 0 && answer.incarnation != sent.incarnation) {
-    OnRestarted(c, worker, answer.incarnation);
+    OnRestarted(c, worker, answer.incarnation, LossEvidence::kSyncAnswer);
     // The new incarnation may be of another kind.
     worker.entry_outdated = true;
     Sync(c, worker, 0);
@@ -421,15 +423,19 @@
        F("current", TokenFor(c, *found))});
 }
 
-void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
-  Log(LogLevel::kWarning, "worker_restarted",
-      {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
-       F("incarnation", incarnation)});
+void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation,
+                 LossEvidence evidence) {
+  LogAlways(LogLevel::kWarning, "worker_restarted",
+            {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
+             F("incarnation", incarnation),
+             F("previous_incarnation", worker.info.incarnation),
+             F("evidence", NameOf(kLossEvidenceNames, evidence)),
+             F("epoch", c.epoch), F("token_increment", c.worker_restarts + 1)});
   NoteLoss(c, worker);
   RecordLapsedCrashes(c, worker);
-  MarkRunsLost(c, worker,
-               IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
-               RunSet::kListed);
+  const RunLoss loss =
+      IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash;
+  MarkRunsLost(c, worker, {loss, evidence}, RunSet::kListed);
   worker.info.incarnation = incarnation;
   worker.restarted_ms = c.runtime.now();
   // The predecessor may have called it for its earlier incarnation.
@@ -495,7 +501,8 @@
               }));
 }
 
-void MarkRunsLost(Controller& c, Worker& worker, RunLoss loss, RunSet set) {
+void MarkRunsLost(Controller& c, Worker& worker, RunLossCause cause,
+                  RunSet set) {
   // The runs that the worker is on probation for are gone as well. It may never
   // be heard of again, and would count against the limit of probations.
   worker.probation_until_ms = 0;
@@ -512,8 +519,11 @@
     const CrashPhase phase = PhaseAtCrash(worker, found->second);
     LogAlways(LogLevel::kWarning, "task_lost",
               {F("task", name), F("run", run), F("worker", worker.info.id),
-               F("reason", NameOf(kRunLossNames, loss)),
+               F("reason", NameOf(kRunLossNames, cause.loss)),
+               F("evidence", NameOf(kLossEvidenceNames, cause.evidence)),
+               F("epoch", c.epoch), F("token", found->second.token),
                F("listed", found->second.listed),
+               F("placed_ago_ms", c.runtime.now() - found->second.placed_ms),
                F("incarnation", worker.info.incarnation),
                F("clock_ms", worker.clock_ms),
                F("lease_end_clock_ms", worker.lease_end_clock_ms),
@@ -521,7 +531,7 @@
     RemoveRun(worker, name);
     const bool was_held = TaskOf(task).worker == worker.info.id;
     if (was_held) ReleaseTask(c, task);
-    if (was_held && loss == RunLoss::kCrash) {
+    if (was_held && cause.loss == RunLoss::kCrash) {
       RecordCrash(c, task, run, phase, {AddressOf(worker), worker.heard_ms});
     }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_lost");
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -54,6 +54,14 @@
   });
 }
 
+void ExpectFields(const std::string& line,
+                  const std::vector<const char*>& fields) {
+  for (const char* field : fields) {
+    const std::string name = std::string("\"") + field + "\":";
+    cr_expect(line.find(name) != std::string::npos, "no %s", field);
+  }
+}
+
 }  // namespace
 
 // Guards against taking the lease of a restarted worker for shorter than it is:
@@ -206,11 +214,44 @@
         return line.find("\"reason\":\"lease_lapsed\"") != std::string::npos;
       });
   cr_assert(lost != lines.end());
-  for (const char* field : {"listed", "incarnation", "clock_ms",
-                            "lease_end_clock_ms", "sync_age_ms"}) {
-    const std::string name = std::string("\"") + field + "\":";
-    cr_expect(lost->find(name) != std::string::npos, "no %s", field);
-  }
+  ExpectFields(*lost, {"listed", "incarnation", "clock_ms",
+                       "lease_end_clock_ms", "sync_age_ms"});
+}
+
+// Guards against lines from which it cannot be told why a task was started
+// again: what the first order was, and what showed that its run had ended.
+Test(CellModel, lines_of_a_restarted_task_tell_both_orders_and_the_evidence) {
+  std::vector<std::string> lines;
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+  Cell cell({.workers = 2, .failure_share = 0});
+  cell.time.RunUntil(5 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 3 * kSecond));
+  while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
+  cell.time.RunUntil(cell.time.now_ms + kSecond);
+  RestartWorker(cell, cell.run_records.front().worker);
+  cell.time.RunUntil(20 * kSecond);
+  SetLogOutput(nullptr);
+  cr_assert_eq(cell.run_records.size(), 2U);
+  const auto is_of = [&](const char* event) {
+    return [name = "\"" + std::string(event) + "\""](const std::string& line) {
+      return line.find(name) != std::string::npos;
+    };
+  };
+  const auto lost =
+      std::find_if(lines.begin(), lines.end(), is_of("task_lost"));
+  cr_assert(lost != lines.end());
+  ExpectFields(*lost, {"epoch", "token", "incarnation", "evidence"});
+  cr_expect(lost->find("\"evidence\":\"lease_time\"") == std::string::npos);
+  const auto placed =
+      std::count_if(lines.begin(), lines.end(), is_of("tasks_placed"));
+  cr_expect_geq(placed, 1);
+  ExpectFields(*std::find_if(lines.begin(), lines.end(), is_of("tasks_placed")),
+               {"epoch", "tasks"});
+  const auto restarted =
+      std::find_if(lines.begin(), lines.end(), is_of("worker_restarted"));
+  cr_assert(restarted != lines.end());
+  ExpectFields(*restarted,
+               {"incarnation", "previous_incarnation", "token_increment"});
 }
 
 }  // namespace dotterelcove::model
