--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -19,8 +19,8 @@
     StoreFaultKind::kSilent,      StoreFaultKind::kErrorAfter};
 
 constexpr VmFaultKind kVmFaults[] = {
-    VmFaultKind::kOrdersUnanswered, VmFaultKind::kOrdersLate,
-    VmFaultKind::kRefuses, VmFaultKind::kSilent};
+    VmFaultKind::kOrdersUnanswered, VmFaultKind::kAnswersLost,
+    VmFaultKind::kOrdersLate, VmFaultKind::kRefuses, VmFaultKind::kSilent};
 
 using Engine = std::mt19937_64;
 
--- a/tests/platform/soak/VmService.cpp
+++ b/tests/platform/soak/VmService.cpp
@@ -93,8 +93,9 @@
     reply.status = 503;
     return reply;
   }
-  if (request.path == "/machines") return this->List();
   if (request.path == "/machine-upkeep") return this->Order(request, now);
+  if (now.kind == VmFaultKind::kAnswersLost) return this->HoldBack();
+  if (request.path == "/machines") return this->List();
   reply.status = 400;
   return reply;
 }
@@ -119,8 +120,9 @@
   }
   if (now.kind == VmFaultKind::kOrdersLate) return this->HoldBack();
   const Reply reply = this->Maintain(request);
-  if (now.kind == VmFaultKind::kOrdersUnanswered) return this->HoldBack();
-  return reply;
+  const bool is_answered = now.kind != VmFaultKind::kOrdersUnanswered &&
+                           now.kind != VmFaultKind::kAnswersLost;
+  return is_answered ? reply : this->HoldBack();
 }
 
 Reply VmService::List() {
--- a/tests/platform/soak/VmService.h
+++ b/tests/platform/soak/VmService.h
@@ -23,7 +23,9 @@
   kNone,
   /// Carries orders out and does not answer them.
   kOrdersUnanswered,
-  /// The same, and carries them out late.
+  /// The same, and answers no reading of the list either.
+  kAnswersLost,
+  /// Carries orders out late and does not answer them.
   kOrdersLate,
   /// Refuses all calls.
   kRefuses,
@@ -33,6 +35,7 @@
 inline constexpr auto kVmFaultKindNames =
     MakeNameTable<VmFaultKind>({{VmFaultKind::kNone, "none"},
                                 {VmFaultKind::kOrdersUnanswered, "unanswered"},
+                                {VmFaultKind::kAnswersLost, "answers lost"},
                                 {VmFaultKind::kOrdersLate, "late"},
                                 {VmFaultKind::kRefuses, "refuses"},
                                 {VmFaultKind::kSilent, "silent"}});
