An acknowledgment is withheld while the outcome of a start is not known

Cause: a worker that restarts under its id accepts calls made for its earlier incarnation until the first sync of the new one, since tokens and numbers of ends begin anew. If its answers are lost meanwhile, the owner does not notice the restart: a start runs and ends on the next incarnation, and a sync that acknowledges ends of the earlier one discards that end before any answer has listed it.

Ruled out: acknowledging before the commit (each end of the model's violations had been in no answer at all); a late sync alone, since an acknowledgment is sent only until it is confirmed.

Change: a sync acknowledges nothing while a start on that worker has no outcome yet; the next one after its answer does. The answer to a start shows the worker's clock: if it is behind the least that the known incarnation's clock can show, a later incarnation has answered, and nothing is placed or acknowledged there until a sync shows which one (restart_shown_by_clock). A sync that was sent before the start and arrives after the run's end can still discard it.

--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -190,6 +190,12 @@
 /// used a higher one since.
 void OnTokenRejected(Controller& controller, const std::string& worker,
                      uint64_t token);
+/// Whether the worker has to be told of stored ends.
+bool IsAckDue(const Worker& worker);
+/// Sends the sync that waited until ends were stored, unless one is in flight.
+/// While the outcome of a start is not known it waits on, see
+/// `HasUnconfirmedStart`.
+void SyncStoredEnds(Controller& controller, Worker& worker);
 /// Sends a sync: it renews the worker's lease, acknowledges ends and asks what
 /// runs there. The worker may hold the answer for `wait_ms` until a run ends.
 void Sync(Controller& controller, Worker& worker, TimeMs wait_ms);
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -292,10 +292,7 @@
     Worker& worker = *found;
     if (worker.info.incarnation != end.first) continue;
     worker.acked = std::max(worker.acked, end.second);
-    // The next sync was delayed until the ends were stored.
-    if (worker.syncs == 0) {
-      Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
-    }
+    SyncStoredEnds(c, worker);
   }
   FlushProgress(c);
 }
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -26,6 +26,9 @@
   uint32_t run = 0;
   /// Fencing token of the order.
   uint64_t token = 0;
+  /// The least that the worker's clock can have shown when the order was sent,
+  /// 0 for unknown.
+  int64_t clock_ms = 0;
 };
 
 struct FoundRun {
@@ -69,6 +72,35 @@
   EraseIfClosed(c, *task.job);
 }
 
+/// The least that the clock of the worker's incarnation shows now, 0 for
+/// unknown.
+int64_t LeastClock(const Controller& c, const Worker& worker) {
+  if (worker.clock_ms == 0) return 0;
+  const auto since_ms =
+      static_cast<double>(c.runtime.now() - worker.clock_read_ms);
+  return worker.clock_ms +
+         static_cast<int64_t>(since_ms * (1 - c.options.clock_rate_error));
+}
+
+/// Whether the answer comes from a later incarnation than the one that the
+/// order was meant for: clocks begin anew with each.
+bool IsFromLaterIncarnation(const RunKey& key, const OrderAnswer& answer) {
+  return answer.clock_ms > 0 && answer.clock_ms < key.clock_ms;
+}
+
+/// A later incarnation of the worker has answered a start. Nothing is placed or
+/// acknowledged there until a sync has shown which one it is.
+void OnUnknownIncarnation(Controller& c, const RunKey& key, Worker& worker,
+                          const OrderAnswer& answer) {
+  LogAlways(
+      LogLevel::kWarning, "restart_shown_by_clock",
+      {F("worker", key.worker), F("incarnation", key.incarnation),
+       F("task", key.task), F("run", key.run), F("clock_ms", answer.clock_ms),
+       F("least_clock_ms", key.clock_ms)});
+  worker.reachable = false;
+  Sync(c, worker, 0);
+}
+
 void OnStarted(Controller& c, const RunKey& key, FoundRun found) {
   PlacedRun& run = *found.run;
   run.start_in_doubt = false;
@@ -86,6 +118,7 @@
     if (c.observe) c.observe("first_start", c.runtime.now() - job.accepted_ms);
   }
   if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
+  if (IsAckDue(*found.worker)) SyncStoredEnds(c, *found.worker);
 }
 
 void OnStartAnswer(Controller& c, const RunKey& key,
@@ -104,6 +137,9 @@
   if (c.observe) {
     c.observe("start_order", c.runtime.now() - found.run->placed_ms);
   }
+  if (IsFromLaterIncarnation(key, answer)) {
+    OnUnknownIncarnation(c, key, worker, answer);
+  }
   if (answer.status == OrderStatus::kOk) {
     OnStarted(c, key, found);
     return;
@@ -225,7 +261,7 @@
   AddRun(worker, name, run);
   c.stats.starts++;
   const RunKey key{worker.info.id, worker.info.incarnation, name, placement.run,
-                   run.token};
+                   run.token,      LeastClock(c, worker)};
   StartOrder order;
   order.task = name;
   order.run = placement.run;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -252,10 +252,11 @@
 
 void ContinueSyncing(Controller& c, Worker& worker) {
   if (worker.syncs > 0) return;
-  if (worker.seen > worker.acked) {
+  const bool is_ack_withheld = IsAckDue(worker) && HasUnconfirmedStart(worker);
+  if (worker.seen > worker.acked || is_ack_withheld) {
     // A worker answers immediately while it holds unacknowledged ends, so the
-    // next sync waits for their commit, but no longer than this: the store may
-    // be down.
+    // next sync waits for their commit or for the answer to the start, but no
+    // longer than this: the store may be down.
     worker.next_sync_ms = c.runtime.now() + kUnackedSyncDelayMs;
     return;
   }
@@ -405,6 +406,19 @@
   RequestSchedule(c);
 }
 
+bool IsAckDue(const Worker& worker) {
+  return worker.reachable && worker.acked > worker.ack_confirmed;
+}
+
+void SyncStoredEnds(Controller& c, Worker& worker) {
+  if (worker.syncs > 0) return;
+  if (HasUnconfirmedStart(worker)) {
+    worker.next_sync_ms = c.runtime.now() + kUnackedSyncDelayMs;
+    return;
+  }
+  Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
+}
+
 uint64_t TokenFor(const Controller& c, const Worker& worker) {
   // More than the restarts that one owner can notice.
   constexpr uint64_t kTokensPerEpoch = 1U << 20U;
@@ -485,9 +499,10 @@
   SyncOrder order;
   order.token = TokenFor(c, worker);
   // The worker may have restarted, and an old acknowledgment would discard ends
-  // of the new incarnation. So each is sent only until it is confirmed.
-  const bool is_due = worker.reachable && worker.acked > worker.ack_confirmed;
-  order.acked = is_due ? worker.acked : 0;
+  // of the new incarnation. So each is sent only until it is confirmed, and
+  // only while no run can have ended there that no answer has listed.
+  const bool is_sent = IsAckDue(worker) && !HasUnconfirmedStart(worker);
+  order.acked = is_sent ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
   // A worker that did not answer must not hold the answer back.
   order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -39,6 +39,11 @@
   fleet.workers.erase(found);
 }
 
+bool HasUnconfirmedStart(const Worker& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& entry) { return !entry.second.confirmed; });
+}
+
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && !worker.entry_outdated && worker.synced &&
          worker.reachable && !worker.overdue && worker.recorded &&
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -266,6 +266,11 @@
          worker.heard_ms < worker.probation_until_ms;
 }
 
+/// Whether the outcome of a start on the worker is not known yet. The worker
+/// may have restarted since its last answer, and the run may have begun and
+/// ended on its next incarnation.
+bool HasUnconfirmedStart(const Worker& worker);
+
 /// Whether new tasks may be placed on the worker at all.
 bool IsUsable(const Worker& worker, TimeMs now_ms);
 
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -86,8 +86,12 @@
   TimeMs end_ms = -1;
   std::string outcome;
   Resources size;
+  /// An answer of the worker has listed the end of the run.
+  bool end_listed = false;
   /// An owner has acknowledged the end of the run.
   bool acknowledged = false;
+  /// It did so before any answer had listed the end.
+  bool acknowledged_unseen = false;
 };
 
 struct ModelWorker {
--- a/tests/CellModelJudge.cpp
+++ b/tests/CellModelJudge.cpp
@@ -59,6 +59,17 @@
   }
 }
 
+/// An acknowledgment discards an end, so what an end that no owner has received
+/// tells is lost.
+void CheckAcknowledgments(const Cell& cell, Violations& violations) {
+  for (const RunRecord& record : cell.run_records) {
+    if (!record.acknowledged_unseen) continue;
+    violations.push_back("the end of run " + std::to_string(record.run) +
+                         " of " + record.task +
+                         " is acknowledged before it is listed");
+  }
+}
+
 void CheckCapacity(const Cell& cell, Violations& violations) {
   for (const auto& [id, worker] : cell.workers) {
     // Usage rises only when a run starts, so checking every start is enough.
@@ -207,6 +218,7 @@
   Violations violations;
   CheckOverlaps(cell, violations);
   CheckRunNumbers(cell, violations);
+  CheckAcknowledgments(cell, violations);
   CheckCapacity(cell, violations);
   CheckStarts(cell, violations);
   CheckCrashes(cell, violations);
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -54,6 +54,32 @@
   });
 }
 
+/// Submits jobs of short tasks, so that ends are acknowledged all the time.
+void SubmitShortTasks(Cell& cell, TimeMs until_ms) {
+  constexpr TimeMs kEveryMs = 100;
+  for (TimeMs at_ms = 0; at_ms < until_ms; at_ms += kEveryMs) {
+    cell.time.After(at_ms, [&cell] {
+      const TimeMs run_ms = UniformInt(cell.random, 20, 300);
+      Submit(cell, 0, MakeChain(cell, 1, 4, {1'500, 500, 0}, run_ms));
+    });
+  }
+}
+
+/// Restarts a worker of which no answer arrives for a while; calls do reach it.
+void RestartUnheard(Cell& cell, const std::string& id) {
+  ModelWorker& worker = cell.workers.at(id);
+  worker.outdated_entry = worker.info;
+  worker.lost_order_share = 1;
+  worker.lost_sync_share = 1;
+  cell.time.After(UniformInt(cell.random, 0, 800),
+                  [&cell, id] { RestartWorker(cell, id); });
+  cell.time.After(UniformInt(cell.random, 2'000, 5'000), [&worker] {
+    worker.lost_order_share = 0;
+    worker.lost_sync_share = 0;
+    worker.outdated_entry.reset();
+  });
+}
+
 void ExpectFields(const std::string& line,
                   const std::vector<const char*>& fields) {
   for (const char* field : fields) {
@@ -90,6 +116,24 @@
   }
 }
 
+// Guards against an acknowledgment for an earlier incarnation that discards
+// ends of the next one: the worker restarts under its id, carries out what
+// reaches it and answers nothing, so the owner does not notice the restart. The
+// tasks of the discarded ends would run again.
+Test(CellModel, acknowledgment_for_an_earlier_incarnation_discards_no_end,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    SubmitShortTasks(cell, 8 * kSecond);
+    const std::string id = "w" + std::to_string(seed % 3);
+    cell.time.After(UniformInt(cell.random, 1'000, 6'000),
+                    [&cell, id] { RestartUnheard(cell, id); });
+    cell.time.RunUntil(40 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 // Guards against a start that reaches the next incarnation of a worker before
 // its restart is noticed: the incarnation takes the lease end, which is of the
 // earlier one's clock, for the longest lease that it grants.
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -198,9 +198,9 @@
   RenewLease(cell, worker, order.lease_end_clock_ms);
   for (const auto& end : worker.ends) {
     RunRecord& record = cell.run_records[end.record];
-    if (end.number <= order.acked && record.end_ms > worker.lease_expired_ms) {
-      record.acknowledged = true;
-    }
+    if (end.number > order.acked) continue;
+    record.acknowledged_unseen = !record.end_listed;
+    if (record.end_ms > worker.lease_expired_ms) record.acknowledged = true;
   }
   std::erase_if(worker.ends, [&](const ModelWorker::End& end) {
     return end.number <= order.acked;
@@ -217,6 +217,7 @@
   }
   for (const auto& end : worker.ends) {
     if (answer.ended.size() >= workflow::kMaxEndsPerAnswer) break;
+    cell.run_records[end.record].end_listed = true;
     answer.ended.push_back({end.number, end.task, end.run, end.end, ""});
   }
   return answer;
