The list does not tell which of two incarnations is the later one

Callers saw: a task runs in two places (TWICE), in the model.

Cause: ApplyListed() took an entry with a higher time of start for a restart. Where a worker's clock was set back before it restarted, the entry of the earlier incarnation has the higher one: once a sync had shown the restart, each reading of the list brought the earlier incarnation back, and all listed runs of the present one were given up and started elsewhere while they ran.

Ruled out: the answers of syncs; they are taken for a restart only if they differ from the incarnation known when the sync was sent.

Change: an incarnation that is known to have been replaced is never taken for the present one again. While a worker answers at its address, an entry with another incarnation makes the owner ask it; the entry alone counts only if the worker does not answer, and with a lower time of start only if no run is listed.

Test: CellModel/restart_with_an_earlier_time_of_day_runs_nothing_twice, 40 seeds.

--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -56,18 +56,39 @@
   }
 }
 
+/// Whether an entry that names another incarnation than the present one shows
+/// that the worker has restarted. The order of two incarnations is not that of
+/// their numbers, since these are times of day and the clock may have been set
+/// back.
+bool ShowsRestart(const Worker& worker, const WorkerInfo& info) {
+  if (info.incarnation == 0) return false;
+  if (IsFormerIncarnation(worker, info.incarnation)) return false;
+  // The worker itself tells which one it is.
+  if (worker.reachable && info.address == worker.info.address) return false;
+  if (info.incarnation > worker.info.incarnation) return true;
+  const bool any_listed =
+      std::any_of(worker.runs.begin(), worker.runs.end(),
+                  [](const auto& entry) { return entry.second.listed; });
+  return worker.sync_failures > 0 && !any_listed;
+}
+
 void ApplyListed(Controller& c, Worker& worker, const WorkerInfo& info) {
   worker.listed = true;
-  if (worker.info.incarnation != 0 &&
-      info.incarnation > worker.info.incarnation) {
+  const bool is_other = worker.info.incarnation != 0 &&
+                        info.incarnation != worker.info.incarnation;
+  if (is_other && ShowsRestart(worker, info)) {
     OnRestarted(c, worker, info.incarnation, LossEvidence::kWorkerList);
     worker.info = info;
     worker.entry_outdated = false;
     Sync(c, worker, 0);
     return;
   }
-  // A sync may already have reported a newer incarnation than the list.
-  if (info.incarnation < worker.info.incarnation) return;
+  if (is_other) {
+    const bool may_be_next = info.incarnation != 0 && worker.reachable &&
+                             !IsFormerIncarnation(worker, info.incarnation);
+    if (may_be_next) Sync(c, worker, 0);
+    return;
+  }
   const bool drains_now = info.draining && !worker.info.draining;
   worker.info = info;
   worker.entry_outdated = false;
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -450,7 +450,7 @@
   const RunLoss loss =
       IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash;
   MarkRunsLost(c, worker, {loss, evidence}, RunSet::kListed);
-  worker.info.incarnation = incarnation;
+  ReplaceIncarnation(worker, incarnation);
   worker.restarted_ms = c.runtime.now();
   // The predecessor may have called it for its earlier incarnation.
   if (c.recovery_pending.contains(worker.info.id)) {
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -44,6 +44,21 @@
                      [](const auto& entry) { return !entry.second.confirmed; });
 }
 
+bool IsFormerIncarnation(const Worker& worker, uint64_t incarnation) {
+  const std::vector<uint64_t>& former = worker.former_incarnations;
+  return std::find(former.begin(), former.end(), incarnation) != former.end();
+}
+
+void ReplaceIncarnation(Worker& worker, uint64_t incarnation) {
+  // Entries of earlier ones are gone from the list by then.
+  constexpr size_t kMostKept = 8;
+  std::vector<uint64_t>& former = worker.former_incarnations;
+  std::erase(former, incarnation);
+  former.push_back(worker.info.incarnation);
+  if (former.size() > kMostKept) former.erase(former.begin());
+  worker.info.incarnation = incarnation;
+}
+
 bool IsUsable(const Worker& worker, TimeMs now_ms) {
   return worker.listed && !worker.entry_outdated && worker.synced &&
          worker.reachable && !worker.overdue && worker.recorded &&
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -184,6 +184,9 @@
   std::vector<ReportedEnd> deferred_ends;
   /// Highest acknowledgment that an answer has shown to be carried out.
   uint64_t ack_confirmed = 0;
+  /// Earlier incarnations, the latest last. The list may go on naming them for
+  /// a while.
+  std::vector<uint64_t> former_incarnations;
   std::map<std::string, PlacedRun> runs;
   /// Runs that this owner did not place and does not hold, by task.
   std::map<std::string, OrphanedRun> orphans;
@@ -271,6 +274,11 @@
 /// ended on its next incarnation.
 bool HasUnconfirmedStart(const Worker& worker);
 
+/// Whether the incarnation is known to have been replaced by a later one.
+bool IsFormerIncarnation(const Worker& worker, uint64_t incarnation);
+/// Makes `incarnation` the worker's present one.
+void ReplaceIncarnation(Worker& worker, uint64_t incarnation);
+
 /// Whether new tasks may be placed on the worker at all.
 bool IsUsable(const Worker& worker, TimeMs now_ms);
 
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -134,6 +134,37 @@
   }
 }
 
+// Guards against taking the entry of an earlier incarnation for a restart when
+// the worker's clock was set back in between: each time all runs of the present
+// incarnation would be given up, and started elsewhere while they run.
+Test(CellModel, restart_with_an_earlier_time_of_day_runs_nothing_twice,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    for (auto& [id, worker] : cell.workers) worker.info.incarnation = 1'000;
+    cell.time.RunUntil(2 * kSecond);
+    SubmitLongTasks(cell, 10 * kSecond);
+    const std::string id = "w" + std::to_string(seed % 3);
+    cell.time.After(UniformInt(cell.random, 1'000, 5'000), [&cell, id] {
+      ModelWorker& worker = cell.workers.at(id);
+      worker.outdated_entry = worker.info;
+      RestartWorker(cell, id);
+      worker.info.incarnation -= 10;
+      // The next heartbeat replaces the entry.
+      cell.time.After(UniformInt(cell.random, 200, 6'000),
+                      [&worker] { worker.outdated_entry.reset(); });
+    });
+    if (seed % 3 == 0) {
+      cell.time.After(UniformInt(cell.random, 2'000, 9'000), [&cell] {
+        const int owner = FindOwner(cell);
+        if (owner >= 0) KillDaemon(cell, owner);
+      });
+    }
+    cell.time.RunUntil(60 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 // Guards against a start that reaches the next incarnation of a worker before
 // its restart is noticed: the incarnation takes the lease end, which is of the
 // earlier one's clock, for the longest lease that it grants.
