--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -187,7 +187,9 @@
         LogLevel::kInfo, "run_absent",
         {F("task", name), F("run", worker.runs[name].run),
          F("worker", worker.info.id), F("incarnation", worker.info.incarnation),
-         F("sync", sync), F("reason", NameOf(kAbsenceProofNames, proof))});
+         F("sync", sync), F("reason", NameOf(kAbsenceProofNames, proof)),
+         F("epoch", c.epoch), F("token", worker.runs[name].token),
+         F("placed_ago_ms", c.runtime.now() - worker.runs[name].placed_ms)});
     const uint32_t number = worker.runs[name].run;
     const std::optional<CrashPhase> crash = worker.runs[name].crash;
     const TimeMs heard_ms = worker.runs[name].crash_heard_ms;
@@ -250,10 +252,11 @@
 
 void ContinueSyncing(Controller& c, Worker& worker) {
   if (worker.syncs > 0) return;
-  if (worker.seen > worker.acked) {
+  const bool is_ack_withheld = IsAckDue(worker) && HasUnconfirmedStart(worker);
+  if (worker.seen > worker.acked || is_ack_withheld) {
     // A worker answers immediately while it holds unacknowledged ends, so the
-    // next sync waits for their commit, but no longer than this: the store may
-    // be down.
+    // next sync waits for their commit or for the answer to the start, but no
+    // longer than this: the store may be down.
     worker.next_sync_ms = c.runtime.now() + kUnackedSyncDelayMs;
     return;
   }
@@ -338,7 +341,7 @@
     return;
   }
   if (answer.incarnation != 0 && answer.incarnation != sent.incarnation) {
-    OnRestarted(c, worker, answer.incarnation);
+    OnRestarted(c, worker, answer.incarnation, LossEvidence::kSyncAnswer);
     // The new incarnation may be of another kind.
     worker.entry_outdated = true;
     Sync(c, worker, 0);
@@ -403,6 +406,19 @@
   RequestSchedule(c);
 }
 
+bool IsAckDue(const Worker& worker) {
+  return worker.reachable && worker.acked > worker.ack_confirmed;
+}
+
+void SyncStoredEnds(Controller& c, Worker& worker) {
+  if (worker.syncs > 0) return;
+  if (HasUnconfirmedStart(worker)) {
+    worker.next_sync_ms = c.runtime.now() + kUnackedSyncDelayMs;
+    return;
+  }
+  Sync(c, worker, worker.runs.empty() ? 0 : c.options.sync_wait_ms);
+}
+
 uint64_t TokenFor(const Controller& c, const Worker& worker) {
   // More than the restarts that one owner can notice.
   constexpr uint64_t kTokensPerEpoch = 1U << 20U;
@@ -421,16 +437,20 @@
        F("current", TokenFor(c, *found))});
 }
 
-void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation) {
-  Log(LogLevel::kWarning, "worker_restarted",
-      {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
-       F("incarnation", incarnation)});
+void OnRestarted(Controller& c, Worker& worker, uint64_t incarnation,
+                 LossEvidence evidence) {
+  LogAlways(LogLevel::kWarning, "worker_restarted",
+            {F("worker", worker.info.id), F("runs_lost", worker.runs.size()),
+             F("incarnation", incarnation),
+             F("previous_incarnation", worker.info.incarnation),
+             F("evidence", NameOf(kLossEvidenceNames, evidence)),
+             F("epoch", c.epoch), F("token_increment", c.worker_restarts + 1)});
   NoteLoss(c, worker);
   RecordLapsedCrashes(c, worker);
-  MarkRunsLost(c, worker,
-               IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash,
-               RunSet::kListed);
-  worker.info.incarnation = incarnation;
+  const RunLoss loss =
+      IsLeaving(worker) ? RunLoss::kWorkerLeft : RunLoss::kCrash;
+  MarkRunsLost(c, worker, {loss, evidence}, RunSet::kListed);
+  ReplaceIncarnation(worker, incarnation);
   worker.restarted_ms = c.runtime.now();
   // The predecessor may have called it for its earlier incarnation.
   if (c.recovery_pending.contains(worker.info.id)) {
@@ -479,9 +499,10 @@
   SyncOrder order;
   order.token = TokenFor(c, worker);
   // The worker may have restarted, and an old acknowledgment would discard ends
-  // of the new incarnation. So each is sent only until it is confirmed.
-  const bool is_due = worker.reachable && worker.acked > worker.ack_confirmed;
-  order.acked = is_due ? worker.acked : 0;
+  // of the new incarnation. So each is sent only until it is confirmed, and
+  // only while no run can have ended there that no answer has listed.
+  const bool is_sent = IsAckDue(worker) && !HasUnconfirmedStart(worker);
+  order.acked = is_sent ? worker.acked : 0;
   order.lease_end_clock_ms = MakeLeaseEnd(c, worker);
   // A worker that did not answer must not hold the answer back.
   order.wait_ms = worker.synced && worker.reachable ? wait_ms : 0;
@@ -495,7 +516,8 @@
               }));
 }
 
-void MarkRunsLost(Controller& c, Worker& worker, RunLoss loss, RunSet set) {
+void MarkRunsLost(Controller& c, Worker& worker, RunLossCause cause,
+                  RunSet set) {
   // The runs that the worker is on probation for are gone as well. It may never
   // be heard of again, and would count against the limit of probations.
   worker.probation_until_ms = 0;
@@ -512,8 +534,11 @@
     const CrashPhase phase = PhaseAtCrash(worker, found->second);
     LogAlways(LogLevel::kWarning, "task_lost",
               {F("task", name), F("run", run), F("worker", worker.info.id),
-               F("reason", NameOf(kRunLossNames, loss)),
+               F("reason", NameOf(kRunLossNames, cause.loss)),
+               F("evidence", NameOf(kLossEvidenceNames, cause.evidence)),
+               F("epoch", c.epoch), F("token", found->second.token),
                F("listed", found->second.listed),
+               F("placed_ago_ms", c.runtime.now() - found->second.placed_ms),
                F("incarnation", worker.info.incarnation),
                F("clock_ms", worker.clock_ms),
                F("lease_end_clock_ms", worker.lease_end_clock_ms),
@@ -521,7 +546,7 @@
     RemoveRun(worker, name);
     const bool was_held = TaskOf(task).worker == worker.info.id;
     if (was_held) ReleaseTask(c, task);
-    if (was_held && loss == RunLoss::kCrash) {
+    if (was_held && cause.loss == RunLoss::kCrash) {
       RecordCrash(c, task, run, phase, {AddressOf(worker), worker.heard_ms});
     }
     if (gang != 0) StopGang(c, *task.job, gang, "gang_member_lost");
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -54,6 +54,40 @@
   });
 }
 
+/// Submits jobs of short tasks, so that ends are acknowledged all the time.
+void SubmitShortTasks(Cell& cell, TimeMs until_ms) {
+  constexpr TimeMs kEveryMs = 100;
+  for (TimeMs at_ms = 0; at_ms < until_ms; at_ms += kEveryMs) {
+    cell.time.After(at_ms, [&cell] {
+      const TimeMs run_ms = UniformInt(cell.random, 20, 300);
+      Submit(cell, 0, MakeChain(cell, 1, 4, {1'500, 500, 0}, run_ms));
+    });
+  }
+}
+
+/// Restarts a worker of which no answer arrives for a while; calls do reach it.
+void RestartUnheard(Cell& cell, const std::string& id) {
+  ModelWorker& worker = cell.workers.at(id);
+  worker.outdated_entry = worker.info;
+  worker.lost_order_share = 1;
+  worker.lost_sync_share = 1;
+  cell.time.After(UniformInt(cell.random, 0, 800),
+                  [&cell, id] { RestartWorker(cell, id); });
+  cell.time.After(UniformInt(cell.random, 2'000, 5'000), [&worker] {
+    worker.lost_order_share = 0;
+    worker.lost_sync_share = 0;
+    worker.outdated_entry.reset();
+  });
+}
+
+void ExpectFields(const std::string& line,
+                  const std::vector<const char*>& fields) {
+  for (const char* field : fields) {
+    const std::string name = std::string("\"") + field + "\":";
+    cr_expect(line.find(name) != std::string::npos, "no %s", field);
+  }
+}
+
 }  // namespace
 
 // Guards against taking the lease of a restarted worker for shorter than it is:
@@ -82,6 +116,55 @@
   }
 }
 
+// Guards against an acknowledgment for an earlier incarnation that discards
+// ends of the next one: the worker restarts under its id, carries out what
+// reaches it and answers nothing, so the owner does not notice the restart. The
+// tasks of the discarded ends would run again.
+Test(CellModel, acknowledgment_for_an_earlier_incarnation_discards_no_end,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    SubmitShortTasks(cell, 8 * kSecond);
+    const std::string id = "w" + std::to_string(seed % 3);
+    cell.time.After(UniformInt(cell.random, 1'000, 6'000),
+                    [&cell, id] { RestartUnheard(cell, id); });
+    cell.time.RunUntil(40 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
+// Guards against taking the entry of an earlier incarnation for a restart when
+// the worker's clock was set back in between: each time all runs of the present
+// incarnation would be given up, and started elsewhere while they run.
+Test(CellModel, restart_with_an_earlier_time_of_day_runs_nothing_twice,
+     .init = DiscardLogs) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    for (auto& [id, worker] : cell.workers) worker.info.incarnation = 1'000;
+    cell.time.RunUntil(2 * kSecond);
+    SubmitLongTasks(cell, 10 * kSecond);
+    const std::string id = "w" + std::to_string(seed % 3);
+    cell.time.After(UniformInt(cell.random, 1'000, 5'000), [&cell, id] {
+      ModelWorker& worker = cell.workers.at(id);
+      worker.outdated_entry = worker.info;
+      RestartWorker(cell, id);
+      worker.info.incarnation -= 10;
+      // The next heartbeat replaces the entry.
+      cell.time.After(UniformInt(cell.random, 200, 6'000),
+                      [&worker] { worker.outdated_entry.reset(); });
+    });
+    if (seed % 3 == 0) {
+      cell.time.After(UniformInt(cell.random, 2'000, 9'000), [&cell] {
+        const int owner = FindOwner(cell);
+        if (owner >= 0) KillDaemon(cell, owner);
+      });
+    }
+    cell.time.RunUntil(60 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 // Guards against a start that reaches the next incarnation of a worker before
 // its restart is noticed: the incarnation takes the lease end, which is of the
 // earlier one's clock, for the longest lease that it grants.
@@ -206,11 +289,44 @@
         return line.find("\"reason\":\"lease_lapsed\"") != std::string::npos;
       });
   cr_assert(lost != lines.end());
-  for (const char* field : {"listed", "incarnation", "clock_ms",
-                            "lease_end_clock_ms", "sync_age_ms"}) {
-    const std::string name = std::string("\"") + field + "\":";
-    cr_expect(lost->find(name) != std::string::npos, "no %s", field);
-  }
+  ExpectFields(*lost, {"listed", "incarnation", "clock_ms",
+                       "lease_end_clock_ms", "sync_age_ms"});
+}
+
+// Guards against lines from which it cannot be told why a task was started
+// again: what the first order was, and what showed that its run had ended.
+Test(CellModel, lines_of_a_restarted_task_tell_both_orders_and_the_evidence) {
+  std::vector<std::string> lines;
+  SetLogOutput([&](const std::string& line) { lines.push_back(line); });
+  Cell cell({.workers = 2, .failure_share = 0});
+  cell.time.RunUntil(5 * kSecond);
+  Submit(cell, 0, MakeChain(cell, 1, 1, {1'000, 500, 0}, 3 * kSecond));
+  while (cell.run_records.empty()) cell.time.RunUntil(cell.time.now_ms + 1);
+  cell.time.RunUntil(cell.time.now_ms + kSecond);
+  RestartWorker(cell, cell.run_records.front().worker);
+  cell.time.RunUntil(20 * kSecond);
+  SetLogOutput(nullptr);
+  cr_assert_eq(cell.run_records.size(), 2U);
+  const auto is_of = [&](const char* event) {
+    return [name = "\"" + std::string(event) + "\""](const std::string& line) {
+      return line.find(name) != std::string::npos;
+    };
+  };
+  const auto lost =
+      std::find_if(lines.begin(), lines.end(), is_of("task_lost"));
+  cr_assert(lost != lines.end());
+  ExpectFields(*lost, {"epoch", "token", "incarnation", "evidence"});
+  cr_expect(lost->find("\"evidence\":\"lease_time\"") == std::string::npos);
+  const auto placed =
+      std::count_if(lines.begin(), lines.end(), is_of("tasks_placed"));
+  cr_expect_geq(placed, 1);
+  ExpectFields(*std::find_if(lines.begin(), lines.end(), is_of("tasks_placed")),
+               {"epoch", "tasks"});
+  const auto restarted =
+      std::find_if(lines.begin(), lines.end(), is_of("worker_restarted"));
+  cr_assert(restarted != lines.end());
+  ExpectFields(*restarted,
+               {"incarnation", "previous_incarnation", "token_increment"});
 }
 
 }  // namespace dotterelcove::model
