Owners: the decision to suspend is a module, and the model has links

No change of behaviour. Node::CheckIsolation decided inline, out of reach of the cell model. ActsUntil() in src/node/Isolation takes what the owner knows of the store and its peers and returns until when it may act. The model's daemons report to the owner that they know, links between them can be cut, as can paths to single workers, and an owner is suspended as in Node.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -43,7 +43,6 @@
       metrics(metrics) {
   Random random = MakeSystemRandom();
   this->incarnation = random() | 1U;
-  this->last_peer_message_ms = this->runtime.now();
 }
 
 Node::~Node() {
@@ -136,7 +135,6 @@
     workflow::AddPermitClient(c, PeerInstanceName(info),
                               this->MakePeerPermitPort(link));
   }
-  this->last_peer_message_ms = this->runtime.now();
   workflow::StartController(c);
   this->peers->SendHeartbeats();
   this->PollWorkers();
@@ -196,10 +194,10 @@
   const workflow::ControllerPtr current = this->controller;
   if (!current) return;
   const TimeMs limit_ms = this->options.controller.isolation_ms;
-  const TimeMs silent_ms = this->runtime.now() - this->last_peer_message_ms;
-  const bool isolated = this->had_peers && silent_ms > limit_ms &&
-                        current->log->store_age_ms() > limit_ms;
-  workflow::SuspendController(*current, isolated);
+  const TimeMs now_ms = this->runtime.now();
+  const TimeMs store_ms = now_ms - current->log->store_age_ms();
+  workflow::SuspendController(
+      *current, now_ms > ActsUntil(this->isolation, store_ms, limit_ms));
   this->runtime.after(kIsolationCheckMs, [this, current, alive = this->alive] {
     if (*alive && this->controller == current) this->CheckIsolation();
   });
@@ -283,8 +281,7 @@
 }
 
 void Node::OnPeerConnected(const PeerInfo& info) {
-  this->had_peers = true;
-  this->last_peer_message_ms = this->runtime.now();
+  NotePeer(this->isolation, info.process, this->runtime.now());
   if (this->controller) {
     workflow::AddPermitClient(*this->controller, PeerInstanceName(info),
                               this->MakePeerPermitPort(info.link));
@@ -376,7 +373,7 @@
 }
 
 void Node::OnMessage(const PeerInfo& info, wire::FrameT& frame) {
-  this->last_peer_message_ms = this->runtime.now();
+  NotePeer(this->isolation, info.process, this->runtime.now());
   if (const auto* heartbeat = frame.body.AsHeartbeat()) {
     this->OnHeartbeat(info, *heartbeat);
     return;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -14,6 +14,7 @@
 #include "base/HybridClock.h"
 #include "base/Runtime.h"
 #include "loop/EventLoop.h"
+#include "node/Isolation.h"
 #include "node/JobStore.h"
 #include "node/PeerCalls.h"
 #include "node/WorkerRelay.h"
@@ -141,8 +142,7 @@
   bool pending_jobs_known = false;
   /// Time since the store last answered the owner, as the owner last reported.
   TimeMs owner_store_age_ms = 0;
-  TimeMs last_peer_message_ms = 0;
-  bool had_peers = false;
+  Isolation isolation;
   bool stopping = false;
   /// False once this object is destroyed; callbacks hold a copy of the pointer.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -9,6 +9,8 @@
 namespace dotterelcove::model {
 namespace {
 
+std::string NameOfDaemon(int index) { return "d" + std::to_string(index); }
+
 std::vector<workflow::WorkerInfo> ListWorkers(const Cell& cell) {
   std::vector<workflow::WorkerInfo> list;
   for (const auto& [id, worker] : cell.workers) {
@@ -43,30 +45,69 @@
           [&cell, index, alive] { PollWorkerList(cell, index, alive); });
 }
 
-/// Sends the owner's reports to the other daemons at a fixed interval.
-void SendOwnerReports(Cell& cell, int index,
-                      const std::shared_ptr<bool>& alive) {
-  constexpr TimeMs kReportMs = 250;
-  Daemon& owner = *cell.daemons[static_cast<size_t>(index)];
-  if (owner.controller) {
-    OwnerReport report;
-    report.epoch = owner.controller->epoch;
-    report.sequence = owner.controller->log->row().sequence;
-    report.store_age_ms = owner.controller->log->store_age_ms();
-    for (const auto& other : cell.daemons) {
-      if (!other->up || other->index == index) continue;
-      Deliver(cell, other->index, other->alive, kHopMs,
-              [&cell, other = other.get(), report] {
-                if (!other->leadership->is_owner() &&
-                    other->leadership->view().epoch == report.epoch) {
-                  other->leadership->OnOwnerLink(true, false);
-                }
-                other->leadership->OnReport(report);
-              });
+/// Applies what an owner reports to one of the other daemons.
+void HearOwner(Daemon& there, const OwnerReport& report) {
+  if (!there.leadership->is_owner() &&
+      there.leadership->view().epoch == report.epoch) {
+    there.leadership->OnOwnerLink(true, false);
+  }
+  there.leadership->OnReport(report);
+}
+
+void ReportAsOwner(Cell& cell, const Daemon& owner) {
+  OwnerReport report;
+  report.epoch = owner.controller->epoch;
+  report.sequence = owner.controller->log->row().sequence;
+  report.store_age_ms = owner.controller->log->store_age_ms();
+  for (const auto& other : cell.daemons) {
+    if (!other->up || other->index == owner.index) continue;
+    if (owner.cut_peers.contains(other->index)) continue;
+    Deliver(cell, other->index, other->alive, kHopMs,
+            [other = other.get(), report] { HearOwner(*other, report); });
+  }
+}
+
+/// A standby has a link to the owner that it knows from the owner row.
+void ReportAsStandby(Cell& cell, const Daemon& standby) {
+  for (const auto& other : cell.daemons) {
+    if (!other->up || other->index == standby.index) continue;
+    if (standby.cut_peers.contains(other->index)) continue;
+    if (standby.leadership->view().process != NameOfDaemon(other->index)) {
+      continue;
     }
+    Deliver(cell, other->index, other->alive, kHopMs,
+            [&cell, other = other.get(), name = NameOfDaemon(standby.index)] {
+              NotePeer(other->isolation, name, cell.time.now_ms);
+            });
+  }
+}
+
+/// Sends a daemon's reports to the other daemons at a fixed interval.
+void SendReports(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
+  constexpr TimeMs kReportMs = 250;
+  const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  if (daemon.controller) {
+    ReportAsOwner(cell, daemon);
+  } else {
+    ReportAsStandby(cell, daemon);
   }
   Deliver(cell, index, alive, kReportMs,
-          [&cell, index, alive] { SendOwnerReports(cell, index, alive); });
+          [&cell, index, alive] { SendReports(cell, index, alive); });
+}
+
+/// Suspends an owner that must not act, as Node does.
+void CheckIsolation(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
+  constexpr TimeMs kCheckMs = 200;
+  const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  if (daemon.controller) {
+    workflow::Controller& c = *daemon.controller;
+    const TimeMs store_ms = cell.time.now_ms - c.log->store_age_ms();
+    const TimeMs until_ms =
+        ActsUntil(daemon.isolation, store_ms, c.options.isolation_ms);
+    workflow::SuspendController(c, cell.time.now_ms > until_ms);
+  }
+  Deliver(cell, index, alive, kCheckMs,
+          [&cell, index, alive] { CheckIsolation(cell, index, alive); });
 }
 
 /// Tells the daemons that take themselves for the owner of a stored row. Around
@@ -172,12 +213,13 @@
   daemon.start_count++;
   daemon.frozen_until_ms = 0;
   daemon.starved_until_ms = 0;
+  daemon.isolation = {};
   daemon.alive = std::make_shared<bool>(true);
   const auto alive = daemon.alive;
   const Runtime runtime = MakeModelRuntime(cell, index, alive);
   const RowStore store = MakeStore(cell, index, alive);
   LeadershipOptions options;
-  options.process = "d" + std::to_string(index);
+  options.process = NameOfDaemon(index);
   options.address = options.process;
   options.incarnation =
       static_cast<uint64_t>(index * 1'000 + daemon.start_count);
@@ -215,7 +257,8 @@
       std::make_shared<Leadership>(runtime, store, options, callbacks);
   daemon.leadership->Start();
   PollWorkerList(cell, index, alive);
-  SendOwnerReports(cell, index, alive);
+  SendReports(cell, index, alive);
+  CheckIsolation(cell, index, alive);
 }
 
 void KillDaemon(Cell& cell, int index) {
@@ -262,6 +305,36 @@
   }
 }
 
+namespace {
+
+void CutLink(Cell& cell, int index, int peer) {
+  // A peer that is silent for so long is disconnected.
+  constexpr TimeMs kSilenceMs = 600;
+  Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  daemon.cut_peers.insert(peer);
+  Deliver(cell, index, daemon.alive, kSilenceMs, [&daemon, peer] {
+    if (!daemon.cut_peers.contains(peer)) return;
+    if (daemon.leadership->view().process != NameOfDaemon(peer)) return;
+    daemon.leadership->OnOwnerLink(false, false);
+  });
+}
+
+}  // namespace
+
+void CutLinks(Cell& cell, const std::set<int>& group,
+              const std::set<int>& others) {
+  for (const int one : group) {
+    for (const int other : others) {
+      CutLink(cell, one, other);
+      CutLink(cell, other, one);
+    }
+  }
+}
+
+void RestoreLinks(Cell& cell) {
+  for (const auto& daemon : cell.daemons) daemon->cut_peers.clear();
+}
+
 int FindOwner(const Cell& cell) {
   int owner = -1;
   uint64_t epoch = 0;
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -18,6 +18,7 @@
 
 #include "base/Random.h"
 #include "base/Runtime.h"
+#include "node/Isolation.h"
 #include "store/Leadership.h"
 #include "store/RowStore.h"
 #include "workflow/Controller.h"
@@ -210,6 +211,14 @@
   /// short spells, and what has fallen due meanwhile runs in any order.
   TimeMs starved_until_ms = 0;
   bool partitioned_from_workers = false;
+  /// Workers that it cannot reach.
+  std::set<std::string> unreachable_workers;
+  /// Daemons that it has no link to.
+  std::set<int> cut_peers;
+  /// What it knows of its peers as an owner.
+  Isolation isolation;
+  /// Calls that it has sent to workers.
+  uint64_t worker_calls = 0;
   /// What its time of day differs from the true one by.
   int64_t wall_offset_ms = 0;
   std::shared_ptr<bool> alive;
@@ -224,6 +233,10 @@
 void StopDaemon(Cell& cell, int index);
 /// Leaves the daemon short of processor time for `for_ms`.
 void StarveDaemon(Cell& cell, int index, TimeMs for_ms);
+/// Cuts or restores all links between two groups of daemons.
+void CutLinks(Cell& cell, const std::set<int>& group,
+              const std::set<int>& others);
+void RestoreLinks(Cell& cell);
 /// Index of the running daemon whose controller has the highest epoch, -1 for
 /// none.
 int FindOwner(const Cell& cell);
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -226,9 +226,9 @@
   const auto found = cell.workers.find(id);
   if (found == cell.workers.end()) return nullptr;
   if (!found->second.up || found->second.partitioned) return nullptr;
-  if (cell.daemons[static_cast<size_t>(daemon)]->partitioned_from_workers) {
-    return nullptr;
-  }
+  const Daemon& caller = *cell.daemons[static_cast<size_t>(daemon)];
+  if (caller.partitioned_from_workers) return nullptr;
+  if (caller.unreachable_workers.contains(id)) return nullptr;
   return &found->second;
 }
 
@@ -376,6 +376,10 @@
   });
 }
 
+void CountCall(Cell& cell, int daemon) {
+  cell.daemons[static_cast<size_t>(daemon)]->worker_calls++;
+}
+
 }  // namespace
 
 workflow::WorkerPort MakeWorkerPort(Cell& cell, int daemon,
@@ -384,6 +388,7 @@
   port.start = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
                                       const workflow::StartOrder& order,
                                       const workflow::OrderCallback& done) {
+    CountCall(cell, daemon);
     SendOrder(
         cell, daemon, alive, worker.id, order, done,
         [&cell, daemon](ModelWorker& there, const workflow::StartOrder& sent) {
@@ -393,6 +398,7 @@
   port.stop = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
                                      const workflow::StopOrder& order,
                                      const workflow::OrderCallback& done) {
+    CountCall(cell, daemon);
     SendOrder(cell, daemon, alive, worker.id, order, done,
               [&cell](ModelWorker& there, const workflow::StopOrder& sent) {
                 return HandleStop(cell, there, sent);
@@ -401,6 +407,7 @@
   port.sync = [&cell, daemon, alive](const workflow::WorkerAddress& worker,
                                      const workflow::SyncOrder& order,
                                      const workflow::SyncCallback& done) {
+    CountCall(cell, daemon);
     const std::string id = worker.id;
     if (IsSyncDelayed(cell, id)) {
       CarryOutSyncLate(cell, id, order);
