--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -43,7 +43,6 @@
       metrics(metrics) {
   Random random = MakeSystemRandom();
   this->incarnation = random() | 1U;
-  this->last_peer_message_ms = this->runtime.now();
 }
 
 Node::~Node() {
@@ -136,7 +135,6 @@
     workflow::AddPermitClient(c, PeerInstanceName(info),
                               this->MakePeerPermitPort(link));
   }
-  this->last_peer_message_ms = this->runtime.now();
   workflow::StartController(c);
   this->peers->SendHeartbeats();
   this->PollWorkers();
@@ -195,11 +193,11 @@
 void Node::CheckIsolation() {
   const workflow::ControllerPtr current = this->controller;
   if (!current) return;
-  const TimeMs limit_ms = this->options.controller.isolation_ms;
-  const TimeMs silent_ms = this->runtime.now() - this->last_peer_message_ms;
-  const bool isolated = this->had_peers && silent_ms > limit_ms &&
-                        current->log->store_age_ms() > limit_ms;
-  workflow::SuspendController(*current, isolated);
+  const TimeMs now_ms = this->runtime.now();
+  const OwnEvidence own{current->epoch, now_ms - current->log->store_age_ms()};
+  const TimeMs until_ms =
+      ActsUntil(this->isolation, own, this->options.controller.isolation_ms);
+  workflow::SuspendController(*current, now_ms > until_ms);
   this->runtime.after(kIsolationCheckMs, [this, current, alive = this->alive] {
     if (*alive && this->controller == current) this->CheckIsolation();
   });
@@ -283,8 +281,7 @@
 }
 
 void Node::OnPeerConnected(const PeerInfo& info) {
-  this->had_peers = true;
-  this->last_peer_message_ms = this->runtime.now();
+  NotePeer(this->isolation, info.process, this->runtime.now());
   if (this->controller) {
     workflow::AddPermitClient(*this->controller, PeerInstanceName(info),
                               this->MakePeerPermitPort(info.link));
@@ -321,7 +318,14 @@
   heartbeat.config_version = this->config_version;
   heartbeat.draining = this->stopping;
   heartbeat.relays_calls = true;
-  if (!this->controller) return heartbeat;
+  if (!this->controller) {
+    const std::optional<TimeMs> age_ms = this->leadership->view_age_ms();
+    if (!age_ms) return heartbeat;
+    heartbeat.owner_epoch = this->leadership->view().epoch;
+    heartbeat.owner_process = this->leadership->view().process;
+    heartbeat.store_age_ms = *age_ms;
+    return heartbeat;
+  }
   const workflow::Controller& c = *this->controller;
   heartbeat.serving = true;
   heartbeat.owner_epoch = c.epoch;
@@ -340,12 +344,34 @@
   return heartbeat;
 }
 
+void Node::NoteEvidence(const PeerInfo& info,
+                        const wire::HeartbeatT& heartbeat) {
+  if (heartbeat.draining) {
+    ForgetPeer(this->isolation, info.process);
+    return;
+  }
+  const TimeMs now_ms = this->runtime.now();
+  NotePeer(this->isolation, info.process, now_ms);
+  // A standby of an earlier version reports no epoch.
+  if (heartbeat.serving || heartbeat.owner_epoch == 0) return;
+  NoteEpoch(this->isolation, info.process, heartbeat.owner_epoch,
+            now_ms - heartbeat.store_age_ms);
+  if (!this->controller || heartbeat.owner_epoch <= this->controller->epoch) {
+    return;
+  }
+  // The store has shown the peer that there is a newer owner.
+  OwnerReport report;
+  report.epoch = heartbeat.owner_epoch;
+  this->leadership->OnReport(report);
+}
+
 void Node::OnHeartbeat(const PeerInfo& info,
                        const wire::HeartbeatT& heartbeat) {
   if (heartbeat.config_version > this->config_version && this->config_behind) {
     this->config_behind(heartbeat.config_version);
   }
   this->UpdateRelay(info, heartbeat);
+  this->NoteEvidence(info, heartbeat);
   if (!heartbeat.serving) {
     // The peer has released ownership or has not acquired it yet.
     if (info.link == this->owner_link) {
@@ -376,7 +402,6 @@
 }
 
 void Node::OnMessage(const PeerInfo& info, wire::FrameT& frame) {
-  this->last_peer_message_ms = this->runtime.now();
   if (const auto* heartbeat = frame.body.AsHeartbeat()) {
     this->OnHeartbeat(info, *heartbeat);
     return;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -14,6 +14,7 @@
 #include "base/HybridClock.h"
 #include "base/Runtime.h"
 #include "loop/EventLoop.h"
+#include "node/Isolation.h"
 #include "node/JobStore.h"
 #include "node/PeerCalls.h"
 #include "node/WorkerRelay.h"
@@ -110,6 +111,8 @@
   void OnPeerConnected(const PeerInfo& info);
   void OnPeerLost(const PeerInfo& info, LinkEnd reason);
   void OnMessage(const PeerInfo& info, wire::FrameT& frame);
+  /// Records what the heartbeat tells an owner of the store and the peer.
+  void NoteEvidence(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
   void OnHeartbeat(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
   wire::HeartbeatT MakeHeartbeat() const;
   void NotifyOwner(const StoreRow& row);
@@ -141,8 +144,7 @@
   bool pending_jobs_known = false;
   /// Time since the store last answered the owner, as the owner last reported.
   TimeMs owner_store_age_ms = 0;
-  TimeMs last_peer_message_ms = 0;
-  bool had_peers = false;
+  Isolation isolation;
   bool stopping = false;
   /// False once this object is destroyed; callbacks hold a copy of the pointer.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -9,6 +9,8 @@
 namespace dotterelcove::model {
 namespace {
 
+std::string NameOfDaemon(int index) { return "d" + std::to_string(index); }
+
 std::vector<workflow::WorkerInfo> ListWorkers(const Cell& cell) {
   std::vector<workflow::WorkerInfo> list;
   for (const auto& [id, worker] : cell.workers) {
@@ -43,30 +45,104 @@
           [&cell, index, alive] { PollWorkerList(cell, index, alive); });
 }
 
-/// Sends the owner's reports to the other daemons at a fixed interval.
-void SendOwnerReports(Cell& cell, int index,
-                      const std::shared_ptr<bool>& alive) {
-  constexpr TimeMs kReportMs = 250;
-  Daemon& owner = *cell.daemons[static_cast<size_t>(index)];
-  if (owner.controller) {
-    OwnerReport report;
-    report.epoch = owner.controller->epoch;
-    report.sequence = owner.controller->log->row().sequence;
-    report.store_age_ms = owner.controller->log->store_age_ms();
-    for (const auto& other : cell.daemons) {
-      if (!other->up || other->index == index) continue;
-      Deliver(cell, other->index, other->alive, kHopMs,
-              [&cell, other = other.get(), report] {
-                if (!other->leadership->is_owner() &&
-                    other->leadership->view().epoch == report.epoch) {
-                  other->leadership->OnOwnerLink(true, false);
-                }
-                other->leadership->OnReport(report);
-              });
+/// What one daemon tells another of the store.
+struct Heartbeat {
+  int sender = 0;
+  bool serving = false;
+  OwnerReport report;
+};
+
+/// Applies a heartbeat as Node does.
+void HearPeer(const Cell& cell, Daemon& there, const Heartbeat& heartbeat) {
+  const std::string peer = NameOfDaemon(heartbeat.sender);
+  const OwnerReport& report = heartbeat.report;
+  NotePeer(there.isolation, peer, cell.time.now_ms);
+  if (heartbeat.serving) {
+    if (!there.leadership->is_owner() &&
+        there.leadership->view().epoch == report.epoch) {
+      there.leadership->OnOwnerLink(true, false);
     }
+    there.leadership->OnReport(report);
+    return;
+  }
+  if (report.epoch == 0) return;
+  NoteEpoch(there.isolation, peer, report.epoch,
+            cell.time.now_ms - report.store_age_ms);
+  if (there.leadership->is_owner()) there.leadership->OnReport(report);
+}
+
+Heartbeat MakeHeartbeat(const Daemon& daemon) {
+  Heartbeat heartbeat;
+  heartbeat.sender = daemon.index;
+  heartbeat.serving = daemon.controller != nullptr;
+  OwnerReport& report = heartbeat.report;
+  if (heartbeat.serving) {
+    report.epoch = daemon.controller->epoch;
+    report.sequence = daemon.controller->log->row().sequence;
+    report.store_age_ms = daemon.controller->log->store_age_ms();
+  } else if (const auto age_ms = daemon.leadership->view_age_ms()) {
+    report.epoch = daemon.leadership->view().epoch;
+    report.store_age_ms = *age_ms;
+  }
+  return heartbeat;
+}
+
+/// Like Deliver(), but keeps the order of delivery, so that the events of a
+/// seed do not depend on the number of heartbeats.
+void DeliverInOrder(Cell& cell, int index, const std::shared_ptr<bool>& alive,
+                    TimeMs delay_ms, std::function<void()> callback) {
+  cell.time.After(
+      delay_ms, [&cell, index, alive, callback = std::move(callback)] {
+        if (!*alive) return;
+        const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+        if (cell.time.now_ms < daemon.frozen_until_ms) {
+          DeliverInOrder(cell, index, alive,
+                         daemon.frozen_until_ms - cell.time.now_ms, callback);
+          return;
+        }
+        callback();
+      });
+}
+
+/// Whether there is a link. A standby connects to the owner that it knows from
+/// the owner row, an owner reports to all.
+bool IsLinked(const Daemon& sender, const Daemon& other) {
+  if (!other.up || other.index == sender.index) return false;
+  if (sender.cut_peers.contains(other.index)) return false;
+  if (sender.controller) return true;
+  return sender.leadership->view().process == NameOfDaemon(other.index);
+}
+
+/// Sends a daemon's reports to the other daemons at a fixed interval.
+void SendReports(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
+  constexpr TimeMs kReportMs = 250;
+  const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  const Heartbeat heartbeat = MakeHeartbeat(daemon);
+  for (const auto& other : cell.daemons) {
+    if (!IsLinked(daemon, *other)) continue;
+    const auto deliver = heartbeat.serving ? Deliver : DeliverInOrder;
+    deliver(cell, other->index, other->alive, kHopMs,
+            [&cell, other = other.get(), heartbeat] {
+              HearPeer(cell, *other, heartbeat);
+            });
   }
   Deliver(cell, index, alive, kReportMs,
-          [&cell, index, alive] { SendOwnerReports(cell, index, alive); });
+          [&cell, index, alive] { SendReports(cell, index, alive); });
+}
+
+/// Suspends an owner that must not act, as Node does.
+void CheckIsolation(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
+  constexpr TimeMs kCheckMs = 200;
+  const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  if (daemon.controller) {
+    workflow::Controller& c = *daemon.controller;
+    const OwnEvidence own{c.epoch, cell.time.now_ms - c.log->store_age_ms()};
+    const TimeMs until_ms =
+        ActsUntil(daemon.isolation, own, c.options.isolation_ms);
+    workflow::SuspendController(c, cell.time.now_ms > until_ms);
+  }
+  DeliverInOrder(cell, index, alive, kCheckMs,
+                 [&cell, index, alive] { CheckIsolation(cell, index, alive); });
 }
 
 /// Tells the daemons that take themselves for the owner of a stored row. Around
@@ -172,12 +248,13 @@
   daemon.start_count++;
   daemon.frozen_until_ms = 0;
   daemon.starved_until_ms = 0;
+  daemon.isolation = {};
   daemon.alive = std::make_shared<bool>(true);
   const auto alive = daemon.alive;
   const Runtime runtime = MakeModelRuntime(cell, index, alive);
   const RowStore store = MakeStore(cell, index, alive);
   LeadershipOptions options;
-  options.process = "d" + std::to_string(index);
+  options.process = NameOfDaemon(index);
   options.address = options.process;
   options.incarnation =
       static_cast<uint64_t>(index * 1'000 + daemon.start_count);
@@ -215,7 +292,8 @@
       std::make_shared<Leadership>(runtime, store, options, callbacks);
   daemon.leadership->Start();
   PollWorkerList(cell, index, alive);
-  SendOwnerReports(cell, index, alive);
+  SendReports(cell, index, alive);
+  CheckIsolation(cell, index, alive);
 }
 
 void KillDaemon(Cell& cell, int index) {
@@ -262,6 +340,36 @@
   }
 }
 
+namespace {
+
+void CutLink(Cell& cell, int index, int peer) {
+  // A peer that is silent for so long is disconnected.
+  constexpr TimeMs kSilenceMs = 600;
+  Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
+  daemon.cut_peers.insert(peer);
+  Deliver(cell, index, daemon.alive, kSilenceMs, [&daemon, peer] {
+    if (!daemon.cut_peers.contains(peer)) return;
+    if (daemon.leadership->view().process != NameOfDaemon(peer)) return;
+    daemon.leadership->OnOwnerLink(false, false);
+  });
+}
+
+}  // namespace
+
+void CutLinks(Cell& cell, const std::set<int>& group,
+              const std::set<int>& others) {
+  for (const int one : group) {
+    for (const int other : others) {
+      CutLink(cell, one, other);
+      CutLink(cell, other, one);
+    }
+  }
+}
+
+void RestoreLinks(Cell& cell) {
+  for (const auto& daemon : cell.daemons) daemon->cut_peers.clear();
+}
+
 int FindOwner(const Cell& cell) {
   int owner = -1;
   uint64_t epoch = 0;
