An owner that stood still sends nothing before it has heard of its cell

Cause: isolation was checked every 200 ms by a timer of its own. After a pause the tick could run first and call all workers. Commits that had been answered and heartbeats that had been received before the pause counted as new once they were read, so the check passed as well.

Change: the owner works out for each order until when it may act. Evidence is dated by when the call was sent that it answers: commits and reads of the owner row by their sending, heartbeats of peers by the last own heartbeat that the peer had received (sent_ms, echo_ms; an earlier version sends neither and is dated by receipt). Stops and paces of a suspended owner are answered as not sent, and repeated. A tick logs owner_isolated and owner_reconnected.

Ruled out: measuring the tick's own gap. It does not tell a heartbeat that waited in the socket from a new one.

Not covered: a suspended VM. CLOCK_MONOTONIC stands still then, so evidence of before counts for up to 1.5 s after it. Lease ends that are computed from a worker's clock as read before lie no later than without the pause, so they do no harm. But an answer of a worker that the successor has not reached gives the owner the current clock, and it then renews leases to up to 5 s after the wake. CLOCK_BOOTTIME would count a suspension of the guest, no clock of the guest a pause by the host. Not changed here.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -16,7 +16,6 @@
 /// A peer is disconnected after this silence. A short limit is safe, since a
 /// takeover also needs an owner row that has not changed.
 constexpr TimeMs kPeerSilenceMs = 600;
-constexpr TimeMs kIsolationCheckMs = 200;
 /// Spread the takeover attempts of the standbys over time.
 constexpr uint64_t kRankSteps = 12;
 constexpr TimeMs kRankStepMs = 6;
@@ -28,6 +27,17 @@
 /// answer should take.
 constexpr TimeMs kPermitTimeoutMs = 2'500;
 
+/// A time on this process's clock after which the heartbeat was sent, or
+/// nothing if the peer does not know of any yet. The time of receipt does not
+/// tell it: this process may have stood still. An earlier version sends no time
+/// to go by.
+std::optional<TimeMs> SentAfter(const wire::HeartbeatT& heartbeat) {
+  const TimeMs now_ms = MonotonicMs();
+  if (heartbeat.sent_ms == 0) return now_ms;
+  if (heartbeat.echo_ms <= 0) return std::nullopt;
+  return std::min<TimeMs>(heartbeat.echo_ms, now_ms);
+}
+
 std::string PeerInstanceName(const PeerInfo& info) {
   return info.process + "/" + std::to_string(info.incarnation);
 }
@@ -119,6 +129,10 @@
   c.log = log;
   c.epoch = log->row().epoch;
   c.policies = this->policies;
+  c.acts_until = [this, current = this->controller.get(), alive = this->alive] {
+    return *alive && this->controller.get() == current ? this->OwnerActsUntil()
+                                                       : TimeMs{0};
+  };
   c.fenced = [this] {
     // Deferred: stepping down ends the controller, which is the caller here.
     this->runtime.after(0, [this, alive = this->alive] {
@@ -138,7 +152,6 @@
   workflow::StartController(c);
   this->peers->SendHeartbeats();
   this->PollWorkers();
-  this->CheckIsolation();
 }
 
 void Node::OnLost() {
@@ -190,17 +203,14 @@
       });
 }
 
-void Node::CheckIsolation() {
-  const workflow::ControllerPtr current = this->controller;
-  if (!current) return;
-  const TimeMs now_ms = this->runtime.now();
-  const OwnEvidence own{current->epoch, now_ms - current->log->store_age_ms()};
-  const TimeMs until_ms =
-      ActsUntil(this->isolation, own, this->options.controller.isolation_ms);
-  workflow::SuspendController(*current, now_ms > until_ms);
-  this->runtime.after(kIsolationCheckMs, [this, current, alive = this->alive] {
-    if (*alive && this->controller == current) this->CheckIsolation();
-  });
+TimeMs Node::OwnerActsUntil() const {
+  const workflow::Controller& c = *this->controller;
+  const TimeMs limit_ms = this->options.controller.isolation_ms;
+  const OwnEvidence own{c.epoch, c.log->confirmed_ms()};
+  // The usual case, without a look at the peers: this is called for each order.
+  const TimeMs confirmed_until_ms = own.store_ms + limit_ms;
+  if (this->runtime.now() <= confirmed_until_ms) return confirmed_until_ms;
+  return ActsUntil(this->isolation, own, limit_ms);
 }
 
 workflow::PermitPort Node::MakePeerPermitPort(LinkId link) {
@@ -281,7 +291,6 @@
 }
 
 void Node::OnPeerConnected(const PeerInfo& info) {
-  NotePeer(this->isolation, info.process, this->runtime.now());
   if (this->controller) {
     workflow::AddPermitClient(*this->controller, PeerInstanceName(info),
                               this->MakePeerPermitPort(info.link));
@@ -350,12 +359,13 @@
     ForgetPeer(this->isolation, info.process);
     return;
   }
-  const TimeMs now_ms = this->runtime.now();
-  NotePeer(this->isolation, info.process, now_ms);
+  const std::optional<TimeMs> sent_ms = SentAfter(heartbeat);
+  if (!sent_ms) return;
+  NotePeer(this->isolation, info.process, *sent_ms);
   // A standby of an earlier version reports no epoch.
   if (heartbeat.serving || heartbeat.owner_epoch == 0) return;
   NoteEpoch(this->isolation, info.process, heartbeat.owner_epoch,
-            now_ms - heartbeat.store_age_ms);
+            *sent_ms - heartbeat.store_age_ms);
   if (!this->controller || heartbeat.owner_epoch <= this->controller->epoch) {
     return;
   }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -101,7 +101,7 @@
   void OnLost();
   void OnOwnerChanged(const OwnerRow& row);
   void PollWorkers();
-  void CheckIsolation();
+  TimeMs OwnerActsUntil() const;
   void AnswerPermitAsk(LinkId link, const wire::PermitAskT& ask);
   void AnswerWorkerCall(LinkId link, const wire::WorkerCallT& call);
   WorkerRelaysPtr MakeRelays();
--- a/src/peer/PeerNode.cpp
+++ b/src/peer/PeerNode.cpp
@@ -43,6 +43,8 @@
   Dialer* dialer = nullptr;
   bool hello_received = false;
   TimeMs last_received_ms = 0;
+  /// `sent_ms` of the last heartbeat received.
+  int64_t last_sent_ms = 0;
   std::unique_ptr<Link> link;
 };
 
@@ -206,10 +208,17 @@
 
 void PeerNode::SendHeartbeats() {
   for (const auto& [id, info] : this->connected) {
-    this->Send(id, this->callbacks.make_heartbeat());
+    this->SendHeartbeat(*this->connections.at(id));
   }
 }
 
+void PeerNode::SendHeartbeat(Connection& connection) {
+  wire::HeartbeatT heartbeat = this->callbacks.make_heartbeat();
+  heartbeat.sent_ms = MonotonicMs();
+  heartbeat.echo_ms = connection.last_sent_ms;
+  this->Send(connection.id, std::move(heartbeat));
+}
+
 void PeerNode::OnFrame(LinkId id, wire::FrameT& frame) {
   // A link closed for a timeout stays open until the reaper runs, so frames may
   // still arrive on it, for example after a pause of this process.
@@ -227,6 +236,9 @@
     this->OnHello(connection, *hello);
     return;
   }
+  if (const auto* heartbeat = frame.body.AsHeartbeat()) {
+    connection.last_sent_ms = heartbeat->sent_ms;
+  }
   // A copy, since the callback may close the link.
   const PeerInfo info = this->connected.at(id);
   this->callbacks.received(info, frame);
@@ -243,7 +255,7 @@
   info.zone = hello.zone;
   if (connection.dialer != nullptr) info.dialled = connection.dialer->address;
   this->connected[connection.id] = info;
-  this->Send(info.link, this->callbacks.make_heartbeat());
+  this->SendHeartbeat(connection);
   this->callbacks.connected(info);
 }
 
--- a/src/peer/PeerNode.h
+++ b/src/peer/PeerNode.h
@@ -58,7 +58,8 @@
   /// An outgoing connection was closed before the hello: with kNetworkError
   /// nobody listens at the address. May be empty.
   std::function<void(const std::string& address, LinkEnd)> dial_failed;
-  /// Creates the content of the next heartbeat.
+  /// Creates the content of the next heartbeat, but for `sent_ms` and
+  /// `echo_ms`.
   std::function<wire::HeartbeatT()> make_heartbeat;
 };
 
@@ -118,6 +119,7 @@
   void OnFrame(LinkId id, wire::FrameT& frame);
   void OnHello(Connection& connection, const wire::HelloT& hello);
   void OnLinkClosed(LinkId id, LinkEnd reason);
+  void SendHeartbeat(Connection& connection);
   void OnTick();
 
   EventLoop& loop;
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -1009,6 +1009,8 @@
   std::vector<std::unique_ptr<dotterelcove::wire::QueueCountT>> pending{};
   bool relays_calls = false;
   bool pending_known = false;
+  int64_t sent_ms = 0;
+  int64_t echo_ms = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1029,7 +1031,9 @@
     VT_STORE_AGE_MS = 16,
     VT_PENDING = 18,
     VT_RELAYS_CALLS = 20,
-    VT_PENDING_KNOWN = 22
+    VT_PENDING_KNOWN = 22,
+    VT_SENT_MS = 24,
+    VT_ECHO_MS = 26
   };
   uint64_t owner_epoch() const {
     return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
@@ -1061,6 +1065,12 @@
   bool pending_known() const {
     return GetField<uint8_t>(VT_PENDING_KNOWN, 0) != 0;
   }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
+  int64_t echo_ms() const {
+    return GetField<int64_t>(VT_ECHO_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
@@ -1076,6 +1086,8 @@
            verifier.VerifyVectorOfTables(pending()) &&
            VerifyField<uint8_t>(verifier, VT_RELAYS_CALLS, 1) &&
            VerifyField<uint8_t>(verifier, VT_PENDING_KNOWN, 1) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_ECHO_MS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1117,6 +1129,12 @@
   void add_pending_known(bool pending_known) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_PENDING_KNOWN, static_cast<uint8_t>(pending_known), 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_SENT_MS, sent_ms, 0);
+  }
+  void add_echo_ms(int64_t echo_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_ECHO_MS, echo_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1139,8 +1157,12 @@
     int64_t store_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>> pending = 0,
     bool relays_calls = false,
-    bool pending_known = false) {
+    bool pending_known = false,
+    int64_t sent_ms = 0,
+    int64_t echo_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_echo_ms(echo_ms);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_sequence(sequence);
   builder_.add_config_version(config_version);
@@ -1170,7 +1192,9 @@
     int64_t store_age_ms = 0,
     const std::vector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> *pending = nullptr,
     bool relays_calls = false,
-    bool pending_known = false) {
+    bool pending_known = false,
+    int64_t sent_ms = 0,
+    int64_t echo_ms = 0) {
   auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
   auto pending__ = pending ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>(*pending) : 0;
   return dotterelcove::wire::CreateHeartbeat(
@@ -1184,7 +1208,9 @@
       store_age_ms,
       pending__,
       relays_calls,
-      pending_known);
+      pending_known,
+      sent_ms,
+      echo_ms);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5112,7 +5138,9 @@
         sequence(o.sequence),
         store_age_ms(o.store_age_ms),
         relays_calls(o.relays_calls),
-        pending_known(o.pending_known) {
+        pending_known(o.pending_known),
+        sent_ms(o.sent_ms),
+        echo_ms(o.echo_ms) {
   pending.reserve(o.pending.size());
   for (const auto &pending_ : o.pending) { pending.emplace_back((pending_) ? new dotterelcove::wire::QueueCountT(*pending_) : nullptr); }
 }
@@ -5128,6 +5156,8 @@
   std::swap(pending, o.pending);
   std::swap(relays_calls, o.relays_calls);
   std::swap(pending_known, o.pending_known);
+  std::swap(sent_ms, o.sent_ms);
+  std::swap(echo_ms, o.echo_ms);
   return *this;
 }
 
@@ -5150,6 +5180,8 @@
   { auto _e = pending(); if (_e) { _o->pending.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending[_i] = std::unique_ptr<dotterelcove::wire::QueueCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = relays_calls(); _o->relays_calls = _e; }
   { auto _e = pending_known(); _o->pending_known = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = echo_ms(); _o->echo_ms = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5170,6 +5202,8 @@
   auto _pending = _o->pending.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>> (_o->pending.size(), [](size_t i, _VectorArgs *__va) { return CreateQueueCount(*__va->__fbb, __va->__o->pending[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _relays_calls = _o->relays_calls;
   auto _pending_known = _o->pending_known;
+  auto _sent_ms = _o->sent_ms;
+  auto _echo_ms = _o->echo_ms;
   return dotterelcove::wire::CreateHeartbeat(
       _fbb,
       _owner_epoch,
@@ -5181,7 +5215,9 @@
       _store_age_ms,
       _pending,
       _relays_calls,
-      _pending_known);
+      _pending_known,
+      _sent_ms,
+      _echo_ms);
 }
 
 inline QueueCountT *QueueCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/store/Leadership.cpp
+++ b/src/store/Leadership.cpp
@@ -189,7 +189,7 @@
         const auto self = weak.lock();
         if (self) self->OnLost();
       });
-  this->committer->Start();
+  this->committer->Start(this->sent_ms);
   this->callbacks.acquired(this->committer);
 }
 
--- a/src/store/OwnerCommitter.cpp
+++ b/src/store/OwnerCommitter.cpp
@@ -57,7 +57,10 @@
       last_write_ms(this->runtime.now()),
       last_answer_ms(this->runtime.now()) {}
 
-void OwnerCommitter::Start() { this->Pump(); }
+void OwnerCommitter::Start(TimeMs confirmed_ms) {
+  this->last_confirmed_ms = confirmed_ms;
+  this->Pump();
+}
 
 TimeMs OwnerCommitter::store_age_ms() const {
   return this->runtime.now() - this->last_answer_ms;
@@ -261,6 +264,7 @@
 void OwnerCommitter::OnCommitted(uint64_t version) {
   this->last_answer_ms = this->runtime.now();
   this->last_commit_ms = this->last_answer_ms - this->last_write_ms;
+  this->last_confirmed_ms = this->last_write_ms;
   this->current = this->next;
   this->current.version = version;
   this->writing = false;
--- a/src/store/OwnerCommitter.h
+++ b/src/store/OwnerCommitter.h
@@ -68,7 +68,8 @@
   OwnerCommitter(Runtime runtime, RowStore store, OwnerRow row,
                  OwnerCommitterOptions options, std::function<void()> deposed);
 
-  void Start();
+  /// `confirmed_ms` is when the call was sent that showed the ownership.
+  void Start(TimeMs confirmed_ms);
   /// Writes these rows in one transaction, together with other queued records.
   /// `done` runs once they are stored; it never runs if ownership is lost
   /// first.
@@ -85,6 +86,10 @@
   TimeMs commit_ms() const { return this->last_commit_ms; }
   /// Time since the last confirmed commit, or since the creation.
   TimeMs store_age_ms() const;
+  /// When the call was sent whose answer last showed that the row is this
+  /// owner's. Unlike that of an answer, this time is right also if the process
+  /// stood still before it read the answer.
+  TimeMs confirmed_ms() const { return this->last_confirmed_ms; }
   /// Number of queued records, without those of the transaction in flight.
   size_t waiting() const { return this->queue.size(); }
 
@@ -132,6 +137,7 @@
   TimeMs last_write_ms = 0;
   TimeMs last_answer_ms = 0;
   TimeMs last_commit_ms = 0;
+  TimeMs last_confirmed_ms = 0;
   /// The store's clock minus this process's; valid if `clock_known`.
   int64_t clock_offset_ms = 0;
   bool clock_known = false;
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -340,10 +340,40 @@
   load.last_tick_ms = now_ms;
 }
 
+void NoteSuspension(Controller& c) {
+  const bool suspended = IsSuspended(c);
+  if (c.was_suspended == suspended) return;
+  c.was_suspended = suspended;
+  Log(LogLevel::kWarning, suspended ? "owner_isolated" : "owner_reconnected",
+      {F("epoch", c.epoch)});
+}
+
+/// Wraps the sending of one kind of order. One that a suspended owner does not
+/// send is answered so, and repeated like any unsent order.
+template <class Order>
+void SendUnlessSuspended(Controller& c,
+                         std::function<void(const WorkerAddress&, const Order&,
+                                            OrderCallback)>& send) {
+  send = [weak = c.weak_from_this(), direct = std::move(send)](
+             const WorkerAddress& worker, const Order& order,
+             OrderCallback done) {
+    const ControllerPtr self = weak.lock();
+    if (!self) return;
+    if (!IsSuspended(*self)) {
+      direct(worker, order, std::move(done));
+      return;
+    }
+    self->runtime.after(0, [done = std::move(done)] {
+      done({OrderStatus::kNotSent, 0});
+    });
+  };
+}
+
 void Tick(Controller& c) {
   c.runtime.after(kTickMs, Guard(c, [](Controller& self) { Tick(self); }));
   LogLoad(c);
-  if (c.suspended) return;
+  NoteSuspension(c);
+  if (IsSuspended(c)) return;
   CheckWorkers(c);
   CheckRecovery(c);
   CheckMaintenance(c);
@@ -356,6 +386,9 @@
 
 void StartController(Controller& c) {
   c.takeover_version = c.log->row().version;
+  SendUnlessSuspended(c, c.port.start);
+  SendUnlessSuspended(c, c.port.stop);
+  SendUnlessSuspended(c, c.port.pace);
   const auto loading = std::make_shared<Loading>();
   LoadTable(c, loading, kJobTable, &Loading::jobs);
   LoadTable(c, loading, kProgressTable, &Loading::progress);
@@ -366,12 +399,8 @@
 
 void StopController(Controller& c) { c.stopped = true; }
 
-void SuspendController(Controller& c, bool suspended) {
-  if (c.suspended == suspended) return;
-  c.suspended = suspended;
-  Log(LogLevel::kWarning, suspended ? "owner_isolated" : "owner_reconnected",
-      {F("epoch", c.epoch)});
-  RequestSchedule(c);
+bool IsSuspended(const Controller& c) {
+  return c.acts_until && c.runtime.now() > c.acts_until();
 }
 
 void UpdatePolicies(Controller& c,
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -112,6 +112,10 @@
   /// Store version at which this owner took over. No predecessor has placed a
   /// job accepted later, see IsOwnershipConfirmed().
   uint64_t takeover_version = 0;
+  /// The time until which this owner may act; see src/node/Isolation.h. Empty
+  /// for no limit. Called for each order, so that none is sent after a pause of
+  /// the process that has used the time up.
+  std::function<TimeMs()> acts_until;
   /// Called when a worker or the VM service rejects this owner's fencing token
   /// as stale.
   std::function<void()> fenced;
@@ -166,7 +170,8 @@
   bool schedule_wanted = false;
   /// No pass begins before this time, so that passes leave time for answers.
   TimeMs next_pass_ms = 0;
-  bool suspended = false;
+  /// Whether the last tick found the owner suspended, for the log.
+  bool was_suspended = false;
   bool stopped = false;
   uint64_t next_gang = 1;
 };
@@ -177,9 +182,9 @@
 void StartController(Controller& controller);
 /// After this call no callback of the controller has an effect.
 void StopController(Controller& controller);
-/// A suspended controller places no tasks and lets worker leases expire,
-/// because another owner may have taken over.
-void SuspendController(Controller& controller, bool suspended);
+/// A suspended controller sends nothing to workers and lets their leases
+/// expire, because another owner may have taken over.
+bool IsSuspended(const Controller& controller);
 
 /// Processes a row of the job table: an accepted job or a cancellation.
 /// Idempotent, since the same row may arrive from the caller's entry process
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -383,7 +383,7 @@
 
 void RunSchedule(Controller& c) {
   c.schedule_wanted = false;
-  if (!c.loaded || c.suspended) return;
+  if (!c.loaded || IsSuspended(c)) return;
   RecordFleet(c);
   SchedulePass pass;
   pass.now_ms = c.runtime.now();
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -463,7 +463,7 @@
 }
 
 int64_t MakeLeaseEnd(Controller& c, Worker& worker) {
-  if (worker.clock_ms == 0 || c.suspended) return 0;
+  if (worker.clock_ms == 0 || IsSuspended(c)) return 0;
   // The lease of a worker that does not answer is not extended: each retry
   // would postpone the time by which its tasks must have ended. Nor is the
   // lease end repeated, since the worker may have restarted.
@@ -479,7 +479,7 @@
 }
 
 void Sync(Controller& c, Worker& worker, TimeMs wait_ms) {
-  if (c.suspended) return;
+  if (IsSuspended(c)) return;
   worker.syncs++;
   worker.syncs_sent++;
   SyncOrder order;
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -50,13 +50,19 @@
   int sender = 0;
   bool serving = false;
   OwnerReport report;
+  TimeMs sent_ms = 0;
+  /// `sent_ms` of the last heartbeat from the receiver, 0 for none.
+  TimeMs echo_ms = 0;
 };
 
 /// Applies a heartbeat as Node does.
-void HearPeer(const Cell& cell, Daemon& there, const Heartbeat& heartbeat) {
+void HearPeer(Daemon& there, const Heartbeat& heartbeat) {
   const std::string peer = NameOfDaemon(heartbeat.sender);
   const OwnerReport& report = heartbeat.report;
-  NotePeer(there.isolation, peer, cell.time.now_ms);
+  there.heartbeats[heartbeat.sender] = heartbeat.sent_ms;
+  if (heartbeat.echo_ms > 0) {
+    NotePeer(there.isolation, peer, heartbeat.echo_ms);
+  }
   if (heartbeat.serving) {
     if (!there.leadership->is_owner() &&
         there.leadership->view().epoch == report.epoch) {
@@ -65,9 +71,9 @@
     there.leadership->OnReport(report);
     return;
   }
-  if (report.epoch == 0) return;
+  if (report.epoch == 0 || heartbeat.echo_ms == 0) return;
   NoteEpoch(there.isolation, peer, report.epoch,
-            cell.time.now_ms - report.store_age_ms);
+            heartbeat.echo_ms - report.store_age_ms);
   if (there.leadership->is_owner()) there.leadership->OnReport(report);
 }
 
@@ -117,32 +123,25 @@
 void SendReports(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
   constexpr TimeMs kReportMs = 250;
   const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
-  const Heartbeat heartbeat = MakeHeartbeat(daemon);
+  Heartbeat heartbeat = MakeHeartbeat(daemon);
+  heartbeat.sent_ms = cell.time.now_ms;
   for (const auto& other : cell.daemons) {
     if (!IsLinked(daemon, *other)) continue;
+    const auto heard = daemon.heartbeats.find(other->index);
+    heartbeat.echo_ms = heard == daemon.heartbeats.end() ? 0 : heard->second;
     const auto deliver = heartbeat.serving ? Deliver : DeliverInOrder;
     deliver(cell, other->index, other->alive, kHopMs,
-            [&cell, other = other.get(), heartbeat] {
-              HearPeer(cell, *other, heartbeat);
-            });
+            [other = other.get(), heartbeat] { HearPeer(*other, heartbeat); });
   }
   Deliver(cell, index, alive, kReportMs,
           [&cell, index, alive] { SendReports(cell, index, alive); });
 }
 
-/// Suspends an owner that must not act, as Node does.
-void CheckIsolation(Cell& cell, int index, const std::shared_ptr<bool>& alive) {
-  constexpr TimeMs kCheckMs = 200;
-  const Daemon& daemon = *cell.daemons[static_cast<size_t>(index)];
-  if (daemon.controller) {
-    workflow::Controller& c = *daemon.controller;
-    const OwnEvidence own{c.epoch, cell.time.now_ms - c.log->store_age_ms()};
-    const TimeMs until_ms =
-        ActsUntil(daemon.isolation, own, c.options.isolation_ms);
-    workflow::SuspendController(c, cell.time.now_ms > until_ms);
-  }
-  DeliverInOrder(cell, index, alive, kCheckMs,
-                 [&cell, index, alive] { CheckIsolation(cell, index, alive); });
+/// The time until which an owner may act, as in Node.
+TimeMs OwnerActsUntil(const Daemon& daemon) {
+  const workflow::Controller& c = *daemon.controller;
+  return ActsUntil(daemon.isolation, {c.epoch, c.log->confirmed_ms()},
+                   c.options.isolation_ms);
 }
 
 /// Tells the daemons that take themselves for the owner of a stored row. Around
@@ -249,6 +248,7 @@
   daemon.frozen_until_ms = 0;
   daemon.starved_until_ms = 0;
   daemon.isolation = {};
+  daemon.heartbeats.clear();
   daemon.alive = std::make_shared<bool>(true);
   const auto alive = daemon.alive;
   const Runtime runtime = MakeModelRuntime(cell, index, alive);
@@ -270,6 +270,10 @@
     c.port = MakeWorkerPort(cell, index, alive);
     c.log = log;
     c.epoch = log->row().epoch;
+    c.acts_until = [&self, current = &c] {
+      return self.controller.get() == current ? OwnerActsUntil(self)
+                                              : TimeMs{0};
+    };
     c.fenced = [&cell, index, alive] {
       Deliver(cell, index, alive, 0, [&cell, index] {
         cell.daemons[static_cast<size_t>(index)]->leadership->OnFenced();
@@ -293,7 +297,6 @@
   daemon.leadership->Start();
   PollWorkerList(cell, index, alive);
   SendReports(cell, index, alive);
-  CheckIsolation(cell, index, alive);
 }
 
 void KillDaemon(Cell& cell, int index) {
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -217,6 +217,8 @@
   std::set<int> cut_peers;
   /// What it knows of its peers as an owner.
   Isolation isolation;
+  /// When the last heartbeat received from each daemon was sent.
+  std::map<int, TimeMs> heartbeats;
   /// Calls that it has sent to workers.
   uint64_t worker_calls = 0;
   /// What its time of day differs from the true one by.
--- a/tests/CellModelIsolationTest.cpp
+++ b/tests/CellModelIsolationTest.cpp
@@ -58,4 +58,36 @@
   }
 }
 
+// Guards against calls to workers of an owner that stood still, before it has
+// heard of the store or a peer: its first check of workers ran before the check
+// of its isolation, and answers and heartbeats that had arrived meanwhile were
+// taken for new.
+Test(CellModel, owner_that_stood_still_waits_for_contact, .init = DiscardLogs) {
+  // Different calls are in flight when the owner stops.
+  for (TimeMs offset_ms = 0; offset_ms < 400; offset_ms += 7) {
+    Cell cell({.failure_share = 0});
+    cell.time.RunUntil(2 * kSecond);
+    for (int i = 0; i < 4; ++i) {
+      Submit(cell, 1, MakeChain(cell, 1, 4, {1'000, 500, 0}, 12 * kSecond));
+    }
+    cell.time.RunUntil(5 * kSecond + offset_ms);
+    cr_assert_eq(FindOwner(cell), 0);
+    Daemon& owner = *cell.daemons.front();
+    owner.frozen_until_ms = 15 * kSecond;
+    cell.time.RunUntil(6 * kSecond);
+    CutLinks(cell, {0}, {1, 2});
+    cell.store.faults.refused = {0};
+    cell.time.RunUntil(15 * kSecond - 1);
+    cr_assert_neq(FindOwner(cell), 0);
+    const uint64_t calls = owner.worker_calls;
+    cell.time.RunUntil(20 * kSecond);
+    cr_expect_eq(owner.worker_calls, calls, "stopped %lld ms later: %llu calls",
+                 static_cast<long long>(offset_ms),
+                 static_cast<unsigned long long>(owner.worker_calls - calls));
+    RestoreAll(cell);
+    cell.time.RunUntil(60 * kSecond);
+    ExpectNoViolations(cell, true);
+  }
+}
+
 }  // namespace dotterelcove::model
--- a/tests/platform/StoreErrorTest.cpp
+++ b/tests/platform/StoreErrorTest.cpp
@@ -232,7 +232,7 @@
   const auto committer = std::make_shared<OwnerCommitter>(
       fake.runtime, fake.store, row, OwnerCommitterOptions{},
       [&] { deposed = true; });
-  committer->Start();
+  committer->Start(fake.runtime.now());
   cr_assert(
       fake.loop.RunUntil([&] { return committer->row().version > 0; }, 3'000));
   fake.failures = -1;
