A start that is answered as old is in doubt, not refused

Callers would see a task run again after its success.

Cause: on `old` the placement was reverted and the task placed elsewhere at once. A worker answers so too when just this run has been started there by an earlier copy of the order, for instance of a predecessor whose call came late to a restarted worker, and has ended. Its success is reported by the next sync only, which may take longer than the next start.

Change: `old` is treated like a missing answer. The next sync reports the end, or the run is stopped and released once a sync does not list it.

--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -117,6 +117,9 @@
              F("clock_age_ms", c.runtime.now() - worker.clock_read_ms)});
   const TaskRef task = found.run->task;
   switch (answer.status) {
+    case OrderStatus::kOldRun:
+      // This very run may be the one that has ended there, with success, by an
+      // earlier copy of the order. The report of its end tells.
     case OrderStatus::kUnknown:
       c.stats.orders_in_doubt++;
       found.run->start_in_doubt = true;
--- a/tests/CellModelReportsTest.cpp
+++ b/tests/CellModelReportsTest.cpp
@@ -314,4 +314,53 @@
   ExpectNoViolations(cell, true);
 }
 
+// Guards against a start that is taken for refused because the worker answers
+// that the run has ended: it has, and its success is reported only afterwards.
+// An earlier copy of the order, as of a predecessor whose call came late, may
+// have been carried out there.
+Test(CellModel, start_that_is_answered_as_old_runs_once, .init = DiscardLogs) {
+  Cell cell({.failure_share = 0});
+  bool is_carried_out = false;
+  cell.configure_owner = [&](workflow::Controller& c) {
+    c.port.start = [&cell, &is_carried_out, direct = c.port.start](
+                       const workflow::WorkerAddress& address,
+                       const workflow::StartOrder& order,
+                       const workflow::OrderCallback& done) {
+      if (!is_carried_out) {
+        is_carried_out = true;
+        ModelWorker& worker = cell.workers.at(address.id);
+        // The report of the end takes longer than the answer to the order.
+        worker.lost_sync_share = 1;
+        cell.time.After(kSecond, [&worker] { worker.lost_sync_share = 0; });
+        RunRecord record;
+        record.task = order.task;
+        record.run = order.run;
+        record.worker = address.id;
+        record.payload = order.payload;
+        record.begin_ms = cell.time.now_ms;
+        record.end_ms = cell.time.now_ms;
+        record.outcome = "done";
+        worker.ends.push_back({worker.next_end++, order.task, order.run,
+                               workflow::RunEnd::kDone,
+                               cell.run_records.size()});
+        worker.tombstones[order.task] = order.run;
+        cell.run_records.push_back(record);
+      }
+      direct(address, order, done);
+    };
+  };
+  cell.time.RunUntil(2 * kSecond);
+  const int owner = FindOwner(cell);
+  cr_assert_geq(owner, 0);
+  // The next owner has the port of the test from its start.
+  KillDaemon(cell, owner);
+  cell.time.RunUntil(5 * kSecond);
+  Submit(cell, FindOwner(cell), MakeChain(cell, 1, 1, {1'000, 500, 0}, 500));
+  cell.time.RunUntil(30 * kSecond);
+  cr_expect(is_carried_out);
+  cr_expect_eq(cell.run_records.size(), 1U, "%zu runs",
+               cell.run_records.size());
+  ExpectNoViolations(cell, true);
+}
+
 }  // namespace dotterelcove::model
