Soak: daemons reach each other and the workers over paths of their own

Until now the soak could cut a worker off from all daemons, but not one daemon from one worker, and no link between two daemons.

The store stand-in knows its caller, so it answers with the addresses of the caller's own paths in the owner row, the worker list and the owner's fleet rows, in reads, feeds and conflicts alike; a daemon sees its own address in its own row. Fleet rows hold the addresses that their writer was told, so they are mapped as well: otherwise a successor would use its predecessor's paths until it has read the list.

Checked in the code: no heartbeat carries an address. Only WorkerCall does, which relays use from 150 workers on: a relay would use the path of the owner.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -140,7 +140,7 @@
       {"region", kRegion},
       {"zones", zones},
       {"listen", {{"front", at(kFrontPort)}, {"ready", at(kReadyPort)}}},
-      {"port_range", {7720, 7735}},
+      {"port_range", {kPeerPort, kPeerPort + 15}},
       {"bootstrap", true},
       {"limits",
        {{"cpu_share", 0.25},
@@ -302,6 +302,18 @@
   return true;
 }
 
+bool Cell::StartPaths() {
+  this->paths = std::make_unique<CellPaths>(
+      this->net, static_cast<size_t>(this->options.shape.daemons),
+      this->workers.size());
+  if (!this->paths->Start()) return false;
+  this->store->value_for = [this](const std::string& caller, const Row& row) {
+    const std::string number = caller.substr(caller.find('-') + 1);
+    return this->paths->ValueFor(std::stoul(number), row);
+  };
+  return true;
+}
+
 bool Cell::Start() {
   if (!std::filesystem::exists(this->options.daemon_program))
     return this->Fail(this->options.daemon_program + " does not exist");
@@ -310,6 +322,7 @@
   this->WriteManifest({});
   if (!this->StartWorkers())
     return this->Fail("the address of a worker is in use");
+  if (!this->StartPaths()) return this->Fail("the address of a path is in use");
   this->vms = std::make_unique<VmService>(this->net + kVmServiceIp, kStorePort,
                                           this->workers, *this->store);
   this->vms->plant = this->options.plant;
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "tests/platform/soak/CellPaths.h"
 #include "tests/platform/soak/CellWorker.h"
 #include "tests/platform/soak/Observations.h"
 #include "tests/platform/soak/Plant.h"
@@ -119,12 +120,14 @@
   EventLog log;
   std::vector<std::unique_ptr<CellWorker>> workers;
   std::vector<Daemon> daemons;
+  std::unique_ptr<CellPaths> paths;
   std::unique_ptr<VmService> vms;
 
  private:
   bool Fail(const std::string& problem);
   bool ChooseAddresses();
   bool StartWorkers();
+  bool StartPaths();
   void WriteSettings(const Daemon& daemon);
   bool WaitUntilReady();
 
--- a/tests/platform/soak/RawHttp.h
+++ b/tests/platform/soak/RawHttp.h
@@ -29,6 +29,8 @@
   /// By lower-case name.
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Who calls, if the server tells its callers apart.
+  std::string caller;
 };
 
 struct Reply {
--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -51,7 +51,9 @@
                          uint16_t port) {
   auto server = std::make_unique<Server>(
       ip, port, [this, caller](const Request& request) {
-        return this->Handle(caller, request);
+        Request named = request;
+        named.caller = caller;
+        return this->Handle(named);
       });
   if (!server->Start()) return false;
   this->servers[caller] = std::move(server);
@@ -148,10 +150,16 @@
   this->changed.notify_all();
 }
 
-std::string StoreStandin::RowsToJson(const std::vector<Row>& found,
+std::string StoreStandin::RowsToJson(const Request& request,
+                                     const std::vector<Row>& found,
                                      bool has_more) const {
   Json list = Json::array();
-  for (const Row& row : found) list.push_back(RowToJson(row));
+  for (const Row& row : found) {
+    list.push_back(RowToJson(row));
+    if (this->value_for && !row.dropped) {
+      list.back()["value"] = this->value_for(request.caller, row);
+    }
+  }
   return Json{{"rows", std::move(list)},
               {"has_more", has_more},
               {"row_version", this->version},
@@ -164,7 +172,7 @@
   if (request.path == "/rows-feed") {
     SleepMs(std::atoll(Field(request, "wait_ms").c_str()));
     const std::lock_guard<std::mutex> lock(this->mutex);
-    reply.body = this->RowsToJson({}, false);
+    reply.body = this->RowsToJson(request, {}, false);
     return reply;
   }
   reply = this->Perform(request);
@@ -193,17 +201,17 @@
   return ++this->inserts % kOneIn == 0;
 }
 
-Reply StoreStandin::Handle(const std::string& caller, const Request& request) {
+Reply StoreStandin::Handle(const Request& request) {
   if (this->RefusesInsert(request)) {
     this->Perform(request);
     return Error(503);
   }
   const bool is_hidden =
-      caller == "daemon-1" && Field(request, "table") == "op";
+      request.caller == "daemon-1" && Field(request, "table") == "op";
   if (this->plant == Plant::kConfig && is_hidden) {
     return this->HideChanges(request);
   }
-  const StoreFault fault = this->DrawFault(caller);
+  const StoreFault fault = this->DrawFault(request.caller);
   Reply reset;
   reset.reset = true;
   switch (fault.kind) {
@@ -288,7 +296,7 @@
     }
     if (!holds) {
       reply.status = 412;
-      reply.body = this->RowsToJson(current, false);
+      reply.body = this->RowsToJson(request, current, false);
       return reply;
     }
     const uint64_t new_version = ++this->version;
@@ -305,7 +313,7 @@
       const Key key = key_of(removal);
       if (this->rows.contains(key)) this->Apply(key, "", true, new_version);
     }
-    reply.body = this->RowsToJson({}, false);
+    reply.body = this->RowsToJson(request, {}, false);
   }
   this->changed.notify_all();
   if (this->on_put) {
@@ -340,7 +348,7 @@
     found.push_back(row);
   }
   Reply reply;
-  reply.body = this->RowsToJson(found, has_more);
+  reply.body = this->RowsToJson(request, found, has_more);
   return reply;
 }
 
@@ -383,7 +391,7 @@
   }
   if (this->is_stopped) return Error(503);
   Reply reply;
-  reply.body = this->RowsToJson(found, false);
+  reply.body = this->RowsToJson(request, found, false);
   return reply;
 }
 
--- a/tests/platform/soak/StoreStandin.h
+++ b/tests/platform/soak/StoreStandin.h
@@ -102,11 +102,13 @@
   Plant plant = Plant::kNone;
   /// Called with each row of a transaction of a daemon.
   std::function<void(const Row&)> on_put;
+  /// The value of a row as the caller is to read it. May be empty.
+  std::function<std::string(const std::string& caller, const Row&)> value_for;
 
  private:
   using Key = std::tuple<std::string, std::string, std::string>;
 
-  Reply Handle(const std::string& caller, const Request& request);
+  Reply Handle(const Request& request);
   Reply Perform(const Request& request);
   /// For the plant CONFIG: no change within the wait, and the first manifest to
   /// all reads.
@@ -127,7 +129,8 @@
   Reply Feed(const Request& request);
   void Apply(const Key& key, const std::string& value, bool dropped,
              uint64_t version);
-  std::string RowsToJson(const std::vector<Row>& rows, bool has_more) const;
+  std::string RowsToJson(const Request& request, const std::vector<Row>& rows,
+                         bool has_more) const;
 
   mutable std::mutex mutex;
   std::condition_variable changed;
