Soak: daemons that are split, cut links between them, cut paths to workers

Three kinds of fault. daemons-split cuts the owner and some other daemons off from the rest and from the store for 2 to 10 s; in half of the splits each worker is reached from one side only. links-cut and paths-cut disturb a share of the links between daemons, and of the paths from daemons to workers: both ways, one way, reset, stalled or delayed. The daemons that a fault meets are not in touch while it lasts, all daemons during a split or cut paths.

Two causes: the owner that was cut off gives up the runs on workers that it does not reach (task_lost, lease_lapsed, 3.7 s or more after their last sync) while its successor renews their leases, and starts them again without a store; and the successor waits out the workers that only the old owner reaches (worker_waited_out, about 5.1 s) and starts their tasks again.

--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -104,6 +104,15 @@
     case FaultKind::kDaemonTerminated:
       this->TerminateDaemon(fault);
       return;
+    case FaultKind::kDaemonsSplit:
+      this->SplitDaemons(fault);
+      return;
+    case FaultKind::kLinksCut:
+      this->CutLinks(fault);
+      return;
+    case FaultKind::kPathsCut:
+      this->CutPaths(fault);
+      return;
     case FaultKind::kSettingsReloaded:
       this->ReloadSettings();
       return;
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -35,6 +35,9 @@
   void KillDaemons(const PlannedFault& fault);
   void PauseDaemon(const PlannedFault& fault, bool owner);
   void TerminateDaemon(const PlannedFault& fault);
+  void SplitDaemons(const PlannedFault& fault);
+  void CutLinks(const PlannedFault& fault);
+  void CutPaths(const PlannedFault& fault);
   /// Crashes or drains workers, and starts them again.
   void RestartWorkers(const PlannedFault& fault);
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
@@ -52,6 +55,8 @@
   std::vector<std::thread> threads;
   /// One thread at a time signals a daemon or waits for its end.
   std::vector<std::unique_ptr<std::mutex>> daemon_locks;
+  /// The daemons are split in one way at a time.
+  std::mutex split_mutex;
   std::atomic<uint64_t> new_ids{0};
   std::atomic<uint64_t> manifests{0};
 };
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -18,6 +18,19 @@
     StoreFaultKind::kResetBefore, StoreFaultKind::kResetAfter,
     StoreFaultKind::kSilent,      StoreFaultKind::kErrorAfter};
 
+/// The same without those that perform calls.
+constexpr StoreFaultKind kNotReached[] = {
+    StoreFaultKind::kRefuse, StoreFaultKind::kThrottle,
+    StoreFaultKind::kResetBefore, StoreFaultKind::kSilent};
+
+/// Half of them are whole cuts.
+constexpr PathFaultKind kPathFaults[] = {
+    PathFaultKind::kCut,         PathFaultKind::kCut,
+    PathFaultKind::kCut,         PathFaultKind::kCut,
+    PathFaultKind::kCut,         PathFaultKind::kForwardCut,
+    PathFaultKind::kBackwardCut, PathFaultKind::kReset,
+    PathFaultKind::kStalled,     PathFaultKind::kDelayed};
+
 constexpr VmFaultKind kVmFaults[] = {
     VmFaultKind::kOrdersUnanswered, VmFaultKind::kAnswersLost,
     VmFaultKind::kOrdersLate, VmFaultKind::kRefuses, VmFaultKind::kSilent};
@@ -68,6 +81,20 @@
       fault.share = ShareBetween(random, 0.1, 1.0);
       fault.for_ms = Between(random, 300, 2'000);
       return;
+    case FaultKind::kDaemonsSplit:
+      fault.store = kNotReached[Between(random, 0, std::size(kNotReached) - 1)];
+      fault.share = ShareBetween(random, 0.2, 0.8);
+      fault.for_ms = Between(random, 2'000, 10'000);
+      fault.splits_workers = Between(random, 0, 1) == 1;
+      return;
+    case FaultKind::kLinksCut:
+    case FaultKind::kPathsCut:
+      fault.path = kPathFaults[Between(random, 0, std::size(kPathFaults) - 1)];
+      fault.share = ShareBetween(random, 0.05, 0.5);
+      if (fault.path == PathFaultKind::kDelayed) {
+        fault.delay_ms = Between(random, 50, 1'500);
+      }
+      return;
     case FaultKind::kWorkersCrash:
       fault.share = ShareBetween(random, 0.05, 0.4);
       fault.for_ms = Between(random, 300, 3'000);
@@ -152,6 +179,10 @@
   if (fault.vms != VmFaultKind::kNone) {
     text += ", " + std::string(NameOf(kVmFaultKindNames, fault.vms));
   }
+  if (fault.path != PathFaultKind::kNone) {
+    text += ", " + std::string(NameOf(kPathFaultKindNames, fault.path));
+  }
+  if (fault.splits_workers) text += ", workers too";
   if (fault.delay_ms > 0) {
     text += ", delay " + std::to_string(fault.delay_ms) + " ms";
   }
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "tests/platform/soak/PathProxy.h"
 #include "tests/platform/soak/StoreStandin.h"
 #include "tests/platform/soak/VmService.h"
 
@@ -26,6 +27,13 @@
   kDaemonPaused,
   kOwnerPaused,
   kDaemonTerminated,
+  /// The owner and other daemons are cut off from the rest and from the store;
+  /// with `splits_workers`, each worker is reached from one side only.
+  kDaemonsSplit,
+  /// Links between daemons are disturbed.
+  kLinksCut,
+  /// Paths from single daemons to workers are disturbed.
+  kPathsCut,
   kSettingsReloaded,
   kManifestChanged,
   /// Workers crash and restart, under their id or another one.
@@ -59,6 +67,9 @@
      {FaultKind::kDaemonPaused, "daemon-paused"},
      {FaultKind::kOwnerPaused, "owner-paused"},
      {FaultKind::kDaemonTerminated, "daemon-terminated"},
+     {FaultKind::kDaemonsSplit, "daemons-split"},
+     {FaultKind::kLinksCut, "links-cut"},
+     {FaultKind::kPathsCut, "paths-cut"},
      {FaultKind::kSettingsReloaded, "settings-reloaded"},
      {FaultKind::kManifestChanged, "manifest-changed"},
      {FaultKind::kWorkersCrash, "workers-crash"},
@@ -81,6 +92,9 @@
   StoreFaultKind store = StoreFaultKind::kNone;
   /// What the VM service does, for faults of it.
   VmFaultKind vms = VmFaultKind::kNone;
+  /// What happens to links between daemons or to paths to workers.
+  PathFaultKind path = PathFaultKind::kNone;
+  bool splits_workers = false;
   /// Delay of late or slow calls.
   int64_t delay_ms = 0;
   /// Restarted workers keep their id.
