Soak: cuts of workers in one way, and restarts behind them

The cut of a worker was whole: nothing reached it, so nothing that an owner sent into a cut was carried out, and no worker restarted while it was cut off.

workers-cut plays three variants, drawn from the fault's own seed so that the faults after it stay those of the plan: both ways as before; one way, where calls are carried out and no answer leaves; the same with a restart under the same id 0 to 1.5 s later, whose entry in the store stays that of the life before until the cut heals. A call belongs to the life whose connection it came over, in place of the life at the moment it is handled. A worker that is cut off no longer answers 421.

--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -84,9 +84,11 @@
     this->all_lives.push_back({this->options.id, this->born, NowMs(), INT64_MAX,
                                this->options.milli_cores});
   }
-  this->server = std::make_unique<Server>(
-      this->options.ip, this->options.port,
-      [this](const Request& request) { return this->Handle(request); });
+  this->server =
+      std::make_unique<Server>(this->options.ip, this->options.port,
+                               [this, number](const Request& request) {
+                                 return this->Handle(request, number);
+                               });
   if (!this->server->Start()) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->up = false;
@@ -154,7 +156,7 @@
       if (now_ms >= until_ms) expired.push_back(id);
     }
     for (const std::string& id : expired) this->former.erase(id);
-    const bool is_silent = !this->up || this->is_cut;
+    const bool is_silent = !this->up || this->cut != CutKind::kNone;
     if (is_silent && now_ms - this->registered_ms >= kSilenceMs) {
       expired.push_back(this->options.id);
     }
@@ -205,7 +207,7 @@
       {"labels", {this->options.kind, this->options.rack}}};
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->is_cut) return;
+    if (this->cut != CutKind::kNone) return;
     json["clock_ms"] = this->Clock();
     json["born"] = this->born;
     json["seq"] = ++this->seq;
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -19,6 +19,7 @@
 #include <thread>
 #include <vector>
 
+#include "base/NameTable.h"
 #include "tests/platform/soak/GangBoard.h"
 #include "tests/platform/soak/Observations.h"
 #include "tests/platform/soak/Plant.h"
@@ -54,6 +55,22 @@
   int64_t late_ms = 0;
 };
 
+/// How the links of a worker, and its way to the store, are cut.
+enum class CutKind : uint8_t {
+  kNone,
+  /// No call reaches it.
+  kBothWays,
+  /// Calls reach it and are carried out; no answer leaves it.
+  kOneWay,
+  /// The same, and it crashes and boots again meanwhile, under its id.
+  kOneWayRestarted,
+};
+inline constexpr auto kCutKindNames =
+    MakeNameTable<CutKind>({{CutKind::kNone, "none"},
+                            {CutKind::kBothWays, "both ways"},
+                            {CutKind::kOneWay, "one way"},
+                            {CutKind::kOneWayRestarted, "one way, restarted"}});
+
 struct CellWorkerOptions {
   std::string id;
   std::string ip;
@@ -89,8 +106,9 @@
   /// The id of the next life.
   void SetId(const std::string& id);
   CellWorkerOptions about() const;
-  /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
-  std::atomic<bool> is_cut{false};
+  /// Cut off, the worker runs on; no answer leaves it, and its entry in the
+  /// store is not renewed.
+  std::atomic<CutKind> cut{CutKind::kNone};
   /// Reports that the worker leaves in `ms` at the earliest.
   void Drain(int64_t ms);
   /// Ends a life that drained: its entry is removed.
@@ -128,7 +146,8 @@
     bool listed = false;
   };
 
-  Reply Handle(const Request& request);
+  /// A call on a connection of the life `number`.
+  Reply Handle(const Request& request, uint64_t number);
   /// Whether an order of the life `number` under the token `fence` is carried
   /// out; fills the reply otherwise.
   bool Admit(uint64_t fence, uint64_t number, Reply& reply);
@@ -139,7 +158,7 @@
   std::optional<RunEventKind> EndOf(Run& run);
   Reply Stop(const std::string& body, uint64_t number);
   Reply Hold(const std::string& body, uint64_t life);
-  void CarryOutLate(const Request& request, int64_t late_ms);
+  void CarryOutLate(const Request& request, uint64_t number, int64_t late_ms);
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
   Reply Perform(const Request& request, uint64_t life, bool is_late);
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -59,31 +59,34 @@
       std::max(this->deadline_ms, std::min(deadline, longest_ms));
 }
 
-Reply CellWorker::Handle(const Request& request) {
-  uint64_t number = 0;
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    number = this->life;
-    const auto wanted = request.headers.find("x-expect-instance");
-    if (wanted != request.headers.end() && wanted->second != this->options.id) {
-      Reply reply;
-      reply.status = 421;
-      reply.body = this->ClockBody("");
-      return reply;
-    }
-  }
-  if (this->is_cut) return this->HoldBack();
+Reply CellWorker::Handle(const Request& request, uint64_t number) {
+  if (this->cut == CutKind::kBothWays) return this->HoldBack();
   int64_t late_ms = 0;
   if (this->order_fault.Meets(late_ms)) {
-    this->CarryOutLate(request, late_ms);
+    this->CarryOutLate(request, number, late_ms);
     return this->HoldBack();
   }
   const Reply reply = this->Perform(request, number, false);
-  return this->is_cut ? this->HoldBack() : reply;
+  return this->cut == CutKind::kNone ? reply : this->HoldBack();
 }
 
 Reply CellWorker::Perform(const Request& request, uint64_t number,
                           bool is_late) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto wanted = request.headers.find("x-expect-instance");
+    const bool is_alive = this->up && this->life == number;
+    Reply reply;
+    if (!is_alive) {
+      reply.reset = true;
+      return reply;
+    }
+    if (wanted != request.headers.end() && wanted->second != this->options.id) {
+      reply.status = 421;
+      reply.body = this->ClockBody("");
+      return reply;
+    }
+  }
   const std::string& path = request.path;
   if (path == "/run-start") return this->Start(request.body, number, is_late);
   if (path == "/run-stop") return this->Stop(request.body, number);
@@ -100,9 +103,9 @@
   return reply;
 }
 
-void CellWorker::CarryOutLate(const Request& request, int64_t late_ms) {
+void CellWorker::CarryOutLate(const Request& request, uint64_t number,
+                              int64_t late_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  const uint64_t number = this->life;
   if (this->has_ended) return;
   this->late.emplace_back([this, request, late_ms, number] {
     if (!SleepUnless(late_ms, this->has_ended)) return;
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -13,6 +13,8 @@
 /// A daemon that is told to stop is killed after this.
 constexpr int64_t kGraceMs = 6'000;
 constexpr int64_t kPollMs = 50;
+/// How long a worker is down at most whose restart is a part of a fault.
+constexpr int64_t kShortDownMs = 400;
 /// Most VMs of a wave that may be away at once.
 constexpr uint64_t kMostAway = 3;
 
@@ -112,13 +114,10 @@
       return;
     case FaultKind::kWorkersCrash:
     case FaultKind::kWorkersRestartAndCut:
-    case FaultKind::kWorkersDrain:
-      this->NoteWorkers(fault);
-      this->RestartWorkers(fault);
-      return;
     case FaultKind::kWorkersCut:
+    case FaultKind::kWorkersDrain:
       this->NoteWorkers(fault);
-      this->CutWorkers(fault);
+      this->DisturbWorkers(fault);
       return;
     case FaultKind::kMaintenanceWave:
       this->cell.vms->RequestWave(
@@ -262,15 +261,14 @@
 
 void FaultInjector::CrashWorker(CellWorker& worker, const PlannedFault& fault) {
   const bool cut_after = fault.kind == FaultKind::kWorkersRestartAndCut;
-  constexpr int64_t kShortDownMs = 400;
   worker.Crash();
   SleepMs(cut_after ? kShortDownMs : fault.for_ms);
   this->Restart(worker, fault.same_id);
   if (!cut_after) return;
   SleepMs(fault.delay_ms);
-  worker.is_cut = true;
+  worker.cut = CutKind::kBothWays;
   SleepMs(fault.for_ms);
-  worker.is_cut = false;
+  worker.cut = CutKind::kNone;
 }
 
 void FaultInjector::DrainWorker(CellWorker& worker, const PlannedFault& fault) {
@@ -283,7 +281,7 @@
   this->Restart(worker, false);
 }
 
-void FaultInjector::RestartWorkers(const PlannedFault& fault) {
+void FaultInjector::DisturbWorkers(const PlannedFault& fault) {
   std::vector<std::thread> threads_of_workers;
   for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
     threads_of_workers.emplace_back([this, i, &fault] {
@@ -291,6 +289,8 @@
       if (!worker.free.try_acquire()) return;
       if (fault.kind == FaultKind::kWorkersDrain) {
         this->DrainWorker(worker, fault);
+      } else if (fault.kind == FaultKind::kWorkersCut) {
+        this->CutWorker(worker, fault);
       } else {
         this->CrashWorker(worker, fault);
       }
@@ -300,18 +300,18 @@
   for (std::thread& thread : threads_of_workers) thread.join();
 }
 
-void FaultInjector::CutWorkers(const PlannedFault& fault) {
-  std::vector<size_t> cut;
-  for (const size_t i : this->Choose(fault, this->cell.workers.size())) {
-    if (!this->cell.workers[i]->free.try_acquire()) continue;
-    this->cell.workers[i]->is_cut = true;
-    cut.push_back(i);
-  }
-  SleepMs(fault.for_ms);
-  for (const size_t i : cut) {
-    this->cell.workers[i]->is_cut = false;
-    this->cell.workers[i]->free.release();
+void FaultInjector::CutWorker(CellWorker& worker, const PlannedFault& fault) {
+  const int64_t until_ms = NowMs() + fault.for_ms;
+  worker.cut = fault.cut;
+  if (fault.cut == CutKind::kOneWayRestarted) {
+    SleepMs(fault.delay_ms);
+    worker.Crash();
+    // Some are back before an owner has noticed that answers are missing.
+    SleepMs(static_cast<int64_t>(fault.seed % kShortDownMs));
+    this->Restart(worker, true);
   }
+  SleepMs(until_ms - NowMs());
+  worker.cut = CutKind::kNone;
 }
 
 void FaultInjector::DisturbOrders(const PlannedFault& fault) {
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -35,12 +35,12 @@
   void KillDaemons(const PlannedFault& fault);
   void PauseDaemon(const PlannedFault& fault, bool owner);
   void TerminateDaemon(const PlannedFault& fault);
-  /// Crashes or drains workers, and starts them again.
-  void RestartWorkers(const PlannedFault& fault);
+  /// Crashes, drains or cuts off workers, and restores them.
+  void DisturbWorkers(const PlannedFault& fault);
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
+  void CutWorker(CellWorker& worker, const PlannedFault& fault);
   void DrainWorker(CellWorker& worker, const PlannedFault& fault);
   void Restart(CellWorker& worker, bool same_id);
-  void CutWorkers(const PlannedFault& fault);
   void DisturbOrders(const PlannedFault& fault);
   void KeepProcessorBusy(const PlannedFault& fault);
   std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -22,6 +22,9 @@
     VmFaultKind::kOrdersUnanswered, VmFaultKind::kAnswersLost,
     VmFaultKind::kOrdersLate, VmFaultKind::kRefuses, VmFaultKind::kSilent};
 
+constexpr CutKind kCuts[] = {CutKind::kBothWays, CutKind::kOneWay,
+                             CutKind::kOneWayRestarted};
+
 using Engine = std::mt19937_64;
 
 int64_t Between(Engine& random, int64_t least, int64_t most) {
@@ -36,6 +39,17 @@
   return kTurningAway[Between(random, 0, std::size(kTurningAway) - 1)];
 }
 
+/// Drawn from the fault's own seed, so that the faults after it stay those of
+/// the plan's seed.
+void DrawCut(PlannedFault& fault) {
+  constexpr int64_t kLatestRestartMs = 1'500;
+  Engine random(fault.seed);
+  fault.cut = kCuts[Between(random, 0, std::size(kCuts) - 1)];
+  fault.same_id = true;
+  if (fault.cut != CutKind::kOneWayRestarted) return;
+  fault.delay_ms = Between(random, 0, kLatestRestartMs);
+}
+
 void DrawDetails(Engine& random, PlannedFault& fault) {
   fault.for_ms = Between(random, 1'000, 6'000);
   fault.seed = random();
@@ -74,6 +88,7 @@
       return;
     case FaultKind::kWorkersCut:
       fault.share = ShareBetween(random, 0.05, 0.4);
+      DrawCut(fault);
       return;
     case FaultKind::kWorkersRestartAndCut:
       fault.share = ShareBetween(random, 0.05, 0.3);
@@ -152,6 +167,9 @@
   if (fault.vms != VmFaultKind::kNone) {
     text += ", " + std::string(NameOf(kVmFaultKindNames, fault.vms));
   }
+  if (fault.cut != CutKind::kNone) {
+    text += ", " + std::string(NameOf(kCutKindNames, fault.cut));
+  }
   if (fault.delay_ms > 0) {
     text += ", delay " + std::to_string(fault.delay_ms) + " ms";
   }
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "tests/platform/soak/CellWorker.h"
 #include "tests/platform/soak/StoreStandin.h"
 #include "tests/platform/soak/VmService.h"
 
@@ -30,7 +31,7 @@
   kManifestChanged,
   /// Workers crash and restart, under their id or another one.
   kWorkersCrash,
-  /// Workers are cut off and run on.
+  /// Workers are cut off and run on, or restart behind the cut.
   kWorkersCut,
   /// Workers crash, restart under their id and are cut off soon after.
   kWorkersRestartAndCut,
@@ -81,7 +82,9 @@
   StoreFaultKind store = StoreFaultKind::kNone;
   /// What the VM service does, for faults of it.
   VmFaultKind vms = VmFaultKind::kNone;
-  /// Delay of late or slow calls.
+  /// How workers are cut off, for `kWorkersCut`.
+  CutKind cut = CutKind::kNone;
+  /// Delay of late or slow calls, or of what follows within the fault.
   int64_t delay_ms = 0;
   /// Restarted workers keep their id.
   bool same_id = true;
