Soak: workers whose clock was set back before they restart

`born` of a restarted worker only rose, so an owner that takes the order of two lives from it was always right. A third of the restarts under the same id, of the VM service's too, now say that they began up to ten minutes before the life before. No two lives of an id share a value, since the judge knows a life by its worker and `born`; a test shows that it needs no order of them.

--- a/tests/platform/SoakJudgeTest.cpp
+++ b/tests/platform/SoakJudgeTest.cpp
@@ -47,6 +47,26 @@
   ExpectNone(seen);
 }
 
+// The clock of a worker may be set back between two lives: the later one says
+// that it began before the earlier one.
+Test(SoakJudge, twice_tells_lives_apart_whose_clock_was_set_back) {
+  Observations seen = MakeRecord();
+  const auto later_life = [](RunEvent event) {
+    event.incarnation = 0;
+    return event;
+  };
+  seen.runs = {Event(2'000, RunEventKind::kStart, 1),
+               Event(2'400, RunEventKind::kCrashed, 1),
+               later_life(Event(2'500, RunEventKind::kStart, 2)),
+               later_life(Event(3'000, RunEventKind::kDone, 2)),
+               later_life(Event(3'100, RunEventKind::kDoneAcknowledged, 2))};
+  seen.calls.push_back(Asked(kAskedMs, 200, "completed"));
+  ExpectNone(seen);
+  // The earlier life goes on, so its run does too.
+  seen.runs.erase(seen.runs.begin() + 1);
+  ExpectOnly(seen, Rule::kTwice);
+}
+
 // TWICE, after an end that was taken note of.
 
 Test(SoakJudge, twice_finds_a_start_after_an_acknowledged_end) {
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -65,13 +65,30 @@
   for (std::thread& thread : this->late) thread.join();
 }
 
-bool CellWorker::Boot() {
+uint64_t CellWorker::NextBorn(int64_t set_back_ms) const {
+  int64_t next_ms = WallNowMs();
+  if (set_back_ms > 0) {
+    next_ms = std::min(next_ms, static_cast<int64_t>(this->born)) - set_back_ms;
+  }
+  // The judge knows a life by its worker and this value.
+  const auto is_taken = [&](const WorkerLife& other) {
+    return other.worker == this->options.id &&
+           other.incarnation == static_cast<uint64_t>(next_ms);
+  };
+  while (
+      std::any_of(this->all_lives.begin(), this->all_lives.end(), is_taken)) {
+    next_ms += set_back_ms > 0 ? -1 : 1;
+  }
+  return static_cast<uint64_t>(next_ms);
+}
+
+bool CellWorker::Boot(int64_t set_back_ms) {
   uint64_t number = 0;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->up = true;
     number = ++this->life;
-    this->born = static_cast<uint64_t>(WallNowMs());
+    this->born = this->NextBorn(set_back_ms);
     this->booted_ms = NowMs();
     this->seq = 0;
     this->token = 0;
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -97,9 +97,10 @@
   CellWorker(const CellWorker&) = delete;
   CellWorker& operator=(const CellWorker&) = delete;
 
-  /// Begins a life: listens, and registers in the store. Returns false if the
-  /// address cannot be used.
-  bool Boot();
+  /// Begins a life: listens, and registers in the store. With `set_back_ms` its
+  /// wall clock was set back, to so much before the start of the life before.
+  /// Returns false if the address cannot be used.
+  bool Boot(int64_t set_back_ms = 0);
   /// Ends it at once: everything on it is lost, channels are reset. Its entry
   /// stays in the store until it has been silent for three heartbeats.
   void Crash();
@@ -170,6 +171,8 @@
   /// Ends the runs that are over, those whose lease has lapsed as of then.
   /// Returns whether any is.
   bool EndRuns();
+  /// When the next life says that it began.
+  uint64_t NextBorn(int64_t set_back_ms) const;
   void Register();
   void Tick(uint64_t life);
   void Note(RunEventKind kind, const std::string& task, uint32_t run,
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -252,18 +252,27 @@
   daemon.restart_ms = NowMs();
 }
 
-void FaultInjector::Restart(CellWorker& worker, bool same_id) {
+void FaultInjector::Restart(CellWorker& worker, const PlannedFault& fault,
+                            bool same_id) {
+  constexpr uint64_t kOneInSetsBack = 3;
+  constexpr uint64_t kMostSetBackMs = 600'000;
+  std::mt19937_64 random(fault.seed);
+  int64_t set_back_ms = 0;
   if (!same_id) {
     worker.SetId("i-" + std::to_string(9000 + this->new_ids++));
+  } else if (random() % kOneInSetsBack == 0) {
+    set_back_ms = static_cast<int64_t>(1 + random() % kMostSetBackMs);
+    this->cell.Say(worker.about().id + " restarts with its clock set back by " +
+                   std::to_string(set_back_ms) + " ms");
   }
-  while (!worker.Boot()) SleepMs(kPollMs);
+  while (!worker.Boot(set_back_ms)) SleepMs(kPollMs);
 }
 
 void FaultInjector::CrashWorker(CellWorker& worker, const PlannedFault& fault) {
   const bool cut_after = fault.kind == FaultKind::kWorkersRestartAndCut;
   worker.Crash();
   SleepMs(cut_after ? kShortDownMs : fault.for_ms);
-  this->Restart(worker, fault.same_id);
+  this->Restart(worker, fault, fault.same_id);
   if (!cut_after) return;
   SleepMs(fault.delay_ms);
   worker.cut = CutKind::kBothWays;
@@ -278,7 +287,7 @@
   SleepMs(std::max(kDrainMs, fault.for_ms));
   worker.Leave();
   SleepMs(kAwayMs);
-  this->Restart(worker, false);
+  this->Restart(worker, fault, false);
 }
 
 void FaultInjector::DisturbWorkers(const PlannedFault& fault) {
@@ -287,12 +296,14 @@
     threads_of_workers.emplace_back([this, i, &fault] {
       CellWorker& worker = *this->cell.workers[i];
       if (!worker.free.try_acquire()) return;
+      PlannedFault own = fault;
+      own.seed += i;
       if (fault.kind == FaultKind::kWorkersDrain) {
-        this->DrainWorker(worker, fault);
+        this->DrainWorker(worker, own);
       } else if (fault.kind == FaultKind::kWorkersCut) {
-        this->CutWorker(worker, fault);
+        this->CutWorker(worker, own);
       } else {
-        this->CrashWorker(worker, fault);
+        this->CrashWorker(worker, own);
       }
       worker.free.release();
     });
@@ -308,7 +319,7 @@
     worker.Crash();
     // Some are back before an owner has noticed that answers are missing.
     SleepMs(static_cast<int64_t>(fault.seed % kShortDownMs));
-    this->Restart(worker, true);
+    this->Restart(worker, fault, true);
   }
   SleepMs(until_ms - NowMs());
   worker.cut = CutKind::kNone;
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -40,7 +40,8 @@
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
   void CutWorker(CellWorker& worker, const PlannedFault& fault);
   void DrainWorker(CellWorker& worker, const PlannedFault& fault);
-  void Restart(CellWorker& worker, bool same_id);
+  /// Starts it again, at times with its clock set back.
+  void Restart(CellWorker& worker, const PlannedFault& fault, bool same_id);
   void DisturbOrders(const PlannedFault& fault);
   void KeepProcessorBusy(const PlannedFault& fault);
   std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
--- a/tests/platform/soak/VmService.cpp
+++ b/tests/platform/soak/VmService.cpp
@@ -189,16 +189,22 @@
   constexpr int64_t kPollMs = 50;
   SleepMs(kMaintenanceMs);
   CellWorker& worker = *this->workers[index];
+  int64_t set_back_ms = 0;
   {
-    // Every third worker comes back under the id that it had.
+    // Every third worker comes back under the id that it had, and every third
+    // of these with its clock set back.
     constexpr uint64_t kOneInKeepsId = 3;
+    constexpr uint64_t kOneInSetsBack = 3 * kOneInKeepsId;
+    constexpr int64_t kSetBackMs = 60'000;
     const std::lock_guard<std::mutex> lock(this->mutex);
     const uint64_t restart = this->restarts++;
     if (restart % kOneInKeepsId != 0) {
       worker.SetId("i-" + std::to_string(20'000 + restart));
+    } else if (restart % kOneInSetsBack == 0) {
+      set_back_ms = kSetBackMs;
     }
   }
-  while (!worker.Boot()) SleepMs(kPollMs);
+  while (!worker.Boot(set_back_ms)) SleepMs(kPollMs);
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->vms[index].is_away = false;
   worker.free.release();
