Soak: the judge finds acknowledgments of ends that nobody has seen

The judge saw it only if the task then ran twice or over its budget.

An end counts as listed only once an answer that left the worker has it. Before, a listing in the lost answer to a late order or behind a cut counted, so a later listing in calm was not noted; TWICE and BUDGET take this one now.

--- a/tests/platform/SoakJudgeTest.cpp
+++ b/tests/platform/SoakJudgeTest.cpp
@@ -309,6 +309,19 @@
   ExpectNone(With(seen, Event(15'000, RunEventKind::kStart, 1)));
 }
 
+// ACKNOWLEDGED. Guards against an owner that acknowledges to one life of a
+// worker what another one had listed.
+
+Test(SoakJudge, acknowledged_finds_an_end_that_no_answer_had_listed) {
+  ExpectOnly(With(MakeDoneRecord(),
+                  Event(3'100, RunEventKind::kAcknowledgedUnseen, 1)),
+             Rule::kAcknowledged);
+}
+
+Test(SoakJudge, acknowledged_allows_an_end_that_was_listed) {
+  ExpectNone(With(MakeDoneRecord(), Event(3'050, RunEventKind::kListed, 1)));
+}
+
 // MIXED.
 
 Test(SoakJudge, mixed_finds_a_job_completed_before_its_tasks) {
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -158,7 +158,7 @@
   /// How the run ends now, if it does.
   std::optional<RunEventKind> EndOf(Run& run);
   Reply Stop(const std::string& body, uint64_t number);
-  Reply Hold(const std::string& body, uint64_t life);
+  Reply Hold(const std::string& body, uint64_t life, bool is_late);
   void CarryOutLate(const Request& request, uint64_t number, int64_t late_ms);
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -90,7 +90,7 @@
   const std::string& path = request.path;
   if (path == "/run-start") return this->Start(request.body, number, is_late);
   if (path == "/run-stop") return this->Stop(request.body, number);
-  if (path == "/hold") return this->Hold(request.body, number);
+  if (path == "/hold") return this->Hold(request.body, number, is_late);
   Reply reply;
   reply.status = path == "/health" || path == "/pace" ? 200 : 400;
   return reply;
@@ -237,9 +237,9 @@
   this->Note(RunEventKind::kStart, end.task, again.run);
 }
 
-Reply CellWorker::Hold(const std::string& text, uint64_t number) {
+Reply CellWorker::Hold(const std::string& text, uint64_t number, bool is_late) {
   const Json body = Json::parse(text);
-  const uint64_t acked = body.value("ack_cursor", uint64_t{0});
+  uint64_t acked = body.value("ack_cursor", uint64_t{0});
   const int64_t deadline = body.value("deadline_ms", int64_t{0});
   const int64_t wait_ms = body.value("wait_ms", int64_t{0});
   std::unique_lock<std::mutex> lock(this->mutex);
@@ -248,8 +248,14 @@
     return reply;
   }
   if (deadline > 0) this->Extend(deadline);
+  const bool forgets = this->options.plant == Plant::kAcknowledged && acked > 0;
+  if (forgets) acked = this->last_end;
   while (!this->ends.empty() && this->ends.front().number <= acked) {
-    if (!this->ends.front().lapsed) this->Acknowledge(this->ends.front());
+    const End& end = this->ends.front();
+    if (!end.lapsed && !end.listed) {
+      this->Note(RunEventKind::kAcknowledgedUnseen, end.task, end.run);
+    }
+    if (!end.lapsed) this->Acknowledge(end);
     this->ends.pop_front();
   }
   this->changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
@@ -267,13 +273,17 @@
         run.saves ? CheckpointAt(now_ms - run.began_ms) : std::string();
     running.push_back({task, run.run, saved, percent, 0});
   }
+  // The answer to a late call goes nowhere, and none leaves a worker that is
+  // cut off, even if the cut heals before the answer is written.
+  const bool is_lost = is_late || this->cut != CutKind::kNone;
+  reply.reset = is_lost;
   Json finished = Json::array();
   for (End& end : this->ends) {
     if (finished.size() >= kMaxEnds) break;
-    if (!end.listed && !end.lapsed) {
+    if (!end.listed && !end.lapsed && !is_lost) {
       this->Note(RunEventKind::kListed, end.task, end.run);
     }
-    end.listed = true;
+    end.listed = end.listed || !is_lost;
     finished.push_back({end.number, end.task, end.run,
                         NameOf(kRunEventKindNames, end.how), ""});
   }
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -52,6 +52,8 @@
         NoteEnd(judged, task.done, event);
         NoteEnd(judged, task.failed, event);
         continue;
+      case RunEventKind::kAcknowledgedUnseen:
+        continue;
       case RunEventKind::kDone:
         task.done.push_back({event.at_ms, event.run, PlaceOf(event), kNever});
         break;
--- a/tests/platform/soak/Judge.h
+++ b/tests/platform/soak/Judge.h
@@ -20,7 +20,10 @@
   kOrder,
   kOne,
   kUnasked,
-  kMixed
+  kMixed,
+  /// Not a rule of the pages: a worker forgot an end that no owner can have
+  /// seen, so its task begins again or its job stands still.
+  kAcknowledged
 };
 inline constexpr auto kRuleNames =
     MakeNameTable<Rule>({{Rule::kTwice, "TWICE"},
@@ -31,7 +34,8 @@
                          {Rule::kOrder, "ORDER"},
                          {Rule::kOne, "ONE"},
                          {Rule::kUnasked, "UNASKED"},
-                         {Rule::kMixed, "MIXED"}});
+                         {Rule::kMixed, "MIXED"},
+                         {Rule::kAcknowledged, "ACKNOWLEDGED"}});
 
 /// One case in which a rule is broken.
 struct Violation {
--- a/tests/platform/soak/JudgeRuns.cpp
+++ b/tests/platform/soak/JudgeRuns.cpp
@@ -1,4 +1,5 @@
 /// TWICE, BUDGET, ORDER and UNASKED: which runs workers were told to begin.
+/// ACKNOWLEDGED: which of their ends they were told to forget.
 /// The soak hands in no step with `speculative` and no job with `times`.
 #include <algorithm>
 #include <set>
@@ -157,9 +158,18 @@
   }
 }
 
+void CheckAcknowledged(JudgeCase& judged) {
+  for (const RunEvent& event : judged.seen.runs) {
+    if (event.kind != RunEventKind::kAcknowledgedUnseen) continue;
+    Report(judged, Rule::kAcknowledged, event,
+           "had its end acknowledged, which no answer of this life had listed");
+  }
+}
+
 }  // namespace
 
 void CheckRuns(JudgeCase& judged) {
+  CheckAcknowledged(judged);
   for (const auto& [name, task] : judged.tasks) {
     CheckTwice(judged, name, task);
     const auto parts = ParseTask(name);
--- a/tests/platform/soak/Observations.h
+++ b/tests/platform/soak/Observations.h
@@ -68,8 +68,12 @@
   kDoneAcknowledged,
   /// An end `failed` was acknowledged, and the lease had not lapsed since it.
   kFailedAcknowledged,
-  /// An end was listed for the first time, and the lease had not lapsed.
+  /// An end was listed for the first time in an answer that left the worker,
+  /// and the lease had not lapsed.
   kListed,
+  /// An end was acknowledged that no such answer had listed, and the lease had
+  /// not lapsed since it.
+  kAcknowledgedUnseen,
 };
 inline constexpr auto kRunEventKindNames = MakeNameTable<RunEventKind>(
     {{RunEventKind::kStart, "start"},
@@ -82,7 +86,8 @@
      {RunEventKind::kCrashed, "crashed"},
      {RunEventKind::kDoneAcknowledged, "done_acknowledged"},
      {RunEventKind::kFailedAcknowledged, "failed_acknowledged"},
-     {RunEventKind::kListed, "listed"}});
+     {RunEventKind::kListed, "listed"},
+     {RunEventKind::kAcknowledgedUnseen, "acknowledged_unseen"}});
 
 /// Something that happened to one run of a task on a worker.
 struct RunEvent {
--- a/tests/platform/soak/Plant.h
+++ b/tests/platform/soak/Plant.h
@@ -26,6 +26,8 @@
   kOne,
   /// Clients send another `spec` than they note.
   kUnasked,
+  /// Workers forget all ends at each acknowledgment.
+  kAcknowledged,
 };
 inline constexpr auto kPlantNames =
     MakeNameTable<Plant>({{Plant::kNone, "NONE"},
@@ -36,6 +38,7 @@
                           {Plant::kBudget, "BUDGET"},
                           {Plant::kOrder, "ORDER"},
                           {Plant::kOne, "ONE"},
-                          {Plant::kUnasked, "UNASKED"}});
+                          {Plant::kUnasked, "UNASKED"},
+                          {Plant::kAcknowledged, "ACKNOWLEDGED"}});
 
 }  // namespace dotterelcove::soak
