Soak: workers that stand still as if stopped by a signal

A worker could be cut off and run on, or crash, but not stand still: with its clock going on, with calls that wait and are carried out when it goes on, and with leases that ran out meanwhile. workers-paused plays this for 0.5 to 6 s; its entry in the store is not renewed meanwhile.

A run whose lease ran out is noted as lapsed at that moment, since the lease is measured on the clock that goes on and nothing else tells a scheduler of its end; all other runs hold until the worker goes on, and have done no work.

--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -146,6 +146,37 @@
   return this->options;
 }
 
+void CellWorker::Pause() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->EndRuns();
+  this->paused_ms = NowMs();
+}
+
+void CellWorker::Continue() {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const int64_t stood_ms = NowMs() - this->paused_ms;
+    this->paused_ms = 0;
+    // A stopped process works on nothing. The work of a gang, which the other
+    // members go on with, is the exception.
+    for (auto& [task, run] : this->runs) {
+      run.began_ms += stood_ms;
+      if (run.fails_ms > 0) run.fails_ms += stood_ms;
+    }
+    // Lease time is that of the steady clock, which has gone on, and a run is
+    // over once its lease is (PROTOCOL.md, Running tasks): a scheduler cannot
+    // see more, so a run elsewhere after that moment is no second one at the
+    // same time. Lapses are therefore noted as of then, all other ends as of
+    // now, since the run holds its lease until the worker has ended it.
+    this->EndRuns();
+  }
+  this->changed.notify_all();
+}
+
+void CellWorker::AwaitContinue(std::unique_lock<std::mutex>& lock) {
+  this->changed.wait(lock, [&] { return this->paused_ms == 0 || !this->up; });
+}
+
 void CellWorker::Drain(int64_t ms) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -173,7 +204,8 @@
       if (now_ms >= until_ms) expired.push_back(id);
     }
     for (const std::string& id : expired) this->former.erase(id);
-    const bool is_silent = !this->up || this->cut != CutKind::kNone;
+    const bool is_silent =
+        !this->up || this->cut != CutKind::kNone || this->paused_ms > 0;
     if (is_silent && now_ms - this->registered_ms >= kSilenceMs) {
       expired.push_back(this->options.id);
     }
@@ -224,7 +256,7 @@
       {"labels", {this->options.kind, this->options.rack}}};
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->cut != CutKind::kNone) return;
+    if (this->cut != CutKind::kNone || this->paused_ms > 0) return;
     json["clock_ms"] = this->Clock();
     json["born"] = this->born;
     json["seq"] = ++this->seq;
@@ -246,6 +278,7 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       if (!this->up || this->life != number) return;
+      if (this->paused_ms > 0) continue;
       any = this->EndRuns();
       registers = NowMs() - this->registered_ms >= kHeartbeatMs;
     }
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -110,6 +110,10 @@
   /// Cut off, the worker runs on; no answer leaves it, and its entry in the
   /// store is not renewed.
   std::atomic<CutKind> cut{CutKind::kNone};
+  /// Stands still, as if stopped by a signal, until Continue(): calls wait, and
+  /// its entry in the store is not renewed.
+  void Pause();
+  void Continue();
   /// Reports that the worker leaves in `ms` at the earliest.
   void Drain(int64_t ms);
   /// Ends a life that drained: its entry is removed.
@@ -162,6 +166,8 @@
   void CarryOutLate(const Request& request, uint64_t number, int64_t late_ms);
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
+  /// Waits while the worker stands still.
+  void AwaitContinue(std::unique_lock<std::mutex>& lock);
   Reply Perform(const Request& request, uint64_t life, bool is_late);
   int64_t Clock() const;
   static int64_t PercentOf(const Run& run, int64_t now_ms);
@@ -191,6 +197,8 @@
   std::unique_ptr<Server> server;
   std::thread ticker;
   bool up = false;
+  /// Since when it stands still, 0 while it does not.
+  int64_t paused_ms = 0;
   /// When it leaves at the earliest, 0 while it does not drain.
   int64_t leaves_ms = 0;
   std::atomic<bool> has_ended{false};
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -73,7 +73,8 @@
 Reply CellWorker::Perform(const Request& request, uint64_t number,
                           bool is_late) {
   {
-    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->AwaitContinue(lock);
     const auto wanted = request.headers.find("x-expect-instance");
     const bool is_alive = this->up && this->life == number;
     Reply reply;
@@ -261,6 +262,7 @@
   this->changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
     return !this->ends.empty() || !this->up || this->life != number;
   });
+  this->AwaitContinue(lock);
   if (!this->up || this->life != number) {
     reply.reset = true;
     return reply;
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -115,6 +115,7 @@
     case FaultKind::kWorkersCrash:
     case FaultKind::kWorkersRestartAndCut:
     case FaultKind::kWorkersCut:
+    case FaultKind::kWorkersPaused:
     case FaultKind::kWorkersDrain:
       this->NoteWorkers(fault);
       this->DisturbWorkers(fault);
@@ -302,6 +303,10 @@
         this->DrainWorker(worker, own);
       } else if (fault.kind == FaultKind::kWorkersCut) {
         this->CutWorker(worker, own);
+      } else if (fault.kind == FaultKind::kWorkersPaused) {
+        worker.Pause();
+        SleepMs(fault.for_ms);
+        worker.Continue();
       } else {
         this->CrashWorker(worker, own);
       }
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -35,7 +35,7 @@
   void KillDaemons(const PlannedFault& fault);
   void PauseDaemon(const PlannedFault& fault, bool owner);
   void TerminateDaemon(const PlannedFault& fault);
-  /// Crashes, drains or cuts off workers, and restores them.
+  /// Crashes, drains, pauses or cuts off workers, and restores them.
   void DisturbWorkers(const PlannedFault& fault);
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
   void CutWorker(CellWorker& worker, const PlannedFault& fault);
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -90,6 +90,10 @@
       fault.share = ShareBetween(random, 0.05, 0.4);
       DrawCut(fault);
       return;
+    case FaultKind::kWorkersPaused:
+      fault.share = ShareBetween(random, 0.05, 0.4);
+      fault.for_ms = Between(random, 500, 6'000);
+      return;
     case FaultKind::kWorkersRestartAndCut:
       fault.share = ShareBetween(random, 0.05, 0.3);
       fault.same_id = true;
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -35,6 +35,8 @@
   kWorkersCut,
   /// Workers crash, restart under their id and are cut off soon after.
   kWorkersRestartAndCut,
+  /// Workers stand still, as if stopped by SIGSTOP, and go on.
+  kWorkersPaused,
   /// Workers report that they drain, leave, and come back under another id.
   kWorkersDrain,
   /// The operator asks for the maintenance of some workers' VMs.
@@ -65,6 +67,7 @@
      {FaultKind::kWorkersCrash, "workers-crash"},
      {FaultKind::kWorkersCut, "workers-cut"},
      {FaultKind::kWorkersRestartAndCut, "workers-restart-and-cut"},
+     {FaultKind::kWorkersPaused, "workers-paused"},
      {FaultKind::kWorkersDrain, "workers-drain"},
      {FaultKind::kMaintenanceWave, "maintenance-wave"},
      {FaultKind::kVmService, "vm-service"},
