Soak: late orders may reach the next life of a worker, as an option

Question 2 of docs/platform.md: the pages leave open whether an order that is carried out seconds late reaches a worker that has started anew under the same id meanwhile.

The worker had restarted behind a one-way cut, and starts and one acknowledgment for the life before were carried out in the next one before the owner's first sync there.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -288,6 +288,7 @@
     about.max_hold_ms = shape.max_hold_ms;
     about.clock_rate = kRates[i % 3];
     about.plant = this->options.plant;
+    about.late_to_next_life = this->options.late_to_next_life;
     this->workers.push_back(std::make_unique<CellWorker>(
         about, *this->store, this->gangs, this->order_fault, this->log));
     if (!this->workers.back()->Boot()) return false;
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -52,6 +52,8 @@
   /// Runs of a task that may end `failed`.
   uint32_t attempts = 3;
   Plant plant = Plant::kNone;
+  /// Late orders may reach the next life of a worker.
+  bool late_to_next_life = false;
 };
 
 struct Daemon {
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -86,6 +86,9 @@
   /// Rate of its steady clock, which may be 2 % slow.
   double clock_rate = 1;
   Plant plant = Plant::kNone;
+  /// Late orders reach the life that is there by then, if it has the id that
+  /// they are for.
+  bool late_to_next_life = false;
 };
 
 /// One worker, which can crash and start again.
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -110,7 +110,12 @@
   if (this->has_ended) return;
   this->late.emplace_back([this, request, late_ms, number] {
     if (!SleepUnless(late_ms, this->has_ended)) return;
-    this->Perform(request, number, true);
+    uint64_t reached = number;
+    if (this->options.late_to_next_life) {
+      const std::lock_guard<std::mutex> next_lock(this->mutex);
+      reached = this->life;
+    }
+    this->Perform(request, reached, true);
   });
 }
 
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -32,6 +32,7 @@
   int workers = 0;
   std::vector<FaultKind> only;
   Plant plant = Plant::kNone;
+  bool late_to_next_life = false;
 };
 
 void PrintUsage(std::FILE* out) {
@@ -48,6 +49,10 @@
       "  --only A,B     kinds of fault to choose from; default all\n"
       "  --plant RULE   fault of a stand-in that breaks this rule, with no\n"
       "                 other fault but those it needs; default NONE\n"
+      "  --late-to-next-life\n"
+      "                 late orders may reach the next life of a worker under\n"
+      "                 the same id; the pages leave open whether they do\n"
+      "                 (docs/platform.md, question 2); default off\n"
       "  --daemon FILE  program of the daemon; default "
       "build/dotterelcove-celld\n"
       "  --folder DIR   logs, settings and record; default soak-SEED\n"
@@ -93,6 +98,7 @@
                           {"workers", required_argument, nullptr, 0},
                           {"only", required_argument, nullptr, 0},
                           {"plant", required_argument, nullptr, 0},
+                          {"late-to-next-life", no_argument, nullptr, 0},
                           {"daemon", required_argument, nullptr, 0},
                           {"folder", required_argument, nullptr, 0},
                           {"help", no_argument, nullptr, 'h'},
@@ -106,7 +112,7 @@
       std::exit(0);
     }
     if (choice != 0) return false;
-    given[table[index].name] = optarg;
+    given[table[index].name] = optarg != nullptr ? optarg : "";
   }
   const auto value = [&](const char* name, const std::string& otherwise) {
     const auto found = given.find(name);
@@ -124,6 +130,7 @@
   const auto plant = ValueOf(kPlantNames, value("plant", "NONE"));
   if (!plant) return false;
   options.plant = *plant;
+  options.late_to_next_life = given.contains("late-to-next-life");
   options.only = KindsOf(*plant);
   const bool known_kinds =
       !given.contains("only") || ParseKinds(given["only"], options.only);
@@ -221,6 +228,7 @@
   about.daemon_program = options.daemon_program;
   about.folder = options.folder;
   about.plant = options.plant;
+  about.late_to_next_life = options.late_to_next_life;
   about.shape.daemons = options.daemons;
   about.shape.workers = options.workers;
   Cell cell(about);
