--- a/tests/platform/SoakJudgeTest.cpp
+++ b/tests/platform/SoakJudgeTest.cpp
@@ -47,6 +47,26 @@
   ExpectNone(seen);
 }
 
+// The clock of a worker may be set back between two lives: the later one says
+// that it began before the earlier one.
+Test(SoakJudge, twice_tells_lives_apart_whose_clock_was_set_back) {
+  Observations seen = MakeRecord();
+  const auto later_life = [](RunEvent event) {
+    event.incarnation = 0;
+    return event;
+  };
+  seen.runs = {Event(2'000, RunEventKind::kStart, 1),
+               Event(2'400, RunEventKind::kCrashed, 1),
+               later_life(Event(2'500, RunEventKind::kStart, 2)),
+               later_life(Event(3'000, RunEventKind::kDone, 2)),
+               later_life(Event(3'100, RunEventKind::kDoneAcknowledged, 2))};
+  seen.calls.push_back(Asked(kAskedMs, 200, "completed"));
+  ExpectNone(seen);
+  // The earlier life goes on, so its run does too.
+  seen.runs.erase(seen.runs.begin() + 1);
+  ExpectOnly(seen, Rule::kTwice);
+}
+
 // TWICE, after an end that was taken note of.
 
 Test(SoakJudge, twice_finds_a_start_after_an_acknowledged_end) {
@@ -289,6 +309,19 @@
   ExpectNone(With(seen, Event(15'000, RunEventKind::kStart, 1)));
 }
 
+// ACKNOWLEDGED. Guards against an owner that acknowledges to one life of a
+// worker what another one had listed.
+
+Test(SoakJudge, acknowledged_finds_an_end_that_no_answer_had_listed) {
+  ExpectOnly(With(MakeDoneRecord(),
+                  Event(3'100, RunEventKind::kAcknowledgedUnseen, 1)),
+             Rule::kAcknowledged);
+}
+
+Test(SoakJudge, acknowledged_allows_an_end_that_was_listed) {
+  ExpectNone(With(MakeDoneRecord(), Event(3'050, RunEventKind::kListed, 1)));
+}
+
 // MIXED.
 
 Test(SoakJudge, mixed_finds_a_job_completed_before_its_tasks) {
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -65,13 +65,30 @@
   for (std::thread& thread : this->late) thread.join();
 }
 
-bool CellWorker::Boot() {
+uint64_t CellWorker::NextBorn(int64_t set_back_ms) const {
+  int64_t next_ms = WallNowMs();
+  if (set_back_ms > 0) {
+    next_ms = std::min(next_ms, static_cast<int64_t>(this->born)) - set_back_ms;
+  }
+  // The judge knows a life by its worker and this value.
+  const auto is_taken = [&](const WorkerLife& other) {
+    return other.worker == this->options.id &&
+           other.incarnation == static_cast<uint64_t>(next_ms);
+  };
+  while (
+      std::any_of(this->all_lives.begin(), this->all_lives.end(), is_taken)) {
+    next_ms += set_back_ms > 0 ? -1 : 1;
+  }
+  return static_cast<uint64_t>(next_ms);
+}
+
+bool CellWorker::Boot(int64_t set_back_ms) {
   uint64_t number = 0;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->up = true;
     number = ++this->life;
-    this->born = static_cast<uint64_t>(WallNowMs());
+    this->born = this->NextBorn(set_back_ms);
     this->booted_ms = NowMs();
     this->seq = 0;
     this->token = 0;
@@ -84,9 +101,11 @@
     this->all_lives.push_back({this->options.id, this->born, NowMs(), INT64_MAX,
                                this->options.milli_cores});
   }
-  this->server = std::make_unique<Server>(
-      this->options.ip, this->options.port,
-      [this](const Request& request) { return this->Handle(request); });
+  this->server =
+      std::make_unique<Server>(this->options.ip, this->options.port,
+                               [this, number](const Request& request) {
+                                 return this->Handle(request, number);
+                               });
   if (!this->server->Start()) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->up = false;
@@ -127,6 +146,37 @@
   return this->options;
 }
 
+void CellWorker::Pause() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->EndRuns();
+  this->paused_ms = NowMs();
+}
+
+void CellWorker::Continue() {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const int64_t stood_ms = NowMs() - this->paused_ms;
+    this->paused_ms = 0;
+    // A stopped process works on nothing. The work of a gang, which the other
+    // members go on with, is the exception.
+    for (auto& [task, run] : this->runs) {
+      run.began_ms += stood_ms;
+      if (run.fails_ms > 0) run.fails_ms += stood_ms;
+    }
+    // Lease time is that of the steady clock, which has gone on, and a run is
+    // over once its lease is (PROTOCOL.md, Running tasks): a scheduler cannot
+    // see more, so a run elsewhere after that moment is no second one at the
+    // same time. Lapses are therefore noted as of then, all other ends as of
+    // now, since the run holds its lease until the worker has ended it.
+    this->EndRuns();
+  }
+  this->changed.notify_all();
+}
+
+void CellWorker::AwaitContinue(std::unique_lock<std::mutex>& lock) {
+  this->changed.wait(lock, [&] { return this->paused_ms == 0 || !this->up; });
+}
+
 void CellWorker::Drain(int64_t ms) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -154,7 +204,8 @@
       if (now_ms >= until_ms) expired.push_back(id);
     }
     for (const std::string& id : expired) this->former.erase(id);
-    const bool is_silent = !this->up || this->is_cut;
+    const bool is_silent =
+        !this->up || this->cut != CutKind::kNone || this->paused_ms > 0;
     if (is_silent && now_ms - this->registered_ms >= kSilenceMs) {
       expired.push_back(this->options.id);
     }
@@ -205,7 +256,7 @@
       {"labels", {this->options.kind, this->options.rack}}};
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->is_cut) return;
+    if (this->cut != CutKind::kNone || this->paused_ms > 0) return;
     json["clock_ms"] = this->Clock();
     json["born"] = this->born;
     json["seq"] = ++this->seq;
@@ -227,6 +278,7 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       if (!this->up || this->life != number) return;
+      if (this->paused_ms > 0) continue;
       any = this->EndRuns();
       registers = NowMs() - this->registered_ms >= kHeartbeatMs;
     }
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -19,6 +19,7 @@
 #include <thread>
 #include <vector>
 
+#include "base/NameTable.h"
 #include "tests/platform/soak/GangBoard.h"
 #include "tests/platform/soak/Observations.h"
 #include "tests/platform/soak/Plant.h"
@@ -54,6 +55,22 @@
   int64_t late_ms = 0;
 };
 
+/// How the links of a worker, and its way to the store, are cut.
+enum class CutKind : uint8_t {
+  kNone,
+  /// No call reaches it.
+  kBothWays,
+  /// Calls reach it and are carried out; no answer leaves it.
+  kOneWay,
+  /// The same, and it crashes and boots again meanwhile, under its id.
+  kOneWayRestarted,
+};
+inline constexpr auto kCutKindNames =
+    MakeNameTable<CutKind>({{CutKind::kNone, "none"},
+                            {CutKind::kBothWays, "both ways"},
+                            {CutKind::kOneWay, "one way"},
+                            {CutKind::kOneWayRestarted, "one way, restarted"}});
+
 struct CellWorkerOptions {
   std::string id;
   std::string ip;
@@ -69,6 +86,9 @@
   /// Rate of its steady clock, which may be 2 % slow.
   double clock_rate = 1;
   Plant plant = Plant::kNone;
+  /// Late orders reach the life that is there by then, if it has the id that
+  /// they are for.
+  bool late_to_next_life = false;
 };
 
 /// One worker, which can crash and start again.
@@ -80,17 +100,23 @@
   CellWorker(const CellWorker&) = delete;
   CellWorker& operator=(const CellWorker&) = delete;
 
-  /// Begins a life: listens, and registers in the store. Returns false if the
-  /// address cannot be used.
-  bool Boot();
+  /// Begins a life: listens, and registers in the store. With `set_back_ms` its
+  /// wall clock was set back, to so much before the start of the life before.
+  /// Returns false if the address cannot be used.
+  bool Boot(int64_t set_back_ms = 0);
   /// Ends it at once: everything on it is lost, channels are reset. Its entry
   /// stays in the store until it has been silent for three heartbeats.
   void Crash();
   /// The id of the next life.
   void SetId(const std::string& id);
   CellWorkerOptions about() const;
-  /// Cut off, the worker runs on; no call reaches it and no answer leaves it.
-  std::atomic<bool> is_cut{false};
+  /// Cut off, the worker runs on; no answer leaves it, and its entry in the
+  /// store is not renewed.
+  std::atomic<CutKind> cut{CutKind::kNone};
+  /// Stands still, as if stopped by a signal, until Continue(): calls wait, and
+  /// its entry in the store is not renewed.
+  void Pause();
+  void Continue();
   /// Reports that the worker leaves in `ms` at the earliest.
   void Drain(int64_t ms);
   /// Ends a life that drained: its entry is removed.
@@ -128,7 +154,8 @@
     bool listed = false;
   };
 
-  Reply Handle(const Request& request);
+  /// A call on a connection of the life `number`.
+  Reply Handle(const Request& request, uint64_t number);
   /// Whether an order of the life `number` under the token `fence` is carried
   /// out; fills the reply otherwise.
   bool Admit(uint64_t fence, uint64_t number, Reply& reply);
@@ -138,10 +165,12 @@
   /// How the run ends now, if it does.
   std::optional<RunEventKind> EndOf(Run& run);
   Reply Stop(const std::string& body, uint64_t number);
-  Reply Hold(const std::string& body, uint64_t life);
-  void CarryOutLate(const Request& request, int64_t late_ms);
+  Reply Hold(const std::string& body, uint64_t life, bool is_late);
+  void CarryOutLate(const Request& request, uint64_t number, int64_t late_ms);
   /// Holds a call whose answer is lost, until its caller has given up.
   Reply HoldBack();
+  /// Waits while the worker stands still.
+  void AwaitContinue(std::unique_lock<std::mutex>& lock);
   Reply Perform(const Request& request, uint64_t life, bool is_late);
   int64_t Clock() const;
   static int64_t PercentOf(const Run& run, int64_t now_ms);
@@ -151,6 +180,8 @@
   /// Ends the runs that are over, those whose lease has lapsed as of then.
   /// Returns whether any is.
   bool EndRuns();
+  /// When the next life says that it began.
+  uint64_t NextBorn(int64_t set_back_ms) const;
   void Register();
   void Tick(uint64_t life);
   void Note(RunEventKind kind, const std::string& task, uint32_t run,
@@ -169,6 +200,8 @@
   std::unique_ptr<Server> server;
   std::thread ticker;
   bool up = false;
+  /// Since when it stands still, 0 while it does not.
+  int64_t paused_ms = 0;
   /// When it leaves at the earliest, 0 while it does not drain.
   int64_t leaves_ms = 0;
   std::atomic<bool> has_ended{false};
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -59,35 +59,39 @@
       std::max(this->deadline_ms, std::min(deadline, longest_ms));
 }
 
-Reply CellWorker::Handle(const Request& request) {
-  uint64_t number = 0;
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    number = this->life;
-    const auto wanted = request.headers.find("x-expect-instance");
-    if (wanted != request.headers.end() && wanted->second != this->options.id) {
-      Reply reply;
-      reply.status = 421;
-      reply.body = this->ClockBody("");
-      return reply;
-    }
-  }
-  if (this->is_cut) return this->HoldBack();
+Reply CellWorker::Handle(const Request& request, uint64_t number) {
+  if (this->cut == CutKind::kBothWays) return this->HoldBack();
   int64_t late_ms = 0;
   if (this->order_fault.Meets(late_ms)) {
-    this->CarryOutLate(request, late_ms);
+    this->CarryOutLate(request, number, late_ms);
     return this->HoldBack();
   }
   const Reply reply = this->Perform(request, number, false);
-  return this->is_cut ? this->HoldBack() : reply;
+  return this->cut == CutKind::kNone ? reply : this->HoldBack();
 }
 
 Reply CellWorker::Perform(const Request& request, uint64_t number,
                           bool is_late) {
+  {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->AwaitContinue(lock);
+    const auto wanted = request.headers.find("x-expect-instance");
+    const bool is_alive = this->up && this->life == number;
+    Reply reply;
+    if (!is_alive) {
+      reply.reset = true;
+      return reply;
+    }
+    if (wanted != request.headers.end() && wanted->second != this->options.id) {
+      reply.status = 421;
+      reply.body = this->ClockBody("");
+      return reply;
+    }
+  }
   const std::string& path = request.path;
   if (path == "/run-start") return this->Start(request.body, number, is_late);
   if (path == "/run-stop") return this->Stop(request.body, number);
-  if (path == "/hold") return this->Hold(request.body, number);
+  if (path == "/hold") return this->Hold(request.body, number, is_late);
   Reply reply;
   reply.status = path == "/health" || path == "/pace" ? 200 : 400;
   return reply;
@@ -100,13 +104,18 @@
   return reply;
 }
 
-void CellWorker::CarryOutLate(const Request& request, int64_t late_ms) {
+void CellWorker::CarryOutLate(const Request& request, uint64_t number,
+                              int64_t late_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  const uint64_t number = this->life;
   if (this->has_ended) return;
   this->late.emplace_back([this, request, late_ms, number] {
     if (!SleepUnless(late_ms, this->has_ended)) return;
-    this->Perform(request, number, true);
+    uint64_t reached = number;
+    if (this->options.late_to_next_life) {
+      const std::lock_guard<std::mutex> next_lock(this->mutex);
+      reached = this->life;
+    }
+    this->Perform(request, reached, true);
   });
 }
 
@@ -234,9 +243,9 @@
   this->Note(RunEventKind::kStart, end.task, again.run);
 }
 
-Reply CellWorker::Hold(const std::string& text, uint64_t number) {
+Reply CellWorker::Hold(const std::string& text, uint64_t number, bool is_late) {
   const Json body = Json::parse(text);
-  const uint64_t acked = body.value("ack_cursor", uint64_t{0});
+  uint64_t acked = body.value("ack_cursor", uint64_t{0});
   const int64_t deadline = body.value("deadline_ms", int64_t{0});
   const int64_t wait_ms = body.value("wait_ms", int64_t{0});
   std::unique_lock<std::mutex> lock(this->mutex);
@@ -245,13 +254,20 @@
     return reply;
   }
   if (deadline > 0) this->Extend(deadline);
+  const bool forgets = this->options.plant == Plant::kAcknowledged && acked > 0;
+  if (forgets) acked = this->last_end;
   while (!this->ends.empty() && this->ends.front().number <= acked) {
-    if (!this->ends.front().lapsed) this->Acknowledge(this->ends.front());
+    const End& end = this->ends.front();
+    if (!end.lapsed && !end.listed) {
+      this->Note(RunEventKind::kAcknowledgedUnseen, end.task, end.run);
+    }
+    if (!end.lapsed) this->Acknowledge(end);
     this->ends.pop_front();
   }
   this->changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
     return !this->ends.empty() || !this->up || this->life != number;
   });
+  this->AwaitContinue(lock);
   if (!this->up || this->life != number) {
     reply.reset = true;
     return reply;
@@ -264,13 +280,17 @@
         run.saves ? CheckpointAt(now_ms - run.began_ms) : std::string();
     running.push_back({task, run.run, saved, percent, 0});
   }
+  // The answer to a late call goes nowhere, and none leaves a worker that is
+  // cut off, even if the cut heals before the answer is written.
+  const bool is_lost = is_late || this->cut != CutKind::kNone;
+  reply.reset = is_lost;
   Json finished = Json::array();
   for (End& end : this->ends) {
     if (finished.size() >= kMaxEnds) break;
-    if (!end.listed && !end.lapsed) {
+    if (!end.listed && !end.lapsed && !is_lost) {
       this->Note(RunEventKind::kListed, end.task, end.run);
     }
-    end.listed = true;
+    end.listed = end.listed || !is_lost;
     finished.push_back({end.number, end.task, end.run,
                         NameOf(kRunEventKindNames, end.how), ""});
   }
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -38,12 +38,13 @@
   void SplitDaemons(const PlannedFault& fault);
   void CutLinks(const PlannedFault& fault);
   void CutPaths(const PlannedFault& fault);
-  /// Crashes or drains workers, and starts them again.
-  void RestartWorkers(const PlannedFault& fault);
+  /// Crashes, drains, pauses or cuts off workers, and restores them.
+  void DisturbWorkers(const PlannedFault& fault);
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
+  void CutWorker(CellWorker& worker, const PlannedFault& fault);
   void DrainWorker(CellWorker& worker, const PlannedFault& fault);
-  void Restart(CellWorker& worker, bool same_id);
-  void CutWorkers(const PlannedFault& fault);
+  /// Starts it again, at times with its clock set back.
+  void Restart(CellWorker& worker, const PlannedFault& fault, bool same_id);
   void DisturbOrders(const PlannedFault& fault);
   void KeepProcessorBusy(const PlannedFault& fault);
   std::vector<size_t> Choose(const PlannedFault& fault, size_t count) const;
--- a/tests/platform/soak/FaultPlan.h
+++ b/tests/platform/soak/FaultPlan.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/NameTable.h"
+#include "tests/platform/soak/CellWorker.h"
 #include "tests/platform/soak/PathProxy.h"
 #include "tests/platform/soak/StoreStandin.h"
 #include "tests/platform/soak/VmService.h"
@@ -38,10 +39,12 @@
   kManifestChanged,
   /// Workers crash and restart, under their id or another one.
   kWorkersCrash,
-  /// Workers are cut off and run on.
+  /// Workers are cut off and run on, or restart behind the cut.
   kWorkersCut,
   /// Workers crash, restart under their id and are cut off soon after.
   kWorkersRestartAndCut,
+  /// Workers stand still, as if stopped by SIGSTOP, and go on.
+  kWorkersPaused,
   /// Workers report that they drain, leave, and come back under another id.
   kWorkersDrain,
   /// The operator asks for the maintenance of some workers' VMs.
@@ -75,6 +78,7 @@
      {FaultKind::kWorkersCrash, "workers-crash"},
      {FaultKind::kWorkersCut, "workers-cut"},
      {FaultKind::kWorkersRestartAndCut, "workers-restart-and-cut"},
+     {FaultKind::kWorkersPaused, "workers-paused"},
      {FaultKind::kWorkersDrain, "workers-drain"},
      {FaultKind::kMaintenanceWave, "maintenance-wave"},
      {FaultKind::kVmService, "vm-service"},
@@ -95,7 +99,9 @@
   /// What happens to links between daemons or to paths to workers.
   PathFaultKind path = PathFaultKind::kNone;
   bool splits_workers = false;
-  /// Delay of late or slow calls.
+  /// How workers are cut off, for `kWorkersCut`.
+  CutKind cut = CutKind::kNone;
+  /// Delay of late or slow calls, or of what follows within the fault.
   int64_t delay_ms = 0;
   /// Restarted workers keep their id.
   bool same_id = true;
