--- a/src/node/Isolation.cpp
+++ b/src/node/Isolation.cpp
@@ -20,8 +20,8 @@
   return heard;
 }
 
-/// Since when fewer than half of the members, this process included, have been
-/// heard; kForever if there is no other member, -1 for never.
+/// The last time at which more than half of the members, this process included,
+/// had been heard; kForever if there is no other member, -1 for never.
 TimeMs MajorityHeardAt(const Isolation& isolation, const OwnEvidence& own) {
   std::vector<TimeMs> heard = MembersHeardAt(isolation, own.store_ms);
   const size_t members = std::max<size_t>(heard.size() + 1, own.members);
@@ -89,7 +89,12 @@
   const bool has_recovered =
       controller.loaded && controller.recovery_pending.empty();
   if (!has_recovered || own.store_ms < since_ms) return;
-  controller.log->SetMembers(CountMembers(isolation, own.store_ms));
+  uint32_t members = CountMembers(isolation, own.store_ms);
+  // A new owner has not heard all daemons yet.
+  const bool may_fall =
+      controller.runtime.now() - controller.started_ms > kMembershipMs;
+  if (!may_fall) members = std::max(members, own.members);
+  controller.log->SetMembers(members);
 }
 
 }  // namespace dotterelcove
--- a/src/node/Isolation.h
+++ b/src/node/Isolation.h
@@ -18,9 +18,9 @@
 inline constexpr TimeMs kForever = std::numeric_limits<TimeMs>::max();
 
 /// A peer that was last heard longer than this before the store's last answer
-/// is no member of the cell any more. It is longer than a daemon needs to
-/// restart or to connect to a new owner.
-inline constexpr TimeMs kMembershipMs = 10'000;
+/// is no member of the cell any more. Silence may also be a cut link, so it is
+/// much longer than links are cut.
+inline constexpr TimeMs kMembershipMs = 60'000;
 
 /// What an owner knows from one of its peers. All times are on the owner's
 /// clock, -1 for never.
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -159,9 +159,10 @@
     }
   }
   SetRecoveryDeadlines(c);
-  // Daemons that have not been heard for this long count as lost for good.
-  constexpr TimeMs kSplitMs = 10'000;
-  c.split_deadline_ms = c.longest_lease_deadline_ms + kSplitMs;
+  // Longer than most cuts. Jobs must not wait much longer if the daemons that
+  // are not heard are lost for good.
+  constexpr TimeMs kSplitMs = 3'500;
+  c.split_deadline_ms = c.runtime.now() + kSplitMs;
   Log(LogLevel::kInfo, "records_read",
       {F("epoch", c.epoch), F("open_jobs", c.jobs.jobs.size()),
        F("ended_jobs", c.ended.size()), F("workers", recorded.size())});
@@ -310,11 +311,12 @@
 
 void CheckRecovery(Controller& c) {
   if (!c.loaded || c.recovery_pending.empty()) return;
-  const TimeMs now_ms = c.runtime.now();
-  if (!c.hears_most_daemons && now_ms < c.split_deadline_ms) {
+  if (!c.hears_most_daemons && c.runtime.now() < c.split_deadline_ms) {
     SetRecoveryDeadlines(c);
     return;
   }
+  // As for leases: a newer owner may have renewed them since.
+  const TimeMs now_ms = std::min(c.runtime.now(), c.confirmed_ms);
   if (now_ms < c.recovery_deadline_ms) return;
   const size_t waited_out = std::erase_if(
       c.recovery_pending,
@@ -405,6 +407,7 @@
 
 void StartController(Controller& c) {
   c.takeover_version = c.log->row().version;
+  c.started_ms = c.runtime.now();
   SendUnlessSuspended(c, c.port.start);
   SendUnlessSuspended(c, c.port.stop);
   SendUnlessSuspended(c, c.port.pace);
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -164,6 +164,8 @@
   std::set<std::string> pending_longest_lease;
   TimeMs recovery_deadline_ms = 0;
   TimeMs longest_lease_deadline_ms = 0;
+  /// When this owner took over.
+  TimeMs started_ms = 0;
   /// Until then the deadlines above are put off while this owner does not hear
   /// most daemons: its predecessor may act on.
   TimeMs split_deadline_ms = 0;
--- a/src/workflow/ControllerMaintenance.cpp
+++ b/src/workflow/ControllerMaintenance.cpp
@@ -123,6 +123,11 @@
 }
 
 void SendOrder(Controller& c, uint64_t wave, const std::string& name) {
+  // Another owner may have sent one with a higher token.
+  if (IsSuspended(c)) {
+    WithVm(c, wave, name, [](WaveState&, WaveVm& vm) { vm.in_flight = false; });
+    return;
+  }
   c.vm_port.maintain(
       {name, wave, c.epoch},
       Guard(c, [wave, name](Controller& self, VmOrderStatus status) {
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -28,7 +28,7 @@
   uint64_t token = 0;
   /// The least that the worker's clock can have shown when the order was sent,
   /// 0 for unknown.
-  int64_t clock_ms = 0;
+  int64_t least_clock_ms = 0;
 };
 
 struct FoundRun {
@@ -85,18 +85,22 @@
 /// Whether the answer comes from a later incarnation than the one that the
 /// order was meant for: clocks begin anew with each.
 bool IsFromLaterIncarnation(const RunKey& key, const OrderAnswer& answer) {
-  return answer.clock_ms > 0 && answer.clock_ms < key.clock_ms;
+  return answer.clock_ms > 0 && answer.clock_ms < key.least_clock_ms;
 }
 
-/// A later incarnation of the worker has answered a start. Nothing is placed or
-/// acknowledged there until a sync has shown which one it is.
-void OnUnknownIncarnation(Controller& c, const RunKey& key, Worker& worker,
-                          const OrderAnswer& answer) {
+/// A later incarnation of the worker has begun the run. Its outcome stays
+/// unknown, and nothing is placed or acknowledged there, until a sync has shown
+/// which incarnation it is.
+void OnStartedByLater(Controller& c, const RunKey& key, FoundRun found,
+                      const OrderAnswer& answer) {
+  Worker& worker = *found.worker;
   LogAlways(
       LogLevel::kWarning, "restart_shown_by_clock",
       {F("worker", key.worker), F("incarnation", key.incarnation),
        F("task", key.task), F("run", key.run), F("clock_ms", answer.clock_ms),
-       F("least_clock_ms", key.clock_ms)});
+       F("least_clock_ms", key.least_clock_ms)});
+  found.run->start_in_doubt = true;
+  found.run->syncs_before_doubt = worker.syncs_sent;
   worker.reachable = false;
   Sync(c, worker, 0);
 }
@@ -137,11 +141,12 @@
   if (c.observe) {
     c.observe("start_order", c.runtime.now() - found.run->placed_ms);
   }
-  if (IsFromLaterIncarnation(key, answer)) {
-    OnUnknownIncarnation(c, key, worker, answer);
-  }
   if (answer.status == OrderStatus::kOk) {
-    OnStarted(c, key, found);
+    if (IsFromLaterIncarnation(key, answer)) {
+      OnStartedByLater(c, key, found, answer);
+    } else {
+      OnStarted(c, key, found);
+    }
     return;
   }
   LogAlways(LogLevel::kWarning, "start_refused",
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -217,12 +217,21 @@
   }
   for (const auto& end : worker.ends) {
     if (answer.ended.size() >= workflow::kMaxEndsPerAnswer) break;
-    cell.run_records[end.record].end_listed = true;
     answer.ended.push_back({end.number, end.task, end.run, end.end, ""});
   }
   return answer;
 }
 
+/// Notes which ends an answer that leaves the worker lists.
+void MarkListed(Cell& cell, const ModelWorker& worker,
+                const workflow::SyncAnswer& answer) {
+  if (answer.ended.empty()) return;
+  for (const ModelWorker::End& end : worker.ends) {
+    if (end.number > answer.ended.back().number) return;
+    cell.run_records[end.record].end_listed = true;
+  }
+}
+
 ModelWorker* FindReachable(Cell& cell, int daemon, const std::string& id) {
   const auto found = cell.workers.find(id);
   if (found == cell.workers.end()) return nullptr;
@@ -350,6 +359,7 @@
     return;
   }
   if (now) {
+    MarkListed(cell, *worker, answer);
     DeliverAnswer(cell, daemon, alive, HopDelay(cell, *worker),
                   until_ms + kSyncSlackMs, answer, done);
     return;
