--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -353,7 +353,8 @@
        F("pass_ms", load.pass_ms), F("max_pass_ms", load.max_pass_ms),
        F("max_lag_ms", load.max_lag_ms), F("starts", c.stats.starts),
        F("syncs", c.stats.syncs), F("permit_requests", c.stats.requests),
-       F("orders_in_doubt", c.stats.orders_in_doubt)});
+       F("orders_in_doubt", c.stats.orders_in_doubt),
+       F("misplaced_runs", c.stats.misplaced_runs)});
   load = OwnerLoad();
   load.logged_ms = now_ms;
   load.last_tick_ms = now_ms;
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -83,6 +83,9 @@
   uint64_t hedged_syncs = 0;
   uint64_t requests = 0;
   uint64_t orders_in_doubt = 0;
+  /// Runs on a worker without the label that they require, or beyond the limit
+  /// of their step.
+  uint64_t misplaced_runs = 0;
 };
 
 /// The owner's load since it was last logged.
--- a/src/workflow/ControllerFleet.cpp
+++ b/src/workflow/ControllerFleet.cpp
@@ -80,6 +80,7 @@
     OnRestarted(c, worker, info.incarnation, LossEvidence::kWorkerList);
     worker.info = info;
     worker.entry_outdated = false;
+    worker.entry_read_ms = c.runtime.now();
     Sync(c, worker, 0);
     return;
   }
@@ -92,6 +93,7 @@
   const bool drains_now = info.draining && !worker.info.draining;
   worker.info = info;
   worker.entry_outdated = false;
+  worker.entry_read_ms = c.runtime.now();
   if (!drains_now) return;
   Log(LogLevel::kInfo, "worker_draining",
       {F("worker", info.id), F("runs", worker.runs.size()),
@@ -158,6 +160,7 @@
     }
     Worker& worker = AddWorker(c.fleet, info.id);
     worker.info = info;
+    worker.entry_read_ms = c.runtime.now();
     // It may have been known before, with any of the tokens used so far.
     worker.token_increment = ++c.worker_restarts;
     c.fleet_dirty = true;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -132,9 +132,12 @@
 }
 
 /// One entry of the log line of a step, with what decided it: the processors
-/// that were free on the worker, the age of its last report and the part of the
-/// fencing token that identifies its incarnation.
-std::string DescribePlacement(const Controller& c, uint32_t index, uint32_t run,
+/// that were free on the worker, the age of its last report, the part of the
+/// fencing token that identifies its incarnation, the age of the entry that its
+/// labels are from and, for a step with a limit per worker, the number of its
+/// tasks that were believed to be there.
+std::string DescribePlacement(const Controller& c, const PlacementNeed& need,
+                              uint32_t index, uint32_t run,
                               const Worker& worker) {
   std::string text = std::to_string(index);
   text += ':' + std::to_string(run);
@@ -142,6 +145,11 @@
   text += '/' + std::to_string(FreeOf(worker).milli_cores);
   text += '/' + std::to_string(c.runtime.now() - worker.clock_read_ms);
   text += '/' + std::to_string(worker.token_increment);
+  text += '/' + std::to_string(need.now_ms - worker.entry_read_ms);
+  if (need.step->max_per_worker == 0) return text;
+  const auto believed = need.on_worker->find(&worker);
+  text += '/' + std::to_string(
+                    believed == need.on_worker->end() ? 0 : believed->second);
   return text;
 }
 
@@ -152,10 +160,13 @@
   if (tasks.empty()) return;
   const StepState& state =
       step.job->occurrences.at(step.occurrence).steps[step.step];
-  LogAlways(LogLevel::kInfo, "tasks_placed",
-            {F("step", MakeStepName(*step.job, step.occurrence, step.step)),
-             F("tasks", tasks), F("unplaced", unplaced), F("epoch", c.epoch),
-             F("waited_ms", c.runtime.now() - state.ready_since_ms)});
+  const StepSpec& spec = step.job->spec.steps[step.step];
+  LogAlways(
+      LogLevel::kInfo, "tasks_placed",
+      {F("step", MakeStepName(*step.job, step.occurrence, step.step)),
+       F("tasks", tasks), F("unplaced", unplaced), F("epoch", c.epoch),
+       F("waited_ms", c.runtime.now() - state.ready_since_ms),
+       F("requires", spec.required_label), F("limit", spec.max_per_worker)});
 }
 
 /// Places the gang if all its tasks fit; returns the number of tasks that do
@@ -175,7 +186,7 @@
   for (uint32_t i = 0; i < need.step->count; ++i) {
     Worker* worker = (*workers)[i];
     if (i > 0) placed += ' ';
-    placed += DescribePlacement(c, i, run, *worker);
+    placed += DescribePlacement(c, need, i, run, *worker);
     PlaceTask(c, {{step.job, step.occurrence, step.step, i},
                   worker,
                   run,
@@ -221,7 +232,7 @@
     left--;
     const uint32_t run = NextRun(c, task);
     if (!placed.empty()) placed += ' ';
-    placed += DescribePlacement(c, index, run, *worker);
+    placed += DescribePlacement(c, need, index, run, *worker);
     PlaceTask(c, {{step.job, step.occurrence, step.step, index},
                   worker,
                   run,
@@ -252,7 +263,7 @@
     const TaskState& task = need.state->tasks[planned.index];
     const uint32_t run = NextRun(c, task);
     if (!placed.empty()) placed += ' ';
-    placed += DescribePlacement(c, planned.index, run, *planned.worker);
+    placed += DescribePlacement(c, need, planned.index, run, *planned.worker);
     PlaceTask(c, {{step.job, step.occurrence, step.step, planned.index},
                   planned.worker,
                   run,
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -75,6 +75,34 @@
   return c.runtime.now() + remaining_ms + remaining_ms / 8 + kSlackMs;
 }
 
+/// Logs a run that a sync lists for the first time although its worker lacks
+/// the label that its step requires, or has more of the step's runs than its
+/// limit. The owner has decided on wrong beliefs, or the start was carried out
+/// by another incarnation than the one that it was meant for.
+void LogMisplaced(Controller& c, const Worker& worker, const PlacedRun& run,
+                  const std::string& name) {
+  const StepSpec& spec = SpecOf(run.task);
+  // A worker that only the fleet row has named so far has no labels.
+  const bool has_entry = worker.entry_read_ms >= 0 && !worker.entry_outdated;
+  const bool lacks_label = has_entry && !spec.required_label.empty() &&
+                           !worker.info.labels.contains(spec.required_label);
+  uint32_t beside = 0;
+  if (spec.max_per_worker > 0) {
+    beside = CountRunsOfStep(
+        worker,
+        MakeStepName(*run.task.job, run.task.occurrence, run.task.step));
+  }
+  if (!lacks_label && beside <= spec.max_per_worker) return;
+  c.stats.misplaced_runs++;
+  LogAlways(LogLevel::kError, "run_misplaced",
+            {F("task", name), F("run", run.run), F("worker", worker.info.id),
+             F("incarnation", worker.info.incarnation), F("epoch", c.epoch),
+             F("token", run.token), F("adopted", run.is_adopted),
+             F("placed_ago_ms", c.runtime.now() - run.placed_ms),
+             F("requires", lacks_label ? spec.required_label : std::string()),
+             F("runs_of_step", beside), F("limit", spec.max_per_worker)});
+}
+
 void UpdateRun(Controller& c, Worker& worker, const ReportedRun& reported,
                PlacedRun& run) {
   if (run.run != reported.run) return;
@@ -86,7 +114,9 @@
                F("worker", worker.info.id)});
   }
   run.start_in_doubt = false;
-  run.listed = true;
+  if (!std::exchange(run.listed, true)) {
+    LogMisplaced(c, worker, run, reported.task);
+  }
   run.usage = reported.usage;
   constexpr TimeMs kSurvivedMs = 5'000;
   const bool lasts = SpecOf(ref).long_running || SpecOf(ref).gang;
@@ -125,6 +155,7 @@
       continue;
     }
     if (!HandleUnplacedRun(c, worker, reported)) continue;
+    LogMisplaced(c, worker, worker.runs.at(reported.task), reported.task);
     if (!adopted.empty()) adopted += " ";
     adopted += reported.task + ":" + std::to_string(reported.run) + "/" +
                std::to_string(reported.percent);
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -39,6 +39,25 @@
   fleet.workers.erase(found);
 }
 
+namespace {
+
+template <class Runs>
+uint32_t CountNames(const Runs& runs, const std::string& prefix) {
+  uint32_t count = 0;
+  for (auto it = runs.lower_bound(prefix);
+       it != runs.end() && it->first.starts_with(prefix); ++it) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+uint32_t CountRunsOfStep(const Worker& worker, const std::string& step) {
+  const std::string prefix = step + ".";
+  return CountNames(worker.runs, prefix) + CountNames(worker.orphans, prefix);
+}
+
 bool HasUnconfirmedStart(const Worker& worker) {
   return std::any_of(worker.runs.begin(), worker.runs.end(),
                      [](const auto& entry) { return !entry.second.confirmed; });
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -140,6 +140,9 @@
   /// Its labels and capacity are those of an earlier incarnation: a sync has
   /// shown the restart, and the list has not shown it yet.
   bool entry_outdated = false;
+  /// When the list last named the present incarnation, so that its labels and
+  /// capacity held; -1 for never.
+  TimeMs entry_read_ms = -1;
   /// This owner's fencing token was accepted and its runs are known.
   bool synced = false;
   /// The last sync succeeded.
@@ -251,6 +254,11 @@
   return worker.info.capacity - worker.used;
 }
 
+/// Number of runs of the step on the worker, whatever this owner has decided
+/// about them: also those that are being stopped, that are in doubt or that it
+/// has not placed. `step` is a name of MakeStepName().
+uint32_t CountRunsOfStep(const Worker& worker, const std::string& step);
+
 /// Number of the last end that may be acknowledged once the owner's changes are
 /// stored.
 inline uint64_t LastSettledEnd(const Worker& worker) {
