Failing test: two tasks of a step with limit 1 on one worker in one pass

Reserve/limit_per_worker_holds_across_the_reserve: three workers, of which w0 has room for all three tasks of a step of priority 2 beside its reserve, w1 for one in its reserve and w2 for none. The limit per worker is 1, so two tasks may start.

--- a/tests/ReserveTest.cpp
+++ b/tests/ReserveTest.cpp
@@ -38,6 +38,23 @@
   Submit(cell, 0, spec);
 }
 
+/// The most runs of the job's first step that were on one worker at a time.
+size_t MostRunsOnAWorker(const Cell& cell, const std::string& id) {
+  const std::string prefix = id + ".0.0.";
+  size_t most = 0;
+  for (const RunRecord& at : cell.run_records) {
+    const auto is_there = [&](const RunRecord& run) {
+      return run.task.starts_with(prefix) && run.worker == at.worker &&
+             run.begin_ms <= at.begin_ms &&
+             (run.end_ms < 0 || run.end_ms > at.begin_ms);
+    };
+    const auto there = std::count_if(cell.run_records.begin(),
+                                     cell.run_records.end(), is_there);
+    most = std::max(most, static_cast<size_t>(there));
+  }
+  return most;
+}
+
 }  // namespace
 
 // Guards against a task that waits for ever on an idle fleet because it needs
@@ -109,4 +126,28 @@
   }
 }
 
+// Guards against a limit per worker that is not counted again between the
+// placement beside the reserves and the one in them: w0 has room for all tasks
+// beside its reserve, w1 for one in its reserve, w2 for none.
+Test(Reserve, limit_per_worker_holds_across_the_reserve, .init = DiscardLogs) {
+  for (const bool is_long_running : {false, true}) {
+    Cell cell({.workers = 3, .failure_share = 0});
+    cell.workers.at("w0").info.capacity.milli_cores = 48'000;
+    cell.workers.at("w1").info.capacity.milli_cores = 7'200;
+    cell.workers.at("w2").info.capacity.milli_cores = 4'500;
+    cell.time.RunUntil(4 * kSecond);
+    OccupyEachWorker(cell, 3'000);
+    cell.time.RunUntil(6 * kSecond);
+    workflow::JobSpec spec = MakeChain(cell, 1, 3, {4'000, 500, 0}, 10'000);
+    spec.steps.front().max_per_worker = 1;
+    spec.steps.front().long_running = is_long_running;
+    const std::string id = SubmitLow(cell, spec);
+    cell.time.RunUntil(cell.time.now_ms + kStartMs);
+    cr_expect_eq(CountStarts(cell, id), 2U, "%zu starts",
+                 CountStarts(cell, id));
+    cr_expect_eq(MostRunsOnAWorker(cell, id), 1U, "%zu on one worker",
+                 MostRunsOnAWorker(cell, id));
+  }
+}
+
 }  // namespace dotterelcove::model
