The limit per worker counts the runs that the worker holds now

Cause: PlaceStep counted the step's tasks on each worker once, into a copy that PlaceWaiting, PlaceInReserve, suspects and permit requests of the pass shared. The placements of the first were not in it when the next asked. The copy also went over tasks, while the rule is about runs on the worker.

The count is now kept beside the worker's room: AddRun and RemoveRun change it with `used`, so it holds every run until the worker is known to be rid of it, stopping and doubtful ones too, and a placement is in it as soon as its capacity is taken. A plan reserves capacity and limit alike and takes both back. The copy (TaskCounts, PlacementNeed::on_worker) is gone. Only steps with a limit are counted, by address, so a candidate costs no string comparison and other steps cost nothing. Preemption stops nothing on a worker at the limit, and permit requests count the places left.

--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -115,17 +115,6 @@
   return is_watched;
 }
 
-TaskCounts CountOnWorkers(Controller& c, const StepState& state) {
-  TaskCounts counts;
-  for (const TaskState& task : state.tasks) {
-    if (task.worker.empty()) continue;
-    if (const Worker* worker = FindWorker(c.fleet, task.worker)) {
-      counts[worker]++;
-    }
-  }
-  return counts;
-}
-
 std::string TicketFor(const StepState& state, const Worker& worker) {
   const Ticket* ticket = FindTicket(state.permits, worker.slot);
   return ticket == nullptr ? std::string() : ticket->text;
@@ -135,7 +124,7 @@
 /// that were free on the worker, the age of its last report, the part of the
 /// fencing token that identifies its incarnation, the age of the entry that its
 /// labels are from and, for a step with a limit per worker, the number of its
-/// tasks that were believed to be there.
+/// runs that were believed to be there.
 std::string DescribePlacement(const Controller& c, const PlacementNeed& need,
                               uint32_t index, uint32_t run,
                               const Worker& worker) {
@@ -147,10 +136,7 @@
   text += '/' + std::to_string(worker.token_increment);
   text += '/' + std::to_string(need.now_ms - worker.entry_read_ms);
   if (need.step->max_per_worker == 0) return text;
-  const auto believed = need.on_worker->find(&worker);
-  text += '/' + std::to_string(
-                    believed == need.on_worker->end() ? 0 : believed->second);
-  return text;
+  return text + '/' + std::to_string(HeldRunsOfStep(worker, *need.state));
 }
 
 /// One line tells all tasks of a step that a pass has placed, so that none has
@@ -340,13 +326,10 @@
   Job& job = *step.job;
   StepState& state = job.occurrences.at(step.occurrence).steps[step.step];
   const StepSpec& spec = job.spec.steps[step.step];
-  TaskCounts on_worker;
-  if (spec.max_per_worker > 0) on_worker = CountOnWorkers(c, state);
   PlacementNeed need;
   need.job = &job.spec;
   need.step = &spec;
   need.state = &state;
-  need.on_worker = &on_worker;
   need.now_ms = pass.now_ms;
   if (job.spec.policy.priority > 1) need.reserve = kUrgentReserve;
   if (!IsOwnershipConfirmed(c, job)) {
--- a/src/workflow/ControllerWorkers.cpp
+++ b/src/workflow/ControllerWorkers.cpp
@@ -88,9 +88,7 @@
                            !worker.info.labels.contains(spec.required_label);
   uint32_t beside = 0;
   if (spec.max_per_worker > 0) {
-    beside = CountRunsOfStep(
-        worker,
-        MakeStepName(*run.task.job, run.task.occurrence, run.task.step));
+    beside = CountRunsOfStep(worker, run.task);
   }
   if (!lacks_label && beside <= spec.max_per_worker) return;
   c.stats.misplaced_runs++;
--- a/src/workflow/Fleet.cpp
+++ b/src/workflow/Fleet.cpp
@@ -11,6 +11,31 @@
   return spec.filler ? spec.size.milli_cores : 0;
 }
 
+template <class Steps>
+auto FindStep(Steps& steps, const StepState& step) {
+  return std::find_if(steps.begin(), steps.end(), [&](const StepRuns& entry) {
+    return entry.step == &step;
+  });
+}
+
+void AddToStep(Worker& worker, const StepSpec& spec, const StepState& step) {
+  if (spec.max_per_worker == 0) return;
+  const auto found = FindStep(worker.limited_steps, step);
+  if (found == worker.limited_steps.end()) {
+    worker.limited_steps.push_back({&step, 1});
+  } else {
+    found->runs++;
+  }
+}
+
+void RemoveFromStep(Worker& worker, const StepSpec& spec,
+                    const StepState& step) {
+  if (spec.max_per_worker == 0) return;
+  const auto found = FindStep(worker.limited_steps, step);
+  if (found == worker.limited_steps.end()) return;
+  if (--found->runs == 0) worker.limited_steps.erase(found);
+}
+
 }  // namespace
 
 Worker& AddWorker(Fleet& fleet, const std::string& id) {
@@ -39,25 +64,22 @@
   fleet.workers.erase(found);
 }
 
-namespace {
+uint32_t HeldRunsOfStep(const Worker& worker, const StepState& step) {
+  const auto found = FindStep(worker.limited_steps, step);
+  return found == worker.limited_steps.end() ? 0 : found->runs;
+}
 
-template <class Runs>
-uint32_t CountNames(const Runs& runs, const std::string& prefix) {
-  uint32_t count = 0;
-  for (auto it = runs.lower_bound(prefix);
-       it != runs.end() && it->first.starts_with(prefix); ++it) {
+uint32_t CountRunsOfStep(const Worker& worker, const TaskRef& task) {
+  uint32_t count = HeldRunsOfStep(worker, StepOf(task));
+  const std::string prefix =
+      MakeStepName(*task.job, task.occurrence, task.step) + ".";
+  for (auto it = worker.orphans.lower_bound(prefix);
+       it != worker.orphans.end() && it->first.starts_with(prefix); ++it) {
     ++count;
   }
   return count;
 }
 
-}  // namespace
-
-uint32_t CountRunsOfStep(const Worker& worker, const std::string& step) {
-  const std::string prefix = step + ".";
-  return CountNames(worker.runs, prefix) + CountNames(worker.orphans, prefix);
-}
-
 bool HasUnconfirmedStart(const Worker& worker) {
   return std::any_of(worker.runs.begin(), worker.runs.end(),
                      [](const auto& entry) { return !entry.second.confirmed; });
@@ -98,9 +120,20 @@
   return size;
 }
 
+void ReserveFor(Worker& worker, const StepSpec& spec, const StepState& step) {
+  worker.used = worker.used + SizeOnWorker(spec);
+  AddToStep(worker, spec, step);
+}
+
+void ReleaseFor(Worker& worker, const StepSpec& spec, const StepState& step) {
+  worker.used = worker.used - SizeOnWorker(spec);
+  RemoveFromStep(worker, spec, step);
+}
+
 void AddRun(Worker& worker, const std::string& name, PlacedRun run) {
   RemoveRun(worker, name);
   worker.used = worker.used + run.size;
+  AddToStep(worker, SpecOf(run.task), StepOf(run.task));
   worker.filler_milli_cores += FillerLoad(run);
   run.task.job->placed.push_back({&worker, name});
   worker.runs[name] = run;
@@ -110,6 +143,8 @@
   const auto found = worker.runs.find(name);
   if (found == worker.runs.end()) return;
   worker.used = worker.used - found->second.size;
+  const TaskRef& task = found->second.task;
+  RemoveFromStep(worker, SpecOf(task), StepOf(task));
   worker.filler_milli_cores -= FillerLoad(found->second);
   std::erase_if(found->second.task.job->placed, [&](const RunLocation& at) {
     return at.worker == &worker && at.task == name;
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -130,6 +130,12 @@
   uint32_t quarantines = 0;
 };
 
+/// Number of runs of one step on a worker.
+struct StepRuns {
+  const StepState* step = nullptr;
+  uint32_t runs = 0;
+};
+
 struct Worker {
   WorkerInfo info;
   /// Its index in `Fleet::by_slot`.
@@ -202,6 +208,10 @@
   /// is to blame.
   TimeMs probation_until_ms = 0;
   Resources used;
+  /// The runs in `runs` of each step with a limit per worker, changed with
+  /// `used` only. Placement asks them for the limit: a count of its own would
+  /// be outdated by its first placement.
+  std::vector<StepRuns> limited_steps;
   /// Processor demand of its fillers, which `used` does not include.
   int64_t filler_milli_cores = 0;
   TimeMs paces_evaluated_ms = 0;
@@ -254,10 +264,14 @@
   return worker.info.capacity - worker.used;
 }
 
-/// Number of runs of the step on the worker, whatever this owner has decided
-/// about them: also those that are being stopped, that are in doubt or that it
-/// has not placed. `step` is a name of MakeStepName().
-uint32_t CountRunsOfStep(const Worker& worker, const std::string& step);
+/// Number of runs of a step with a limit per worker that this owner holds on
+/// the worker, whatever it has decided about them: also those that are being
+/// stopped or are in doubt.
+uint32_t HeldRunsOfStep(const Worker& worker, const StepState& step);
+
+/// Those and the runs of the step that it has not placed. Placement need not
+/// ask for the latter: a worker that has any gets no task.
+uint32_t CountRunsOfStep(const Worker& worker, const TaskRef& task);
 
 /// Number of the last end that may be acknowledged once the owner's changes are
 /// stored.
@@ -294,6 +308,12 @@
 /// not count.
 Resources SizeOnWorker(const StepSpec& step);
 
+/// Reserves what one task of a step takes of the worker: its capacity and, if
+/// the step has a limit per worker, a place within it.
+void ReserveFor(Worker& worker, const StepSpec& spec, const StepState& step);
+/// Takes one reservation of ReserveFor() back.
+void ReleaseFor(Worker& worker, const StepSpec& spec, const StepState& step);
+
 /// Adds a run and reserves its capacity. A run of the same name is replaced.
 void AddRun(Worker& worker, const std::string& name, PlacedRun run);
 /// Removes a run and frees its capacity.
--- a/src/workflow/PermitPlan.cpp
+++ b/src/workflow/PermitPlan.cpp
@@ -19,14 +19,11 @@
 int64_t TasksThatFit(const Worker& worker, const PlacementNeed& need) {
   const Resources size = SizeOnWorker(*need.step);
   const Resources free = FreeOf(worker);
-  int64_t fit = need.step->count;
+  int64_t fit = PlacesWithinLimit(worker, need);
   if (size.milli_cores > 0) {
     fit = std::min(fit, free.milli_cores / size.milli_cores);
   }
   if (size.memory_mb > 0) fit = std::min(fit, free.memory_mb / size.memory_mb);
-  if (need.step->max_per_worker > 0) {
-    fit = std::min<int64_t>(fit, need.step->max_per_worker);
-  }
   return std::max<int64_t>(fit, 0);
 }
 
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -91,16 +91,18 @@
 
 }  // namespace
 
+uint32_t PlacesWithinLimit(const Worker& worker, const PlacementNeed& need) {
+  const uint32_t limit = need.step->max_per_worker;
+  if (limit == 0) return need.step->count;
+  return limit - std::min(limit, HeldRunsOfStep(worker, *need.state));
+}
+
 bool HasRoom(const Worker& worker, const PlacementNeed& need) {
   if (IsOnProbation(worker, need.now_ms)) return false;
   const Resources size = SizeOnWorker(*need.step);
   Resources free = FreeOf(worker);
   free.milli_cores -= ReserveOn(worker, need, size);
-  if (!Fits(size, free)) return false;
-  if (need.step->max_per_worker == 0 || need.on_worker == nullptr) return true;
-  const auto found = need.on_worker->find(&worker);
-  return found == need.on_worker->end() ||
-         found->second < need.step->max_per_worker;
+  return Fits(size, free) && PlacesWithinLimit(worker, need) > 0;
 }
 
 namespace {
@@ -196,10 +198,6 @@
 
 StepPlan PlanStep(const Candidates& candidates, PlacementNeed need,
                   const std::vector<uint32_t>& waiting) {
-  TaskCounts on_worker;
-  if (need.on_worker != nullptr) on_worker = *need.on_worker;
-  need.on_worker = &on_worker;
-  const Resources size = SizeOnWorker(*need.step);
   StepPlan plan;
   bool full = false;
   for (const uint32_t index : waiting) {
@@ -214,12 +212,11 @@
       plan.unplaced++;
       continue;
     }
-    worker->used = worker->used + size;
-    if (need.step->max_per_worker > 0) on_worker[worker]++;
+    ReserveFor(*worker, *need.step, *need.state);
     plan.placed.push_back({index, worker});
   }
   for (const PlannedTask& task : plan.placed) {
-    task.worker->used = task.worker->used - size;
+    ReleaseFor(*task.worker, *need.step, *need.state);
   }
   return plan;
 }
--- a/src/workflow/Placement.h
+++ b/src/workflow/Placement.h
@@ -17,9 +17,6 @@
 /// room.
 inline constexpr double kSlowWorker = 2.0;
 
-/// Number of tasks on each worker.
-using TaskCounts = std::map<const Worker*, uint32_t>;
-
 /// Constraints on the worker for one task.
 struct PlacementNeed {
   const JobSpec* job = nullptr;
@@ -27,9 +24,6 @@
   const StepState* state = nullptr;
   /// Workers to exclude for this task; may be null.
   const std::set<std::string>* avoid = nullptr;
-  /// Number of the step's tasks on each worker; may be null for a step without
-  /// a limit per worker.
-  const TaskCounts* on_worker = nullptr;
   /// Fraction of each worker's processors to leave free. It does not apply to
   /// tasks that need more than the rest of an idle worker.
   double reserve = 0;
@@ -42,6 +36,10 @@
 /// Whether the step has a usable ticket for the worker.
 bool HasTicket(const StepState& state, const Worker& worker, TimeMs now_ms);
 
+/// How many more of the step's tasks its limit per worker allows on the worker;
+/// its count without a limit.
+uint32_t PlacesWithinLimit(const Worker& worker, const PlacementNeed& need);
+
 /// Whether one more task fits now.
 bool HasRoom(const Worker& worker, const PlacementNeed& need);
 
--- a/src/workflow/Preemption.cpp
+++ b/src/workflow/Preemption.cpp
@@ -60,6 +60,8 @@
 std::optional<Option> MakeOption(const Worker& worker,
                                  const PlacementNeed& need) {
   if (IsOnProbation(worker, need.now_ms)) return std::nullopt;
+  // Stops of other work make no place within the limit.
+  if (PlacesWithinLimit(worker, need) == 0) return std::nullopt;
   Option option;
   option.worker = &worker;
   const Resources size = SizeOnWorker(*need.step);
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -17,7 +17,6 @@
 struct Fixture {
   Fleet fleet;
   std::unique_ptr<Job> job;
-  TaskCounts on_worker;
   PlacementNeed need;
 };
 
@@ -57,7 +56,6 @@
   need.job = &fixture.job->spec;
   need.step = &fixture.job->spec.steps.front();
   need.state = &fixture.job->occurrences.at(0).steps.front();
-  need.on_worker = &fixture.on_worker;
   need.now_ms = kNow;
   return need;
 }
@@ -178,10 +176,40 @@
   cr_expect_null(ChooseOne(fixture));
   fixture.fleet.workers.at("w").info.labels = {"b"};
   cr_expect_not_null(ChooseOne(fixture));
-  fixture.on_worker[&fixture.fleet.workers.at("w")] = 1;
+  AddRunningTask(fixture, *fixture.job, "w", 0, 0);
   cr_expect_null(ChooseOne(fixture));
 }
 
+// Guards against a limit per worker that counts tasks in place of runs: a run
+// that is being stopped, or whose task this owner has given up, is still there.
+// And against a plan that leaves its own placements in the count.
+Test(Placement, limit_counts_runs_until_they_are_removed) {
+  StepSpec step = MakeStep(4, 1'000);
+  step.max_per_worker = 2;
+  Fixture fixture = MakeFixture(step);
+  AddUsableWorker(fixture, "w", 8'000);
+  Worker& worker = fixture.fleet.workers.at("w");
+  const StepState& state = fixture.job->occurrences.at(0).steps.front();
+  const auto count_planned = [&] {
+    const PlacementNeed need = NeedOf(fixture);
+    return PlanStep(FindCandidates(fixture.fleet, need), need, {1, 2, 3})
+        .placed.size();
+  };
+  cr_expect_eq(count_planned(), 2U);
+  cr_expect_eq(HeldRunsOfStep(worker, state), 0U);
+  AddRunningTask(fixture, *fixture.job, "w", 0, 0);
+  // The start of a later run of the same task takes its place.
+  AddRunningTask(fixture, *fixture.job, "w", 0, 0);
+  cr_expect_eq(count_planned(), 1U);
+  const std::string name = MakeTaskName({fixture.job.get(), 0, 0, 0});
+  worker.runs.at(name).stop_wanted = true;
+  TaskOf({fixture.job.get(), 0, 0, 0}).worker.clear();
+  cr_expect_eq(count_planned(), 1U);
+  RemoveRun(worker, name);
+  cr_expect_eq(count_planned(), 2U);
+  cr_expect(worker.limited_steps.empty());
+}
+
 // Guards against placing a gang partially or across two racks.
 Test(Placement, gang_is_placed_whole_on_one_rack) {
   StepSpec step = MakeStep(4, 4'000);
@@ -296,6 +324,33 @@
   cr_expect(ChooseVictimsFor(fixture, 1).empty());
 }
 
+// Guards against stopping runs, and asking for permits, where the limit per
+// worker keeps the task away in any case.
+Test(Preemption, worker_at_the_limit_is_left_alone) {
+  StepSpec step = MakeStep(2, 4'000);
+  step.max_per_worker = 1;
+  Fixture fixture = MakeFixture(step);
+  AddUsableWorker(fixture, "w", 8'000);
+  StepSpec low = MakeStep(1, 4'000);
+  low.estimate_ms = 10'000;
+  const auto low_job = MakeOneStep(low, 2);
+  low_job->spec.id = "fedcba9876543210";
+  AddRunningTask(fixture, *low_job, "w", 0, 10);
+  const auto requested = [&] {
+    return ChooseWorkersToRequest(OrderByRoom(fixture.fleet, kNow),
+                                  NeedOf(fixture), 1);
+  };
+  cr_expect_eq(requested().size(), 1U);
+  AddRunningTask(fixture, *fixture.job, "w", 0, 10);
+  cr_expect(ChooseVictimsFor(fixture, 1).empty());
+  RemoveRun(fixture.fleet.workers.at("w"), "0123456789abcdef.0.0.0");
+  fixture.fleet.workers.at("w").info.capacity.milli_cores = 4'000;
+  cr_expect_eq(ChooseVictimsFor(fixture, 1).size(), 1U);
+  fixture.fleet.workers.at("w").info.capacity.milli_cores = 12'000;
+  AddRunningTask(fixture, *fixture.job, "w", 0, 10);
+  cr_expect(requested().empty());
+}
+
 // Guards against preempting urgent work for other urgent work.
 Test(Preemption, urgent_runs_stay) {
   Fixture fixture = MakeFixture(MakeStep(1, 4'000));
