--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -87,6 +87,8 @@
   TimeMs end_ms = -1;
   std::string outcome;
   Resources size;
+  /// The labels of the worker when the run began.
+  std::set<std::string> labels;
   /// An answer of the worker has listed the end of the run.
   bool end_listed = false;
   /// An owner has acknowledged the end of the run.
--- a/tests/CellModelDays.h
+++ b/tests/CellModelDays.h
@@ -13,6 +13,10 @@
 void DiscardLogs();
 /// Schedules `jobs` submissions per second of random size for `seconds`.
 void SubmitRandomJobs(Cell& cell, int seconds, int jobs);
+/// Schedules submissions of jobs of random priority, whose steps have a limit
+/// per worker and in part require the label `kLabel`. Some of them last.
+inline constexpr const char* kLabel = "label";
+void SubmitLimitedJobs(Cell& cell, int seconds);
 /// Crashes a share of the workers that are up, at one moment or spread over a
 /// second. Each is back after some seconds.
 enum class CrashSpread : uint8_t { kTogether, kOverOneSecond };
--- a/tests/CellModelJudge.cpp
+++ b/tests/CellModelJudge.cpp
@@ -170,6 +170,48 @@
   }
 }
 
+/// The part of a task's name that names its step.
+std::string StepPartOf(const std::string& task) {
+  return task.substr(0, task.rfind('.'));
+}
+
+/// Null if the job was not submitted.
+const workflow::StepSpec* FindSpec(const Cell& cell, const std::string& task) {
+  workflow::TaskName name;
+  workflow::ParseTaskName(task, name);
+  const auto job = cell.jobs.find(name.job);
+  return job == cell.jobs.end() ? nullptr : &job->second.spec.steps[name.step];
+}
+
+/// Rule ROUTE: a run begins on a worker that has the required label then, and
+/// on which its step has no more runs than its limit, including those that are
+/// being stopped.
+void CheckRoutes(const Cell& cell, Violations& violations) {
+  std::map<std::pair<std::string, std::string>, std::vector<const RunRecord*>>
+      earlier;
+  for (const RunRecord& record : cell.run_records) {
+    const workflow::StepSpec* spec = FindSpec(cell, record.task);
+    if (spec == nullptr) continue;
+    const std::string at =
+        " on " + record.worker + " at ms " + std::to_string(record.begin_ms);
+    if (!spec->required_label.empty() &&
+        !record.labels.contains(spec->required_label)) {
+      violations.push_back(record.task + " starts without its label" + at);
+    }
+    if (spec->max_per_worker == 0) continue;
+    auto& runs = earlier[{record.worker, StepPartOf(record.task)}];
+    const auto there = static_cast<uint32_t>(
+        std::count_if(runs.begin(), runs.end(), [&](const RunRecord* run) {
+          return run->end_ms < 0 || run->end_ms > record.begin_ms;
+        }));
+    runs.push_back(&record);
+    if (there >= spec->max_per_worker) {
+      violations.push_back(record.task +
+                           " starts beyond the limit of its step" + at);
+    }
+  }
+}
+
 void CheckEnds(const Cell& cell, Violations& violations) {
   for (const auto& [id, job] : cell.jobs) {
     if (!job.accepted) continue;
@@ -221,6 +263,7 @@
   CheckAcknowledgments(cell, violations);
   CheckCapacity(cell, violations);
   CheckStarts(cell, violations);
+  CheckRoutes(cell, violations);
   CheckCrashes(cell, violations);
   CheckCompleted(cell, violations);
   if (at_end) CheckEnds(cell, violations);
--- a/tests/CellModelSeededTest.cpp
+++ b/tests/CellModelSeededTest.cpp
@@ -159,14 +159,32 @@
 
 enum class Delays { kNone, kRandom };
 enum class CrashingJobs { kNone, kSome };
+enum class LimitedJobs { kNone, kSome };
 
-void RunSeed(uint64_t seed, Delays delays, CrashingJobs crashing) {
+/// What a seeded day has beside its random faults.
+struct DayOptions {
+  Delays delays = Delays::kNone;
+  CrashingJobs crashing = CrashingJobs::kNone;
+  LimitedJobs limited = LimitedJobs::kNone;
+};
+
+/// Gives the label to the workers on which every step gets permits, and to one
+/// more.
+void LabelWorkers(Cell& cell) {
+  for (const char* id : {"w0", "w1", "w2"}) {
+    cell.workers.at(id).info.labels = {kLabel};
+  }
+}
+
+void RunSeed(uint64_t seed, const DayOptions& day) {
   Cell cell({.seed = seed,
              .permits = seed % 3 == 0,
              .new_id_after_crash = seed % 2 == 0});
+  if (day.limited == LimitedJobs::kSome) LabelWorkers(cell);
   cell.time.RunUntil(2 * kSecond);
   SubmitRandomJobs(cell, 12, 5);
-  if (crashing == CrashingJobs::kSome) ScheduleCrashingJobs(cell);
+  if (day.limited == LimitedJobs::kSome) SubmitLimitedJobs(cell, 12);
+  if (day.crashing == CrashingJobs::kSome) ScheduleCrashingJobs(cell);
   // Cancel a few random jobs.
   for (int i = 0; i < 4; ++i) {
     const TimeMs at_ms = UniformInt(cell.random, 1'000, 10'000);
@@ -180,7 +198,7 @@
   }
   const int64_t faults = UniformInt(cell.random, 1, 4);
   for (int64_t i = 0; i < faults; ++i) ScheduleRandomFault(cell);
-  if (delays == Delays::kRandom) ScheduleDelays(cell);
+  if (day.delays == Delays::kRandom) ScheduleDelays(cell);
   cell.time.RunUntil(70 * kSecond);
   ExpectNoViolations(cell, true);
 }
@@ -192,12 +210,11 @@
 
 /// Runs the seeds 1 to `seeds`, or the one that DOTTERELCOVE_SEED names, with
 /// its log on standard error.
-void RunSeeds(uint64_t seeds, Delays delays,
-              CrashingJobs crashing = CrashingJobs::kNone) {
+void RunSeeds(uint64_t seeds, const DayOptions& day) {
   if (const char* seed = std::getenv("DOTTERELCOVE_SEED")) {
     SetLogOutput({});
     SetLogLinesPerSecond(1'000'000);
-    RunSeed(std::strtoull(seed, nullptr, 10), delays, crashing);
+    RunSeed(std::strtoull(seed, nullptr, 10), day);
     return;
   }
   uint64_t first = 1;
@@ -207,10 +224,10 @@
   for (uint64_t i = 0; i < seeds; ++i) {
     const uint64_t seed = first + i;
     const bool is_listed =
-        crashing == CrashingJobs::kSome &&
+        day.crashing == CrashingJobs::kSome &&
         std::find(std::begin(kLateStartSeeds), std::end(kLateStartSeeds),
                   seed) != std::end(kLateStartSeeds);
-    if (!is_listed) RunSeed(seed, delays, crashing);
+    if (!is_listed) RunSeed(seed, day);
   }
 }
 
@@ -218,20 +235,27 @@
 
 // Guards against faults that only show in combination with others.
 Test(CellModel, random_faults_violate_no_invariant, .init = DiscardLogs) {
-  RunSeeds(400, Delays::kNone);
+  RunSeeds(400, {});
 }
 
 // Guards against the same faults while messages overtake one another and the
 // owner is short of processor time, as at 350 workers.
 Test(CellModel, random_faults_and_delays_violate_no_invariant,
      .init = DiscardLogs) {
-  RunSeeds(400, Delays::kRandom);
+  RunSeeds(400, {.delays = Delays::kRandom});
 }
 
 // Guards against the same faults while tasks crash their workers.
 Test(CellModel, random_faults_and_crashing_tasks_violate_no_invariant,
      .init = DiscardLogs) {
-  RunSeeds(100, Delays::kRandom, CrashingJobs::kSome);
+  RunSeeds(100, {.delays = Delays::kRandom, .crashing = CrashingJobs::kSome});
+}
+
+// Guards against starts beyond a step's limit per worker or without its label
+// under the same faults, with work of all priorities and tasks that last.
+Test(CellModel, random_faults_and_limits_violate_no_invariant,
+     .init = DiscardLogs) {
+  RunSeeds(100, {.delays = Delays::kRandom, .limited = LimitedJobs::kSome});
 }
 
 // Guards against a start that is carried out late, by a worker that has
@@ -240,7 +264,7 @@
 Test(CellModel, late_start_on_a_restarted_worker_runs_nothing_twice,
      .init = DiscardLogs) {
   for (const uint64_t seed : kLateStartSeeds) {
-    RunSeed(seed, Delays::kRandom, CrashingJobs::kSome);
+    RunSeed(seed, {.delays = Delays::kRandom, .crashing = CrashingJobs::kSome});
   }
 }
 
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -156,6 +156,7 @@
   record.daemon = daemon;
   record.begin_ms = cell.time.now_ms;
   record.size = SizeOf(cell, order.task);
+  record.labels = worker.info.labels;
   cell.run_records.push_back(record);
   worker.running[order.task] = run;
   ScheduleCrash(cell, worker, order);
