The soak judges ROUTE, with kinds of worker, labels and limits in its traffic

Traffic has three queues as the sites do, with priorities 0, 1 and 2, for short jobs, those that last, and all others. Workers are of kinds `a` and `b`; half of the restarts change the kind, drawn by itself, so the faults of a seed stay as they were.

The judge compares each start with the life that carried it out: its service, its kind, and the runs of the step on it, including those that are being stopped and those that began late. A report names the other runs, the kind of the life before, and whether the start was late, so that causes can be told apart. Capacity on workers that may not run a step no longer counts as capacity for it (LOST).

--- a/tests/platform/SoakJudgeLostTest.cpp
+++ b/tests/platform/SoakJudgeLostTest.cpp
@@ -151,6 +151,21 @@
   ExpectOnly(seen, Rule::kLost);
 }
 
+// Capacity on workers that may not run the step is none for it (ROUTE).
+Test(SoakJudge, lost_counts_capacity_where_the_step_may_run) {
+  Observations seen = MakeRecord();
+  seen.calls.push_back(Asked(kAskedMs, 200, "queued"));
+  StepSpec& step = seen.jobs["j1"].steps[0];
+  step.max_per_worker = 1;
+  ExpectOnly(seen, Rule::kLost);
+  step.required_label = "b";
+  ExpectNone(seen);
+  step.max_per_worker = 2;
+  ExpectOnly(seen, Rule::kLost);
+  step.required_label = "c";
+  ExpectNone(seen);
+}
+
 // A step whose earlier steps are not done has not come to its turn; the step
 // that has is reported.
 Test(SoakJudge, lost_finds_a_chain_that_stopped_in_the_middle) {
--- a/tests/platform/SoakJudgeRecord.h
+++ b/tests/platform/SoakJudgeRecord.h
@@ -16,6 +16,7 @@
 inline constexpr int64_t kAskedMs = 60'000;
 inline constexpr const char* kTask = "j1.0.0.0";
 inline constexpr const char* kQueue = "jobs";
+inline constexpr const char* kService = "s1";
 
 /// A run on the worker "w1", which has one incarnation, unless said otherwise.
 inline RunEvent Event(int64_t at_ms, RunEventKind kind, uint32_t run,
@@ -64,7 +65,8 @@
 }
 
 /// A job of one step with one task that may fail twice, accepted at 1,000 ms,
-/// with room on two workers, and no runs yet.
+/// with room on two workers, "w1" of kind "a" and "w2" of kind "b", and no runs
+/// yet.
 inline Observations MakeRecord() {
   Observations seen;
   JobSpec job;
@@ -74,9 +76,9 @@
   job.steps.push_back({1, {}, false, false, 1'000});
   seen.jobs[job.id] = job;
   seen.calls.push_back(Submitted(990, 200));
-  seen.lives = {{"w1", 1, 0, INT64_MAX, 16'000},
-                {"w2", 1, 0, INT64_MAX, 16'000}};
-  seen.manifests = {{0, 1, {kQueue}, 0}};
+  seen.lives = {{"w1", 1, 0, INT64_MAX, 16'000, kService, "a"},
+                {"w2", 1, 0, INT64_MAX, 16'000, kService, "b"}};
+  seen.manifests = {{0, 1, {kQueue}, 0, kService}};
   seen.traffic_end_ms = kAskedMs - 14'000;
   seen.asked_ms = kAskedMs;
   return seen;
--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -26,14 +27,17 @@
 constexpr const char* kService = "huvo11a";
 constexpr const char* kRegion = "region-1";
 
-Json MakeRoute(const std::string& queue, uint32_t attempts) {
+/// Of queues that come and go.
+constexpr int kExtraPriority = 2;
+
+Json MakeRoute(const std::string& queue, int priority, uint32_t attempts) {
   return {{"name", "route-" + queue},
           {"host", kHost},
           {"path_prefix", "/" + queue + "/"},
           {"kind", "unsafe"},
           {"timeout_ms", 3000},
           {"target_duration_ms", 1200},
-          {"priority", 2},
+          {"priority", priority},
           {"service", kService},
           {"attempts", attempts},
           {"stretch", 2.2}};
@@ -230,12 +234,14 @@
 }
 
 void Cell::WriteManifest(const std::vector<std::string>& extra_queues) {
-  std::vector<std::string> queues = {"jobs"};
-  queues.insert(queues.end(), extra_queues.begin(), extra_queues.end());
+  std::vector<std::string> queues;
   Json routes = Json::array();
-  for (const std::string& queue : queues) {
-    routes.push_back(MakeRoute(queue, this->options.attempts));
-  }
+  const auto add = [&](const std::string& queue, int priority) {
+    queues.push_back(queue);
+    routes.push_back(MakeRoute(queue, priority, this->options.attempts));
+  };
+  for (const QueueOptions& queue : kQueues) add(queue.name, queue.priority);
+  for (const std::string& queue : extra_queues) add(queue, kExtraPriority);
   const Json service{{"name", kService}, {"health_path", "/health"},
                      {"max_conns", 64},  {"protocol", "h1"},
                      {"tls", false},     {"admission_check", false},
@@ -253,7 +259,7 @@
                        .dump());
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->seen.manifests.push_back(
-      {NowMs(), this->manifest_version, std::move(queues), sent_ms});
+      {NowMs(), this->manifest_version, std::move(queues), sent_ms, kService});
 }
 
 std::vector<std::string> Cell::ChangedQueues() const {
@@ -262,7 +268,7 @@
   const auto& all = this->seen.manifests;
   for (size_t i = all.size() - std::min<size_t>(all.size(), 2); i < all.size();
        ++i) {
-    changed.insert(changed.end(), all[i].queues.begin() + 1,
+    changed.insert(changed.end(), all[i].queues.begin() + std::size(kQueues),
                    all[i].queues.end());
   }
   return changed;
@@ -282,6 +288,8 @@
     about.ip = this->net + "2." + std::to_string(10 + i);
     about.service = kService;
     about.zone = shape.zones[static_cast<size_t>(i) % shape.zones.size()];
+    // A third is of the second kind, in all zones and with all clock rates.
+    about.kind = kWorkerKinds[i / 2 % 3 == 2 ? 1 : 0];
     about.rack = "r1-" + std::to_string(i / shape.workers_per_rack + 1);
     about.milli_cores = shape.milli_cores;
     about.memory_mb = shape.memory_mb;
@@ -382,6 +390,13 @@
   return -1;
 }
 
+size_t Cell::CountWorkers(const std::string& kind) const {
+  return static_cast<size_t>(std::count_if(
+      this->workers.begin(), this->workers.end(), [&](const auto& worker) {
+        return kind.empty() || worker->about().kind == kind;
+      }));
+}
+
 Observations Cell::Collect() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   Observations collected = this->seen;
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -28,6 +28,15 @@
 inline constexpr uint16_t kFrontPort = 8161;
 inline constexpr const char* kHost = "nony24.example";
 
+/// The queues that all manifests have, each with its priority: short jobs,
+/// those that last, and all others.
+struct QueueOptions {
+  const char* name;
+  int priority;
+};
+inline constexpr QueueOptions kQueues[] = {
+    {"short", 0}, {"lasting", 1}, {"batch", 2}};
+
 /// Size and bounds of a deployment.
 struct CellShape {
   std::string name;
@@ -93,6 +102,8 @@
 
   /// Index of the daemon that the owner row in the store names, -1 for none.
   int Owner();
+  /// How many workers are of the kind; of any if it is empty.
+  size_t CountWorkers(const std::string& kind) const;
   void StartDaemon(Daemon& daemon);
   /// Ends it by a signal and waits for it.
   static void KillDaemon(Daemon& daemon, int signal);
@@ -102,9 +113,9 @@
   void NoteEnded(Daemon& daemon);
   /// The same with the status that waitpid() gave.
   void NoteEnd(Daemon& daemon, int status);
-  /// Writes the next manifest; `extra_queues` are added to the first queue.
+  /// Writes the next manifest; `extra_queues` are added to `kQueues`.
   void WriteManifest(const std::vector<std::string>& extra_queues);
-  /// The queues of the newest two manifests beside the first queue.
+  /// The queues of the newest two manifests beside `kQueues`.
   std::vector<std::string> ChangedQueues() const;
   /// Notes a disruption for the judge; the end may be changed later.
   void NoteDisruption(Disruption disruption);
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -20,6 +20,10 @@
 
 }  // namespace
 
+std::string OtherKind(const std::string& kind) {
+  return kWorkerKinds[kind == kWorkerKinds[0] ? 1 : 0];
+}
+
 void EventLog::Add(RunEvent event) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->events.push_back(std::move(event));
@@ -99,7 +103,8 @@
     this->last_end = 0;
     this->leaves_ms = 0;
     this->all_lives.push_back({this->options.id, this->born, NowMs(), INT64_MAX,
-                               this->options.milli_cores});
+                               this->options.milli_cores, this->options.service,
+                               this->options.kind});
   }
   this->server =
       std::make_unique<Server>(this->options.ip, this->options.port,
@@ -141,6 +146,11 @@
   this->options.id = id;
 }
 
+void CellWorker::SetKind(const std::string& kind) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->options.kind = kind;
+}
+
 CellWorkerOptions CellWorker::about() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->options;
@@ -241,6 +251,9 @@
 }
 
 void CellWorker::Register() {
+  const bool misstates = this->options.plant == Plant::kRoute;
+  const std::string kind =
+      misstates ? OtherKind(this->options.kind) : this->options.kind;
   Json json{
       {"service", this->options.service},
       {"address", this->options.ip + ":" + std::to_string(this->options.port)},
@@ -253,7 +266,7 @@
        {{"cpu", this->options.milli_cores},
         {"mem_mb", this->options.memory_mb},
         {"gpu", 0}}},
-      {"labels", {this->options.kind, this->options.rack}}};
+      {"labels", {kind, this->options.rack}}};
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->cut != CutKind::kNone || this->paused_ms > 0) return;
--- a/tests/platform/soak/CellWorker.h
+++ b/tests/platform/soak/CellWorker.h
@@ -71,6 +71,10 @@
                             {CutKind::kOneWay, "one way"},
                             {CutKind::kOneWayRestarted, "one way, restarted"}});
 
+/// The two kinds of worker, as in the labels of their entries.
+inline constexpr const char* kWorkerKinds[] = {"a", "b"};
+std::string OtherKind(const std::string& kind);
+
 struct CellWorkerOptions {
   std::string id;
   std::string ip;
@@ -109,6 +113,8 @@
   void Crash();
   /// The id of the next life.
   void SetId(const std::string& id);
+  /// The kind of the next life. To be called while it is down.
+  void SetKind(const std::string& kind);
   CellWorkerOptions about() const;
   /// Cut off, the worker runs on; no answer leaves it, and its entry in the
   /// store is not renewed.
--- a/tests/platform/soak/CellWorkerOrders.cpp
+++ b/tests/platform/soak/CellWorkerOrders.cpp
@@ -212,6 +212,7 @@
   if (found != this->runs.end() && found->second.run <= run &&
       found->second.stop_ms == 0) {
     found->second.stop_ms = NowMs() + kStopMs;
+    this->Note(RunEventKind::kStopping, task, found->second.run);
   }
   reply.body = this->ClockBody("");
   return reply;
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdint>
 #include <numeric>
+#include <random>
 
 namespace dotterelcove::soak {
 namespace {
@@ -275,6 +276,15 @@
     this->cell.Say(worker.about().id + " restarts with its clock set back by " +
                    std::to_string(set_back_ms) + " ms");
   }
+  // Drawn by itself, so that the choices above stay those of the fault's seed.
+  constexpr uint64_t kOneInChangesKind = 2;
+  std::seed_seq kind_seed{static_cast<uint32_t>(fault.seed),
+                          static_cast<uint32_t>(fault.seed >> 32U)};
+  if (std::mt19937_64(kind_seed)() % kOneInChangesKind == 0) {
+    worker.SetKind(OtherKind(worker.about().kind));
+    const CellWorkerOptions about = worker.about();
+    this->cell.Say(about.id + " restarts as kind " + about.kind);
+  }
   while (!worker.Boot(set_back_ms)) SleepMs(kPollMs);
 }
 
--- a/tests/platform/soak/FaultInjector.h
+++ b/tests/platform/soak/FaultInjector.h
@@ -43,7 +43,7 @@
   void CrashWorker(CellWorker& worker, const PlannedFault& fault);
   void CutWorker(CellWorker& worker, const PlannedFault& fault);
   void DrainWorker(CellWorker& worker, const PlannedFault& fault);
-  /// Starts it again, at times with its clock set back.
+  /// Starts it again, at times with its clock set back or as another kind.
   void Restart(CellWorker& worker, const PlannedFault& fault, bool same_id);
   void DisturbOrders(const PlannedFault& fault);
   void KeepProcessorBusy(const PlannedFault& fault);
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -53,6 +53,7 @@
         NoteEnd(judged, task.failed, event);
         continue;
       case RunEventKind::kAcknowledgedUnseen:
+      case RunEventKind::kStopping:
         continue;
       case RunEventKind::kDone:
         task.done.push_back({event.at_ms, event.run, PlaceOf(event), kNever});
@@ -96,6 +97,10 @@
   return event.worker + "/" + std::to_string(event.incarnation);
 }
 
+std::string PlaceOf(const WorkerLife& life) {
+  return life.worker + "/" + std::to_string(life.incarnation);
+}
+
 std::string Describe(const RunEvent& start) {
   return "run " + std::to_string(start.run) + " on " + PlaceOf(start) +
          " (token " + std::to_string(start.token) +
@@ -190,6 +195,7 @@
     judged.calls[call.job].push_back(&call);
   }
   CheckRuns(judged);
+  CheckRoutes(judged);
   CheckJobs(judged);
   CheckManifests(judged);
   CheckVmOrders(judged);
--- a/tests/platform/soak/Judge.h
+++ b/tests/platform/soak/Judge.h
@@ -21,6 +21,7 @@
   kOne,
   kUnasked,
   kMixed,
+  kRoute,
   /// Not a rule of the pages: a worker forgot an end that no owner can have
   /// seen, so its task begins again or its job stands still.
   kAcknowledged
@@ -35,6 +36,7 @@
                          {Rule::kOne, "ONE"},
                          {Rule::kUnasked, "UNASKED"},
                          {Rule::kMixed, "MIXED"},
+                         {Rule::kRoute, "ROUTE"},
                          {Rule::kAcknowledged, "ACKNOWLEDGED"}});
 
 /// One case in which a rule is broken.
--- a/tests/platform/soak/JudgeCase.h
+++ b/tests/platform/soak/JudgeCase.h
@@ -57,7 +57,9 @@
   std::vector<Violation> found;
 };
 
+/// "WORKER/INCARNATION", which names a life.
 std::string PlaceOf(const RunEvent& event);
+std::string PlaceOf(const WorkerLife& life);
 std::string Describe(const RunEvent& start);
 bool IsSuccess(int status);
 
@@ -85,6 +87,7 @@
 bool IsCalm(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 
 void CheckRuns(JudgeCase& judged);
+void CheckRoutes(JudgeCase& judged);
 void CheckJobs(JudgeCase& judged);
 void CheckManifests(JudgeCase& judged);
 void CheckVmOrders(JudgeCase& judged);
--- a/tests/platform/soak/JudgeJobs.cpp
+++ b/tests/platform/soak/JudgeJobs.cpp
@@ -135,35 +135,46 @@
   int64_t slots = 0;
 };
 
-/// What was in use on the workers, and how many tasks of `milli_cores` fitted.
-Room RoomAt(const JudgeCase& judged, int64_t at_ms, int64_t milli_cores) {
+/// What was in use on the workers, and how many tasks of the step fitted on
+/// those where it may run. `prefix` begins the names of its tasks.
+Room RoomAt(const JudgeCase& judged, int64_t at_ms, const StepSpec& wanted,
+            const std::string& prefix) {
   std::map<std::string, int64_t> used;
+  std::map<std::string, int64_t> of_step;
   for (const auto& [name, task] : judged.tasks) {
     const auto parts = ParseTask(name);
     const StepSpec* step = parts ? FindStep(judged, *parts) : nullptr;
     if (step == nullptr) continue;
     for (const TaskRun& run : task.runs) {
       const bool runs = run.start.at_ms <= at_ms && run.end_ms > at_ms;
-      if (runs) used[PlaceOf(run.start)] += step->milli_cores;
+      if (!runs) continue;
+      used[PlaceOf(run.start)] += step->milli_cores;
+      if (name.starts_with(prefix)) of_step[PlaceOf(run.start)]++;
     }
   }
   Room room;
   for (const WorkerLife& life : judged.seen.lives) {
     if (life.from_ms > at_ms || life.to_ms <= at_ms) continue;
-    const int64_t here =
-        used[life.worker + "/" + std::to_string(life.incarnation)];
+    const std::string place = PlaceOf(life);
+    const int64_t here = used[place];
     room.used_milli_cores += here;
     room.all_milli_cores += life.milli_cores;
+    const std::string& label = wanted.required_label;
+    if (!label.empty() && life.kind != label) continue;
     const int64_t unused = std::max<int64_t>(life.milli_cores - here, 0);
-    room.slots += unused / std::max<int64_t>(milli_cores, 1);
+    int64_t slots = unused / std::max<int64_t>(wanted.milli_cores, 1);
+    if (wanted.max_per_worker > 0) {
+      slots = std::min(slots, wanted.max_per_worker - of_step[place]);
+    }
+    room.slots += std::max<int64_t>(slots, 0);
   }
   return room;
 }
 
 /// Whether the step had nothing running for 3 s, with capacity for it twice
 /// over and under half of the service's capacity in use.
-bool WasIdleWithRoom(const JudgeCase& judged, const JobSpec& job,
-                     const StepSpec& step, int64_t until_ms) {
+bool WasIdleWithRoom(const JudgeCase& judged, const JobSpec& job, size_t index,
+                     int64_t until_ms) {
   constexpr int64_t kSampleMs = 100;
   const std::string prefix = job.id + ".";
   for (auto it = judged.tasks.lower_bound(prefix);
@@ -173,10 +184,13 @@
       if (run.end_ms > until_ms - kIdleMs) return false;
     }
   }
+  const StepSpec& step = job.steps[index];
+  const std::string step_prefix =
+      StepPrefix({job.id, 0, static_cast<uint32_t>(index), 0});
   const int64_t wanted = 2 * (step.gang ? int64_t{step.count} : 1);
   for (int64_t at_ms = until_ms - kIdleMs; at_ms <= until_ms;
        at_ms += kSampleMs) {
-    const Room room = RoomAt(judged, at_ms, step.milli_cores);
+    const Room room = RoomAt(judged, at_ms, step, step_prefix);
     if (2 * room.used_milli_cores >= room.all_milli_cores) return false;
     if (room.slots < wanted) return false;
   }
@@ -198,7 +212,7 @@
     const bool is_done = IsStepDone(judged, job, i, asked_ms);
     // A job whose tasks are all done is stuck as much as one with a task due.
     if ((!is_due || is_done) && !(is_last && is_done)) continue;
-    if (!WasIdleWithRoom(judged, job, step, asked_ms)) continue;
+    if (!WasIdleWithRoom(judged, job, i, asked_ms)) continue;
     judged.found.push_back({asked_ms, Rule::kLost, job.id,
                             "still " + state +
                                 " at the end with nothing running of step " +
--- a/tests/platform/soak/Observations.h
+++ b/tests/platform/soak/Observations.h
@@ -19,6 +19,10 @@
   bool long_running = false;
   /// What one task takes, in thousandths of a core.
   int64_t milli_cores = 0;
+  /// `requires`: the kind that the worker must have; empty for any.
+  std::string required_label = {};
+  /// `max_per_server`: tasks of the step on one worker at most; 0 for no limit.
+  uint32_t max_per_worker = 0;
 };
 
 /// One job as its client handed it in, in all attempts alike.
@@ -62,6 +66,8 @@
   kLapsed,
   kBroken,
   kAlone,
+  /// The worker was told to stop the run, which goes on until it has ended.
+  kStopping,
   /// The worker crashed, or restarted, with this run on it.
   kCrashed,
   /// An end `done` was acknowledged, and the lease had not lapsed since it.
@@ -83,6 +89,7 @@
      {RunEventKind::kLapsed, "lapsed"},
      {RunEventKind::kBroken, "broken"},
      {RunEventKind::kAlone, "alone"},
+     {RunEventKind::kStopping, "stopping"},
      {RunEventKind::kCrashed, "crashed"},
      {RunEventKind::kDoneAcknowledged, "done_acknowledged"},
      {RunEventKind::kFailedAcknowledged, "failed_acknowledged"},
@@ -115,6 +122,8 @@
   std::vector<std::string> queues;
   /// Before this moment no daemon can have known it.
   int64_t sent_ms = 0;
+  /// The service to which it sends all its queues.
+  std::string service = {};
 };
 
 /// An order to the VM service, which it has accepted.
@@ -159,6 +168,9 @@
   /// INT64_MAX while it lasts.
   int64_t to_ms = 0;
   int64_t milli_cores = 0;
+  /// What it is, whatever its entry in the store says.
+  std::string service = {};
+  std::string kind = {};
 };
 
 struct Observations {
--- a/tests/platform/soak/Plant.h
+++ b/tests/platform/soak/Plant.h
@@ -28,6 +28,8 @@
   kUnasked,
   /// Workers forget all ends at each acknowledgment.
   kAcknowledged,
+  /// The entries of workers in the store state the other kind.
+  kRoute,
 };
 inline constexpr auto kPlantNames =
     MakeNameTable<Plant>({{Plant::kNone, "NONE"},
@@ -39,6 +41,7 @@
                           {Plant::kOrder, "ORDER"},
                           {Plant::kOne, "ONE"},
                           {Plant::kUnasked, "UNASKED"},
-                          {Plant::kAcknowledged, "ACKNOWLEDGED"}});
+                          {Plant::kAcknowledged, "ACKNOWLEDGED"},
+                          {Plant::kRoute, "ROUTE"}});
 
 }  // namespace dotterelcove::soak
--- a/tests/platform/soak/Traffic.cpp
+++ b/tests/platform/soak/Traffic.cpp
@@ -1,6 +1,7 @@
 #include "tests/platform/soak/Traffic.h"
 
 #include <cstdio>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -29,11 +30,30 @@
   return JobKind::kShort;
 }
 
-Json MakeStep(uint32_t count, int64_t milli_cores, int64_t duration_ms) {
-  return {{"count", count},
-          {"cpu", milli_cores},
-          {"mem_mb", 256},
-          {"est_duration_ms", duration_ms}};
+/// A third of the short steps and a fifth of the others require a kind, and as
+/// many have a limit as at the site ub-stepcare.
+constexpr uint64_t kShortLabelsPercent = 33;
+constexpr uint64_t kShortLimitsPercent = 15;
+constexpr uint64_t kLastingLimitsPercent = 70;
+constexpr uint64_t kBatchLabelsPercent = 20;
+constexpr uint64_t kBatchLimitsPercent = 25;
+
+const char* QueueOf(JobKind kind) {
+  if (kind == JobKind::kShort) return kQueues[0].name;
+  return kQueues[kind == JobKind::kLasting ? 1 : 2].name;
+}
+
+Json MakeStep(const StepSpec& step, int64_t duration_ms) {
+  Json json{{"count", step.count},
+            {"cpu", step.milli_cores},
+            {"mem_mb", 256},
+            {"est_duration_ms", duration_ms}};
+  if (!step.after.empty()) json["after"] = step.after;
+  if (step.gang) json["gang"] = true;
+  if (step.long_running) json["long_running"] = true;
+  if (!step.required_label.empty()) json["requires"] = step.required_label;
+  if (step.max_per_worker > 0) json["max_per_server"] = step.max_per_worker;
+  return json;
 }
 
 }  // namespace
@@ -51,63 +71,82 @@
 
 Traffic::~Traffic() { this->Finish(); }
 
+void Traffic::DrawDemands(StepSpec& step, uint64_t labels_percent,
+                          uint64_t limits_percent) {
+  constexpr uint64_t kAll = 100;
+  constexpr uint64_t kOneInLimitsToTwo = 4;
+  if (this->random() % kAll < labels_percent) {
+    step.required_label =
+        kWorkerKinds[this->random() % std::size(kWorkerKinds)];
+  }
+  if (this->random() % kAll >= limits_percent) return;
+  const uint32_t limit = this->random() % kOneInLimitsToTwo == 0 ? 2 : 1;
+  // Restarts change the kinds of workers, so there have to be twice as many
+  // places as the step needs.
+  const size_t places = limit * this->cell.CountWorkers(step.required_label);
+  if (places >= size_t{2} * step.count) step.max_per_worker = limit;
+}
+
 std::unique_ptr<Traffic::Job> Traffic::MakeJob() {
   auto job = std::make_unique<Job>();
   char id[32];
   std::snprintf(id, sizeof(id), "%016llx",
                 static_cast<unsigned long long>(this->next_id++));
   job->spec.id = id;
-  job->spec.queue = "jobs";
   job->spec.attempts = this->cell.about().attempts;
-  Json steps = Json::array();
+  std::vector<StepSpec>& steps = job->spec.steps;
+  const JobKind kind = DrawKind(this->random);
+  job->spec.queue = QueueOf(kind);
   std::string spec;
-  constexpr uint64_t kOneInSpreads = 4;
-  switch (DrawKind(this->random)) {
+  int64_t duration_ms = 0;
+  bool saves = false;
+  switch (kind) {
     case JobKind::kShort:
       spec = "ms=800";
-      steps.push_back(MakeStep(6, 1'300, 800));
-      if (this->random() % kOneInSpreads == 0) steps[0]["max_per_server"] = 1;
-      job->spec.steps.push_back({6, {}, false, false});
+      duration_ms = 800;
+      steps.push_back({6, {}, false, false, 1'300});
+      this->DrawDemands(steps[0], kShortLabelsPercent, kShortLimitsPercent);
       break;
     case JobKind::kChain:
       spec = "ms=2500 save";
-      steps.push_back(MakeStep(4, 2'700, 2'500));
-      steps.push_back(MakeStep(6, 2'700, 2'500));
-      steps[0]["checkpointing"] = true;
-      steps[1]["checkpointing"] = true;
-      steps[1]["after"] = {0};
-      job->spec.steps.push_back({4, {}, false, false});
-      job->spec.steps.push_back({6, {0}, false, false});
+      duration_ms = 2'500;
+      saves = true;
+      steps.push_back({4, {}, false, false, 2'700});
+      steps.push_back({6, {0}, false, false, 2'700});
+      for (StepSpec& step : steps) {
+        this->DrawDemands(step, kBatchLabelsPercent, kBatchLimitsPercent);
+      }
       break;
     case JobKind::kLasting:
       spec = "lasts";
-      steps.push_back(MakeStep(4, 500, 400));
-      steps[0]["long_running"] = true;
-      job->spec.steps.push_back({4, {}, false, true});
+      duration_ms = 400;
+      steps.push_back({4, {}, false, true, 500});
+      this->DrawDemands(steps[0], 0, kLastingLimitsPercent);
       break;
     case JobKind::kGang:
       spec = "ms=1500 gang=0:4";
-      steps.push_back(MakeStep(4, 1'500, 1'500));
-      steps.push_back(MakeStep(2, 500, 1'500));
-      steps[0]["gang"] = true;
-      steps[1]["after"] = {0};
-      job->spec.steps.push_back({4, {}, true, false});
-      job->spec.steps.push_back({2, {0}, false, false});
+      duration_ms = 1'500;
+      steps.push_back({4, {}, true, false, 1'500});
+      steps.push_back({2, {0}, false, false, 500});
+      this->DrawDemands(steps[1], kBatchLabelsPercent, kBatchLimitsPercent);
       break;
     case JobKind::kFailing:
       spec = "ms=300 fail";
-      steps.push_back(MakeStep(2, 500, 300));
-      job->spec.steps.push_back({2, {}, false, false});
+      duration_ms = 300;
+      steps.push_back({2, {}, false, false, 500});
+      this->DrawDemands(steps[0], kBatchLabelsPercent, kBatchLimitsPercent);
       break;
   }
   constexpr uint64_t kMostLuck = 1'000'000;
   spec += " luck=" + std::to_string(1 + this->random() % kMostLuck);
-  for (size_t i = 0; i < job->spec.steps.size(); ++i) {
-    job->spec.steps[i].milli_cores = steps[i]["cpu"];
+  Json json = Json::array();
+  for (const StepSpec& step : steps) {
+    json.push_back(MakeStep(step, duration_ms));
+    if (saves) json.back()["checkpointing"] = true;
   }
   job->spec.spec = spec;
   if (this->cell.about().plant == Plant::kUnasked) spec += " ";
-  job->body = Json{{"spec", spec}, {"steps", steps}}.dump();
+  job->body = Json{{"spec", spec}, {"steps", json}}.dump();
   job->steps = this->DrawClient();
   job->daemon = this->random();
   return job;
--- a/tests/platform/soak/Traffic.h
+++ b/tests/platform/soak/Traffic.h
@@ -56,6 +56,11 @@
   /// Asks a daemon for the queues that the newest manifests change.
   void ProbeQueues(size_t daemon);
   std::unique_ptr<Job> MakeJob();
+  /// Draws what the step asks of its workers: a kind in `labels_percent` of the
+  /// steps, a limit on one worker in `limits_percent`. Steps that hardly any
+  /// cell can place get no limit.
+  void DrawDemands(StepSpec& step, uint64_t labels_percent,
+                   uint64_t limits_percent);
   std::vector<ClientStep> DrawClient();
 
   Cell& cell;
