The soak's store refuses daemons for up to 16 s, and the judge holds them to it

The soak could not see a daemon that keeps an old manifest while the store refuses it: refusals lasted 6 s at most, under the bound of 2 s and 5 s more, and each refused daemon was noted as disrupted, so no bound held for it.

By RULES.md a store that refuses some machines at once stretches the bound by `max_skew_ms` at most for a machine that is otherwise in touch. A daemon that is answered 503 or 429 has a path to the platform and is judged by that bound. One whose channels are reset is still excused, and so is everyone while the store is down, slow or loses answers from the confirmation to the call.

Half of the refusals that turn a share of the daemons away now last 6 to 16 s, without resets. Their length is drawn from the fault's own seed, so the other faults of a seed stay. Clients also ask for the queues of the newest five manifests instead of two: where manifests follow each other within the bound, a daemon that has missed several shows only by serving a queue dropped long ago.

--- a/tests/platform/SoakJudgeConfigTest.cpp
+++ b/tests/platform/SoakJudgeConfigTest.cpp
@@ -114,6 +114,39 @@
   ExpectOnly(seen, Rule::kConfig);
 }
 
+// A refused daemon that is otherwise in touch has no more time than the others,
+// however long the refusals last. One that is not in touch is excused.
+Test(SoakJudge, config_finds_a_refused_daemon_after_the_stretched_bound) {
+  Observations seen = MakeManifestRecord();
+  seen.disruptions = {
+      Disrupted(9'000, 25'000, "", DisruptionScope::kStorePartly)};
+  seen.calls = {Probed(24'000, 404, "new")};
+  ExpectOnly(seen, Rule::kConfig);
+  seen.disruptions.push_back(Disrupted(20'000, 22'000, "d1"));
+  ExpectNone(seen);
+  seen.disruptions.back().daemon = "d2";
+  ExpectOnly(seen, Rule::kConfig);
+}
+
+// "As long as the store has not been down or slow and has lost no answers all
+// the while."
+Test(SoakJudge, config_stretches_no_bound_for_a_store_that_was_down) {
+  Observations seen = MakeManifestRecord();
+  seen.disruptions = {
+      Disrupted(9'000, 25'000, "", DisruptionScope::kStorePartly),
+      Disrupted(11'000, 12'000, "", DisruptionScope::kStore)};
+  seen.calls = {Probed(24'000, 404, "new")};
+  ExpectNone(seen);
+  // Before the confirmation, and once the core is stable again.
+  seen.disruptions[1] = Disrupted(8'000, 9'900, "", DisruptionScope::kStore);
+  ExpectOnly(seen, Rule::kConfig);
+  seen.disruptions = {Disrupted(11'000, 12'000, "", DisruptionScope::kStore)};
+  seen.calls = {Probed(14'900, 404, "new")};
+  ExpectNone(seen);
+  seen.calls = {Probed(15'100, 404, "new")};
+  ExpectOnly(seen, Rule::kConfig);
+}
+
 Test(SoakJudge, config_finds_a_daemon_that_regresses) {
   Observations seen = MakeManifestRecord();
   // Within config_apply_ms of version 2, so only the regression is wrong.
--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -27,6 +27,10 @@
 constexpr const char* kService = "huvo11a";
 constexpr const char* kRegion = "region-1";
 
+/// A daemon that has missed several manifests answers 404 for the queue of the
+/// newest, as the one before would, so it shows only by serving a queue that
+/// was dropped long ago.
+constexpr size_t kProbedManifests = 5;
 /// Of queues that come and go.
 constexpr int kExtraPriority = 2;
 
@@ -266,8 +270,8 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<std::string> changed;
   const auto& all = this->seen.manifests;
-  for (size_t i = all.size() - std::min<size_t>(all.size(), 2); i < all.size();
-       ++i) {
+  for (size_t i = all.size() - std::min(all.size(), kProbedManifests);
+       i < all.size(); ++i) {
     changed.insert(changed.end(), all[i].queues.begin() + std::size(kQueues),
                    all[i].queues.end());
   }
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -115,7 +115,7 @@
   void NoteEnd(Daemon& daemon, int status);
   /// Writes the next manifest; `extra_queues` are added to `kQueues`.
   void WriteManifest(const std::vector<std::string>& extra_queues);
-  /// The queues of the newest two manifests beside `kQueues`.
+  /// The queues of the newest few manifests beside `kQueues`.
   std::vector<std::string> ChangedQueues() const;
   /// Notes a disruption for the judge; the end may be changed later.
   void NoteDisruption(Disruption disruption);
--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -164,18 +164,21 @@
   const std::vector<size_t> chosen =
       this->Choose(all ? everyone : fault, this->cell.daemons.size());
   // Refused at once, the daemons lose no answers, and the store serves others.
-  const bool is_plain_refusal = fault.store == StoreFaultKind::kRefuse ||
-                                fault.store == StoreFaultKind::kThrottle ||
-                                fault.store == StoreFaultKind::kResetBefore;
-  if (all || !is_plain_refusal || fault.reset_connections) {
-    this->NoteDaemon("", fault, 0);
-  } else {
-    const int64_t now_ms = NowMs();
-    this->cell.NoteDisruption({now_ms, now_ms + fault.for_ms, "",
-                               Describe(fault), DisruptionScope::kStorePartly});
-  }
+  const bool is_answered = fault.store == StoreFaultKind::kRefuse ||
+                           fault.store == StoreFaultKind::kThrottle;
+  const bool is_plain_refusal =
+      is_answered || fault.store == StoreFaultKind::kResetBefore;
+  const bool is_partly = !all && is_plain_refusal && !fault.reset_connections;
+  const int64_t now_ms = NowMs();
+  this->cell.NoteDisruption(
+      {now_ms, now_ms + fault.for_ms, "", Describe(fault),
+       is_partly ? DisruptionScope::kStorePartly : DisruptionScope::kStore});
   for (const size_t i : chosen) {
-    this->NoteDaemon(this->cell.daemons[i].name, fault, 0);
+    // A daemon whose refusals reach it has a path to the platform (RULES.md,
+    // In touch). One whose channels are reset has none.
+    if (!is_partly || !is_answered) {
+      this->NoteDaemon(this->cell.daemons[i].name, fault, 0);
+    }
     this->cell.store->SetFault(this->cell.daemons[i].caller, now,
                                fault.reset_connections);
   }
--- a/tests/platform/soak/FaultPlan.cpp
+++ b/tests/platform/soak/FaultPlan.cpp
@@ -63,6 +63,21 @@
   fault.delay_ms = Between(random, 0, kLatestRestartMs);
 }
 
+/// Refusals at once may last longer than any bound on manifests. Drawn from the
+/// fault's own seed, so that the faults after it stay those of the plan's seed.
+void LengthenRefusal(PlannedFault& fault) {
+  constexpr int64_t kLeastMs = 6'000;
+  constexpr int64_t kMostMs = 16'000;
+  const bool is_refusal = fault.store == StoreFaultKind::kRefuse ||
+                          fault.store == StoreFaultKind::kThrottle;
+  if (!is_refusal) return;
+  Engine random(fault.seed);
+  if (Between(random, 0, 1) == 0) return;
+  fault.for_ms = Between(random, kLeastMs, kMostMs);
+  // A store that loses answers stretches bounds without limit.
+  fault.reset_connections = false;
+}
+
 void DrawDetails(Engine& random, PlannedFault& fault) {
   fault.for_ms = Between(random, 1'000, 6'000);
   fault.seed = random();
@@ -72,6 +87,7 @@
     case FaultKind::kStoreTurnsAway:
       fault.store = AnyTurningAway(random);
       fault.share = ShareBetween(random, 0.2, 0.8);
+      LengthenRefusal(fault);
       return;
     case FaultKind::kStoreDown:
       fault.store = AnyTurningAway(random);
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -162,7 +162,9 @@
                           int64_t from_ms, int64_t to_ms) {
   from_ms -= judged.bounds.stable_window_ms;
   for (const Disruption& disruption : judged.seen.disruptions) {
-    if (disruption.scope != DisruptionScope::kDaemon) continue;
+    const bool counts = disruption.scope == DisruptionScope::kDaemon ||
+                        disruption.scope == DisruptionScope::kStore;
+    if (!counts) continue;
     const bool meets = daemon.empty() || disruption.daemon.empty() ||
                        disruption.daemon == daemon;
     if (meets && Touches(disruption, from_ms, to_ms)) return false;
@@ -170,6 +172,15 @@
   return true;
 }
 
+bool WasStoreSound(const JudgeCase& judged, int64_t from_ms, int64_t to_ms) {
+  return std::none_of(judged.seen.disruptions.begin(),
+                      judged.seen.disruptions.end(),
+                      [&](const Disruption& disruption) {
+                        return disruption.scope == DisruptionScope::kStore &&
+                               Touches(disruption, from_ms, to_ms);
+                      });
+}
+
 bool IsInTouch(const JudgeCase& judged, const std::string& daemon,
                int64_t from_ms, int64_t to_ms) {
   for (const Disruption& disruption : judged.seen.disruptions) {
--- a/tests/platform/soak/JudgeCase.h
+++ b/tests/platform/soak/JudgeCase.h
@@ -80,9 +80,12 @@
 /// Whether the daemon was in touch all the while; an empty name asks for all.
 bool IsInTouch(const JudgeCase& judged, const std::string& daemon,
                int64_t from_ms, int64_t to_ms);
-/// The same, but for a store that refused calls of other daemons.
+/// The same, but for a store that refused calls of some daemons at once. These
+/// count as in touch too, since they have a path to the platform.
 bool IsInTouchBeyondStore(const JudgeCase& judged, const std::string& daemon,
                           int64_t from_ms, int64_t to_ms);
+/// Whether the store was neither down nor slow and lost no answers.
+bool WasStoreSound(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 /// Whether no disruption of any kind touches the span.
 bool IsCalm(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 
--- a/tests/platform/soak/JudgeConfig.cpp
+++ b/tests/platform/soak/JudgeConfig.cpp
@@ -53,7 +53,9 @@
 bool IsTooOld(JudgeCase& judged, const ClientCall& call,
               const Versions& allowed) {
   int64_t bound_ms = judged.bounds.config_apply_ms;
-  if (!IsInTouch(judged, call.daemon, call.sent_ms, call.ended_ms)) {
+  const bool is_stretched =
+      !IsInTouch(judged, call.daemon, call.sent_ms, call.ended_ms);
+  if (is_stretched) {
     // RULES.md, In touch, Outer.
     bound_ms += judged.bounds.max_skew_ms;
     if (!IsInTouchBeyondStore(judged, call.daemon, call.sent_ms,
@@ -64,8 +66,13 @@
   const auto due = ConfirmedBefore(judged, call.sent_ms - bound_ms);
   if (!due) return false;
   if (!allowed.empty() && allowed.back() >= *due) return false;
-  const int64_t late_ms =
-      call.sent_ms - judged.seen.manifests[*due].confirmed_ms;
+  const int64_t confirmed_ms = judged.seen.manifests[*due].confirmed_ms;
+  // "As long as the store has not been down or slow and has lost no answers all
+  // the while": otherwise no bound holds until the core is stable again.
+  if (is_stretched && !WasStoreSound(judged, confirmed_ms, call.ended_ms)) {
+    return false;
+  }
+  const int64_t late_ms = call.sent_ms - confirmed_ms;
   Report(judged, call, *due,
          std::to_string(late_ms) + " ms after the confirmation of");
   return true;
--- a/tests/platform/soak/Observations.h
+++ b/tests/platform/soak/Observations.h
@@ -137,6 +137,8 @@
 enum class DisruptionScope : uint8_t {
   /// One daemon, its links or its way to the store; all if none is named.
   kDaemon,
+  /// The same, by a store that is down, slow or loses answers.
+  kStore,
   /// The store refuses the calls of some daemons at once and serves the others,
   /// which are not named.
   kStorePartly,
