--- a/tests/platform/soak/FaultInjector.cpp
+++ b/tests/platform/soak/FaultInjector.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdint>
 #include <numeric>
+#include <random>
 
 namespace dotterelcove::soak {
 namespace {
@@ -163,18 +164,21 @@
   const std::vector<size_t> chosen =
       this->Choose(all ? everyone : fault, this->cell.daemons.size());
   // Refused at once, the daemons lose no answers, and the store serves others.
-  const bool is_plain_refusal = fault.store == StoreFaultKind::kRefuse ||
-                                fault.store == StoreFaultKind::kThrottle ||
-                                fault.store == StoreFaultKind::kResetBefore;
-  if (all || !is_plain_refusal || fault.reset_connections) {
-    this->NoteDaemon("", fault, 0);
-  } else {
-    const int64_t now_ms = NowMs();
-    this->cell.NoteDisruption({now_ms, now_ms + fault.for_ms, "",
-                               Describe(fault), DisruptionScope::kStorePartly});
-  }
+  const bool is_answered = fault.store == StoreFaultKind::kRefuse ||
+                           fault.store == StoreFaultKind::kThrottle;
+  const bool is_plain_refusal =
+      is_answered || fault.store == StoreFaultKind::kResetBefore;
+  const bool is_partly = !all && is_plain_refusal && !fault.reset_connections;
+  const int64_t now_ms = NowMs();
+  this->cell.NoteDisruption(
+      {now_ms, now_ms + fault.for_ms, "", Describe(fault),
+       is_partly ? DisruptionScope::kStorePartly : DisruptionScope::kStore});
   for (const size_t i : chosen) {
-    this->NoteDaemon(this->cell.daemons[i].name, fault, 0);
+    // A daemon whose refusals reach it has a path to the platform (RULES.md,
+    // In touch). One whose channels are reset has none.
+    if (!is_partly || !is_answered) {
+      this->NoteDaemon(this->cell.daemons[i].name, fault, 0);
+    }
     this->cell.store->SetFault(this->cell.daemons[i].caller, now,
                                fault.reset_connections);
   }
@@ -275,6 +279,15 @@
     this->cell.Say(worker.about().id + " restarts with its clock set back by " +
                    std::to_string(set_back_ms) + " ms");
   }
+  // Drawn by itself, so that the choices above stay those of the fault's seed.
+  constexpr uint64_t kOneInChangesKind = 2;
+  std::seed_seq kind_seed{static_cast<uint32_t>(fault.seed),
+                          static_cast<uint32_t>(fault.seed >> 32U)};
+  if (std::mt19937_64(kind_seed)() % kOneInChangesKind == 0) {
+    worker.SetKind(OtherKind(worker.about().kind));
+    const CellWorkerOptions about = worker.about();
+    this->cell.Say(about.id + " restarts as kind " + about.kind);
+  }
   while (!worker.Boot(set_back_ms)) SleepMs(kPollMs);
 }
 
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -53,6 +53,7 @@
         NoteEnd(judged, task.failed, event);
         continue;
       case RunEventKind::kAcknowledgedUnseen:
+      case RunEventKind::kStopping:
         continue;
       case RunEventKind::kDone:
         task.done.push_back({event.at_ms, event.run, PlaceOf(event), kNever});
@@ -96,6 +97,10 @@
   return event.worker + "/" + std::to_string(event.incarnation);
 }
 
+std::string PlaceOf(const WorkerLife& life) {
+  return life.worker + "/" + std::to_string(life.incarnation);
+}
+
 std::string Describe(const RunEvent& start) {
   return "run " + std::to_string(start.run) + " on " + PlaceOf(start) +
          " (token " + std::to_string(start.token) +
@@ -157,7 +162,9 @@
                           int64_t from_ms, int64_t to_ms) {
   from_ms -= judged.bounds.stable_window_ms;
   for (const Disruption& disruption : judged.seen.disruptions) {
-    if (disruption.scope != DisruptionScope::kDaemon) continue;
+    const bool counts = disruption.scope == DisruptionScope::kDaemon ||
+                        disruption.scope == DisruptionScope::kStore;
+    if (!counts) continue;
     const bool meets = daemon.empty() || disruption.daemon.empty() ||
                        disruption.daemon == daemon;
     if (meets && Touches(disruption, from_ms, to_ms)) return false;
@@ -165,6 +172,15 @@
   return true;
 }
 
+bool WasStoreSound(const JudgeCase& judged, int64_t from_ms, int64_t to_ms) {
+  return std::none_of(judged.seen.disruptions.begin(),
+                      judged.seen.disruptions.end(),
+                      [&](const Disruption& disruption) {
+                        return disruption.scope == DisruptionScope::kStore &&
+                               Touches(disruption, from_ms, to_ms);
+                      });
+}
+
 bool IsInTouch(const JudgeCase& judged, const std::string& daemon,
                int64_t from_ms, int64_t to_ms) {
   for (const Disruption& disruption : judged.seen.disruptions) {
@@ -190,6 +206,7 @@
     judged.calls[call.job].push_back(&call);
   }
   CheckRuns(judged);
+  CheckRoutes(judged);
   CheckJobs(judged);
   CheckManifests(judged);
   CheckVmOrders(judged);
--- a/tests/platform/soak/JudgeCase.h
+++ b/tests/platform/soak/JudgeCase.h
@@ -57,7 +57,9 @@
   std::vector<Violation> found;
 };
 
+/// "WORKER/INCARNATION", which names a life.
 std::string PlaceOf(const RunEvent& event);
+std::string PlaceOf(const WorkerLife& life);
 std::string Describe(const RunEvent& start);
 bool IsSuccess(int status);
 
@@ -78,13 +80,17 @@
 /// Whether the daemon was in touch all the while; an empty name asks for all.
 bool IsInTouch(const JudgeCase& judged, const std::string& daemon,
                int64_t from_ms, int64_t to_ms);
-/// The same, but for a store that refused calls of other daemons.
+/// The same, but for a store that refused calls of some daemons at once. These
+/// count as in touch too, since they have a path to the platform.
 bool IsInTouchBeyondStore(const JudgeCase& judged, const std::string& daemon,
                           int64_t from_ms, int64_t to_ms);
+/// Whether the store was neither down nor slow and lost no answers.
+bool WasStoreSound(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 /// Whether no disruption of any kind touches the span.
 bool IsCalm(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 
 void CheckRuns(JudgeCase& judged);
+void CheckRoutes(JudgeCase& judged);
 void CheckJobs(JudgeCase& judged);
 void CheckManifests(JudgeCase& judged);
 void CheckVmOrders(JudgeCase& judged);
