404 for an unknown queue needs recent evidence

A daemon answers 404 only if its manifest was known to be the newest within config_apply_ms of the request, which the settings tell. Otherwise it reads the manifest again, for 300 ms at most, and answers 503 with Retry-After if nothing newer is known. Known queues are served as before.

--- a/tests/platform/DecodingTest.cpp
+++ b/tests/platform/DecodingTest.cpp
@@ -16,7 +16,7 @@
   "node": "front-1", "zone": "z", "ip": "10.1.0.13",
   "listen": {"front": "10.1.0.13:8161", "ready": "10.1.0.13:8167"},
   "port_range": [7720, 7735], "advice": "10.200.1.9:8169",
-  "bounds": {"max_hold_ms": 10000, "grace_s": 6.5, "status_s": 120},
+  "bounds": {"max_hold_ms": 10000, "config_apply_ms": 2500, "grace_s": 6.5, "status_s": 120},
   "platform": {"address": "10.200.1.7:8169"}, "unknown": {"field": 1}
 })";
 
@@ -45,6 +45,7 @@
   cr_expect_eq(settings->grace_ms, 6'500);
   cr_expect_eq(settings->status_retention_ms, 120'000);
   cr_expect_eq(settings->max_lease_ms, 10'000);
+  cr_expect_eq(settings->config_apply_ms, 2'500);
   cr_expect_eq(settings->front.port, 8161);
   cr_expect_eq(settings->first_port, 7720);
 }
--- a/tests/platform/MissingQueueTest.cpp
+++ b/tests/platform/MissingQueueTest.cpp
@@ -65,10 +65,12 @@
     this->answer.rows.push_back(
         {kOperatorTable, "config", manifest, 11, false});
   }
-  /// Requests the count of a queue; returns the whole response.
-  std::string Get(const std::string& path) {
+  /// Sends a request, by default for the count of a queue; returns the whole
+  /// response.
+  std::string Get(const std::string& path, const std::string& method = "GET") {
     RawSocket socket(this->server->port());
-    cr_assert(socket.Send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+    cr_assert(
+        socket.Send(method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
     const TimeMs began_ms = this->follower->runtime.now();
     cr_assert(
         this->loop.RunUntil([&] { return !socket.Read().empty(); }, kWaitMs));
@@ -109,4 +111,65 @@
   cr_expect_eq(silent.reads, 1);
 }
 
+// Guards against a 404 that is concluded from a manifest that was last known to
+// be the newest before the bound, and against looking again without end.
+Test(MissingQueue, not_found_needs_recent_evidence) {
+  using Step = AbsentQueueStep;
+  const auto decide = [](TimeMs known_ms, bool looked_again) {
+    return DecideAbsentQueue(known_ms, 10'000, 2'000, looked_again);
+  };
+  cr_expect(decide(9'500, false) == Step::kNotFound);
+  cr_expect(decide(8'000, false) == Step::kNotFound);
+  cr_expect(decide(7'999, false) == Step::kLookAgain);
+  cr_expect(decide(7'999, true) == Step::kUnavailable);
+  cr_expect(decide(8'000, true) == Step::kNotFound);
+  // Never known, shortly after the start of the clock.
+  cr_expect(DecideAbsentQueue(-1, 1'000, 2'000, false) == Step::kLookAgain);
+}
+
+// Guards against a delay or a read for each request for a queue that never
+// existed, while the store answers.
+Test(MissingQueue, queue_that_never_existed_gets_404_at_once) {
+  CallerHarness harness;
+  harness.SetAge(1'850);
+  cr_expect(harness.Get("/none/").starts_with("HTTP/1.1 404"));
+  cr_expect_eq(harness.reads, 0);
+  cr_expect_leq(harness.took_ms, 100);
+}
+
+// Guards against 503 while the store would tell at once whether the queue
+// exists, as after a pause of the process.
+Test(MissingQueue, old_manifest_is_read_again_first) {
+  CallerHarness gone;
+  gone.SetAge(60'000);
+  gone.StoreAnswers(StoreStatus::kOk, kOldManifest);
+  cr_expect(gone.Get("/new/").starts_with("HTTP/1.1 404"));
+  cr_expect_eq(gone.reads, 1);
+  CallerHarness added;
+  added.SetAge(60'000);
+  added.StoreAnswers(StoreStatus::kOk, kNewManifest);
+  // Only a queue that is known tells that it has no such method.
+  cr_expect(added.Get("/new/x", "PUT").starts_with("HTTP/1.1 405"));
+  cr_expect_eq(added.follower->current.version, 9U);
+  cr_expect_leq(added.took_ms, 250);
+}
+
+// Guards against a wait beyond the caller's deadline, and against a refusal of
+// queues that the daemon knows while the store is away.
+Test(MissingQueue, known_queue_needs_no_evidence) {
+  CallerHarness harness;
+  harness.SetAge(60'000);
+  RawSocket socket(harness.server->port());
+  cr_assert(socket.Send("PUT /old/x HTTP/1.1\r\nHost: a\r\n\r\n"));
+  cr_assert(harness.loop.RunUntil([&] { return !socket.Read().empty(); }, 250));
+  cr_expect(socket.received.starts_with("HTTP/1.1 405"));
+  cr_expect_eq(harness.reads, 0);
+  RawSocket hurried(harness.server->port());
+  cr_assert(hurried.Send(
+      "GET /new/ HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 200\r\n\r\n"));
+  cr_assert(
+      harness.loop.RunUntil([&] { return !hurried.Read().empty(); }, 290));
+  cr_expect(hurried.received.starts_with("HTTP/1.1 503"));
+}
+
 }  // namespace dotterelcove::platform
