--- /dev/null
+++ b/tests/platform/MissingQueueTest.cpp
@@ -0,0 +1,175 @@
+// Requests for a queue that the manifest in force does not have.
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "http/HttpServer.h"
+#include "loop/LoopRuntime.h"
+#include "platform/CallerAdapter.h"
+#include "platform/Manifest.h"
+#include "platform/StoreAdapter.h"
+#include "telemetry/Log.h"
+#include "tests/RawSocket.h"
+
+namespace dotterelcove::platform {
+namespace {
+
+constexpr TimeMs kWaitMs = 8'000;
+constexpr const char* kOldManifest =
+    R"({"version": 7, "routes": [{"host": "a", "path_prefix": "/old/",
+        "service": "s"}]})";
+constexpr const char* kNewManifest =
+    R"({"version": 9, "routes": [{"host": "a", "path_prefix": "/old/",
+        "service": "s"}, {"host": "a", "path_prefix": "/new/",
+        "service": "s"}]})";
+
+/// A daemon's callers and its manifest, with a store that is scripted.
+struct CallerHarness {
+  CallerHarness()
+      : runtimes(loop),
+        node(loop, runtimes.MakeRuntime(), {}, {}, metrics),
+        callers{node, *follower, metrics} {
+    SetLogOutput([](const std::string&) {});
+    this->follower->runtime = this->runtimes.MakeRuntime();
+    this->follower->changed = [](const Manifest&) {};
+    this->follower->store.read = [this](const std::string&, uint32_t,
+                                        const std::string&, uint32_t,
+                                        const StoreCallback& done) {
+      this->reads++;
+      if (this->answers) done(this->answer);
+    };
+    this->follower->current = *DecodeManifest(kOldManifest);
+    this->follower->known_version = 10;
+    this->server = leaf::try_handle_all(
+        [&] {
+          return HttpServer::Start(
+              this->loop, {},
+              [this](const HttpRequest& request, const HttpReply& reply) {
+                HandleCaller(this->callers, request, reply);
+              });
+        },
+        [] { return std::unique_ptr<HttpServer>(); });
+  }
+
+  /// The manifest in force was known to be the newest so long ago.
+  void SetAge(TimeMs age_ms) {
+    this->follower->known_ms = this->follower->runtime.now() - age_ms;
+  }
+  void StoreAnswers(StoreStatus status, const std::string& manifest) {
+    this->answers = true;
+    this->answer.status = status;
+    this->answer.version = 11;
+    if (manifest.empty()) return;
+    this->answer.rows.push_back(
+        {kOperatorTable, "config", manifest, 11, false});
+  }
+  /// Sends a request, by default for the count of a queue; returns the whole
+  /// response.
+  std::string Get(const std::string& path, const std::string& method = "GET") {
+    RawSocket socket(this->server->port());
+    cr_assert(
+        socket.Send(method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+    const TimeMs began_ms = this->follower->runtime.now();
+    cr_assert(
+        this->loop.RunUntil([&] { return !socket.Read().empty(); }, kWaitMs));
+    this->took_ms = this->follower->runtime.now() - began_ms;
+    return socket.received;
+  }
+
+  EventLoop loop;
+  LoopRuntime runtimes;
+  Metrics metrics;
+  std::shared_ptr<ManifestFollower> follower =
+      std::make_shared<ManifestFollower>();
+  Node node;
+  CallerAdapter callers;
+  std::unique_ptr<HttpServer> server;
+  bool answers = false;
+  StoreAnswer answer;
+  int reads = 0;
+  TimeMs took_ms = 0;
+};
+
+}  // namespace
+
+// Guards against 404 for a queue that was added more than `config_apply_ms`
+// ago, answered by a daemon whose store calls are refused or not answered.
+Test(MissingQueue, old_manifest_without_the_store_answers_503) {
+  CallerHarness refused;
+  refused.SetAge(2'100);
+  refused.StoreAnswers(StoreStatus::kRefused, "");
+  const std::string response = refused.Get("/new/");
+  cr_expect(response.starts_with("HTTP/1.1 503"), "%s", response.c_str());
+  cr_expect(response.find("Retry-After: 1") != std::string::npos);
+  cr_expect_leq(refused.took_ms, 600);
+  cr_expect_leq(refused.reads, 6);
+  CallerHarness silent;
+  silent.SetAge(2'100);
+  cr_expect(silent.Get("/new/").starts_with("HTTP/1.1 503"));
+  cr_expect_eq(silent.reads, 1);
+}
+
+// Guards against a 404 that is concluded from a manifest that was last known to
+// be the newest before the bound, and against looking again without end.
+Test(MissingQueue, not_found_needs_recent_evidence) {
+  using Step = AbsentQueueStep;
+  const auto decide = [](TimeMs known_ms, bool looked_again) {
+    return DecideAbsentQueue(known_ms, 10'000, 2'000, looked_again);
+  };
+  cr_expect(decide(9'500, false) == Step::kNotFound);
+  cr_expect(decide(8'000, false) == Step::kNotFound);
+  cr_expect(decide(7'999, false) == Step::kLookAgain);
+  cr_expect(decide(7'999, true) == Step::kUnavailable);
+  cr_expect(decide(8'000, true) == Step::kNotFound);
+  // Never known, shortly after the start of the clock.
+  cr_expect(DecideAbsentQueue(-1, 1'000, 2'000, false) == Step::kLookAgain);
+}
+
+// Guards against a delay or a read for each request for a queue that never
+// existed, while the store answers.
+Test(MissingQueue, queue_that_never_existed_gets_404_at_once) {
+  CallerHarness harness;
+  harness.SetAge(1'850);
+  cr_expect(harness.Get("/none/").starts_with("HTTP/1.1 404"));
+  cr_expect_eq(harness.reads, 0);
+  cr_expect_leq(harness.took_ms, 100);
+}
+
+// Guards against 503 while the store would tell at once whether the queue
+// exists, as after a pause of the process.
+Test(MissingQueue, old_manifest_is_read_again_first) {
+  CallerHarness gone;
+  gone.SetAge(60'000);
+  gone.StoreAnswers(StoreStatus::kOk, kOldManifest);
+  cr_expect(gone.Get("/new/").starts_with("HTTP/1.1 404"));
+  cr_expect_eq(gone.reads, 1);
+  CallerHarness added;
+  added.SetAge(60'000);
+  added.StoreAnswers(StoreStatus::kOk, kNewManifest);
+  // Only a queue that is known tells that it has no such method.
+  cr_expect(added.Get("/new/x", "PUT").starts_with("HTTP/1.1 405"));
+  cr_expect_eq(added.follower->current.version, 9U);
+  cr_expect_leq(added.took_ms, 250);
+}
+
+// Guards against a wait beyond the caller's deadline, and against a refusal of
+// queues that the daemon knows while the store is away.
+Test(MissingQueue, known_queue_needs_no_evidence) {
+  CallerHarness harness;
+  harness.SetAge(60'000);
+  RawSocket socket(harness.server->port());
+  cr_assert(socket.Send("PUT /old/x HTTP/1.1\r\nHost: a\r\n\r\n"));
+  cr_assert(harness.loop.RunUntil([&] { return !socket.Read().empty(); }, 250));
+  cr_expect(socket.received.starts_with("HTTP/1.1 405"));
+  cr_expect_eq(harness.reads, 0);
+  RawSocket hurried(harness.server->port());
+  cr_assert(hurried.Send(
+      "GET /new/ HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 200\r\n\r\n"));
+  cr_assert(
+      harness.loop.RunUntil([&] { return !hurried.Read().empty(); }, 290));
+  cr_expect(hurried.received.starts_with("HTTP/1.1 503"));
+}
+
+}  // namespace dotterelcove::platform
