The soak judges LIMIT as to the capacity of a worker

The judge had no such rule. It now adds up the processor cores of all runs on a life that have not ended, at each start, late ones too. Memory is not counted: the soak's tasks take little of it.

Unit cases cover a full worker, a run that is being stopped, and a restart. The plant LIMIT has the entries of workers state twice their capacity.

--- a/tests/platform/SoakJudgeRouteTest.cpp
+++ b/tests/platform/SoakJudgeRouteTest.cpp
@@ -1,6 +1,7 @@
-// The judge of the soak, rule ROUTE: records that break it, and near misses
-// that do not. Guards against a soak that passes starts on workers without the
-// required label, beyond a step's limit or of another service.
+// The judge of the soak, rules ROUTE and LIMIT: records that break them, and
+// near misses that do not. Guards against a soak that passes starts on workers
+// without the required label, beyond a step's limit, of another service, or
+// without capacity.
 #include <string>
 
 #include "tests/platform/SoakJudgeRecord.h"
@@ -144,6 +145,43 @@
                   Started(2'000, "j2.0.0.0")));
 }
 
+// LIMIT.
+
+/// Each task takes half of a worker.
+Observations MakeFullRecord() {
+  Observations seen = MakeRouteRecord("", 0);
+  seen.jobs["j1"].steps[0].milli_cores = 8'000;
+  return With(seen, Started(2'000, kTask), Started(2'100, kOtherTask));
+}
+
+Test(SoakJudge, limit_finds_a_start_beyond_the_capacity) {
+  ExpectNone(MakeFullRecord());
+  ExpectOnly(With(MakeFullRecord(), Started(2'200, kThirdTask)), Rule::kLimit);
+  ExpectOnly(With(MakeFullRecord(), Late(Started(2'200, kThirdTask))),
+             Rule::kLimit);
+  ExpectNone(With(MakeFullRecord(), Started(2'200, kThirdTask, "w2")));
+}
+
+// "What is being stopped still counts."
+Test(SoakJudge, limit_counts_a_run_until_it_has_ended) {
+  const Observations stopping =
+      With(MakeFullRecord(), Event(2'150, RunEventKind::kStopping, 1));
+  ExpectOnly(With(stopping, Started(2'170, kThirdTask),
+                  Event(2'180, RunEventKind::kStopped, 1)),
+             Rule::kLimit);
+  ExpectNone(With(stopping, Event(2'180, RunEventKind::kStopped, 1),
+                  Started(2'190, kThirdTask)));
+}
+
+Test(SoakJudge, limit_allows_starts_after_the_worker_has_restarted) {
+  Observations seen = MakeFullRecord();
+  seen.lives[0].to_ms = 5'000;
+  seen.lives.push_back({"w1", 2, 6'000, INT64_MAX, 16'000, kService, "a"});
+  RunEvent next = Started(7'000, kThirdTask);
+  next.incarnation = 2;
+  ExpectNone(With(seen, next));
+}
+
 Test(SoakJudge, route_finds_a_start_on_another_service) {
   Observations seen = With(MakeRouteRecord("", 0), Started(2'000, kTask));
   seen.lives[0].service = "other";
--- a/tests/platform/soak/CellWorker.cpp
+++ b/tests/platform/soak/CellWorker.cpp
@@ -252,6 +252,7 @@
 
 void CellWorker::Register() {
   const bool misstates = this->options.plant == Plant::kRoute;
+  const int64_t factor = this->options.plant == Plant::kLimit ? 2 : 1;
   const std::string kind =
       misstates ? OtherKind(this->options.kind) : this->options.kind;
   Json json{
@@ -263,8 +264,8 @@
       {"state", "ready"},
       {"cold_remaining_ms", 0},
       {"capacity",
-       {{"cpu", this->options.milli_cores},
-        {"mem_mb", this->options.memory_mb},
+       {{"cpu", factor * this->options.milli_cores},
+        {"mem_mb", factor * this->options.memory_mb},
         {"gpu", 0}}},
       {"labels", {kind, this->options.rack}}};
   {
--- a/tests/platform/soak/Judge.h
+++ b/tests/platform/soak/Judge.h
@@ -22,6 +22,7 @@
   kUnasked,
   kMixed,
   kRoute,
+  kLimit,
   /// Not a rule of the pages: a worker forgot an end that no owner can have
   /// seen, so its task begins again or its job stands still.
   kAcknowledged
@@ -37,6 +38,7 @@
                          {Rule::kUnasked, "UNASKED"},
                          {Rule::kMixed, "MIXED"},
                          {Rule::kRoute, "ROUTE"},
+                         {Rule::kLimit, "LIMIT"},
                          {Rule::kAcknowledged, "ACKNOWLEDGED"}});
 
 /// One case in which a rule is broken.
--- a/tests/platform/soak/JudgeRoute.cpp
+++ b/tests/platform/soak/JudgeRoute.cpp
@@ -1,6 +1,7 @@
-/// ROUTE: whether a worker may run the tasks that it began. A start is judged
-/// by the life that carried it out and by what ran on it, as the worker itself
-/// has seen it, not by what a daemon knew.
+/// ROUTE, and LIMIT as to the capacity of a worker, of which only processor
+/// cores are counted: whether a worker may run the tasks that it began. A start
+/// is judged by the life that carried it out and by what ran on it, as the
+/// worker itself has seen it, not by what a daemon knew.
 #include <algorithm>
 
 #include "tests/platform/soak/JudgeCase.h"
@@ -94,10 +95,24 @@
   }
 }
 
+/// What the runs that have not ended take of one life.
+void CheckCapacity(JudgeCase& judged, const RunEvent& start,
+                   int64_t milli_cores) {
+  const WorkerLife* life = FindLife(judged, start);
+  if (life == nullptr || milli_cores <= life->milli_cores) return;
+  judged.found.push_back({start.at_ms, Rule::kLimit, start.task,
+                          Describe(start) + " began, and the worker runs " +
+                              std::to_string(milli_cores) + " of " +
+                              std::to_string(life->milli_cores) +
+                              " thousandths of a core; on " +
+                              DescribeLife(judged, *life, start)});
+}
+
 }  // namespace
 
 void CheckRoutes(JudgeCase& judged) {
   std::map<std::string, OpenRuns> open;
+  std::map<std::string, int64_t> milli_cores;
   for (const RunEvent& event : judged.seen.runs) {
     const auto parts = ParseTask(event.task);
     const StepSpec* step = parts ? FindStep(judged, *parts) : nullptr;
@@ -110,6 +125,11 @@
       case RunEventKind::kStart:
         CheckStart(judged, judged.seen.jobs.at(parts->job).queue, *step, event,
                    on_life);
+        // A later run of a task replaces the one there.
+        if (known == on_life.end()) {
+          milli_cores[PlaceOf(event)] += step->milli_cores;
+        }
+        CheckCapacity(judged, event, milli_cores[PlaceOf(event)]);
         on_life[event.task] = {event, false};
         break;
       case RunEventKind::kStopping:
@@ -122,7 +142,9 @@
       case RunEventKind::kBroken:
       case RunEventKind::kAlone:
       case RunEventKind::kCrashed:
-        if (is_known) on_life.erase(known);
+        if (!is_known) break;
+        on_life.erase(known);
+        milli_cores[PlaceOf(event)] -= step->milli_cores;
         break;
       case RunEventKind::kDoneAcknowledged:
       case RunEventKind::kFailedAcknowledged:
--- a/tests/platform/soak/Plant.h
+++ b/tests/platform/soak/Plant.h
@@ -30,6 +30,8 @@
   kAcknowledged,
   /// The entries of workers in the store state the other kind.
   kRoute,
+  /// The entries of workers in the store state twice their capacity.
+  kLimit,
 };
 inline constexpr auto kPlantNames =
     MakeNameTable<Plant>({{Plant::kNone, "NONE"},
@@ -42,6 +44,7 @@
                           {Plant::kOne, "ONE"},
                           {Plant::kUnasked, "UNASKED"},
                           {Plant::kAcknowledged, "ACKNOWLEDGED"},
-                          {Plant::kRoute, "ROUTE"}});
+                          {Plant::kRoute, "ROUTE"},
+                          {Plant::kLimit, "LIMIT"}});
 
 }  // namespace dotterelcove::soak
