The soak judges GANG, and Judge.h lists what it cannot judge

A run that ends `alone` with no disruption near means that an owner started some members of a gang and not the others. The judge now reports it once for a run of a gang, unless the job's cancelling was sent or maintenance of a VM was accepted between 3 s before the run's start and its end.

The case of ROUTE that ends a run `alone` has a disruption beside it now, since it would break GANG without one. It also checks that ROUTE is still found there.

--- a/tests/platform/SoakJudgeRouteTest.cpp
+++ b/tests/platform/SoakJudgeRouteTest.cpp
@@ -107,8 +107,15 @@
        {RunEventKind::kDone, RunEventKind::kFailed, RunEventKind::kStopped,
         RunEventKind::kLapsed, RunEventKind::kBroken, RunEventKind::kAlone,
         RunEventKind::kCrashed}) {
-    ExpectNone(With(MakeRouteRecord("", 1), Started(2'000, kTask),
-                    Event(3'000, end, 1), Started(3'000, kOtherTask)));
+    Observations seen = MakeRouteRecord("", 1);
+    // Without a disruption near, an end `alone` breaks GANG.
+    seen.disruptions = {Disrupted(2'000, 3'000, "", DisruptionScope::kWorkers)};
+    ExpectNone(With(seen, Started(2'000, kTask), Event(3'000, end, 1),
+                    Started(3'000, kOtherTask)));
+    // ROUTE holds near disruptions too.
+    ExpectOnly(With(seen, Started(2'000, kTask), Event(3'000, end, 1),
+                    Started(2'999, kOtherTask)),
+               Rule::kRoute);
   }
 }
 
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -207,6 +207,7 @@
   }
   CheckRuns(judged);
   CheckRoutes(judged);
+  CheckGangs(judged);
   CheckJobs(judged);
   CheckManifests(judged);
   CheckVmOrders(judged);
--- a/tests/platform/soak/Judge.h
+++ b/tests/platform/soak/Judge.h
@@ -1,5 +1,23 @@
 /// Decides from what clients, workers and the store saw whether a soak broke a
 /// rule of RULES.md. Knows nothing of the daemons' own logs.
+///
+/// Not judged, so a soak without findings says nothing of them:
+///
+/// | rule                       | what the soak lacks                        |
+/// |----------------------------|--------------------------------------------|
+/// | LOST, around planned work  | whether a daemon had read a whole request  |
+/// | CONFIG, what was run       | manifests that move a queue to another     |
+/// |                            | service; only answers are judged           |
+/// | LIMIT, memory, GPUs        | tasks that need much of them               |
+/// | LIMIT, MIXED, of waves     | a record of each wave's upkeeps and state  |
+/// | DRAIN                      | a record of which daemon knew of the drain |
+/// | AVAIL                      | steps with `may_miss`                      |
+/// | HARM                       | tasks that fill, and their load            |
+/// | UNASKED, checkpoints       | the checkpoints of starts                  |
+/// | ORDER, due times           | jobs with `times`                          |
+/// | MIXED, `pending`           | the count in the answer                    |
+/// | RECOVER                    | a final fault that ends all daemons        |
+/// | Acks, duties, prices       | a record of them                           |
 #pragma once
 
 #include <cstdint>
@@ -23,6 +41,7 @@
   kMixed,
   kRoute,
   kLimit,
+  kGang,
   /// Not a rule of the pages: a worker forgot an end that no owner can have
   /// seen, so its task begins again or its job stands still.
   kAcknowledged
@@ -39,6 +58,7 @@
                          {Rule::kMixed, "MIXED"},
                          {Rule::kRoute, "ROUTE"},
                          {Rule::kLimit, "LIMIT"},
+                         {Rule::kGang, "GANG"},
                          {Rule::kAcknowledged, "ACKNOWLEDGED"}});
 
 /// One case in which a rule is broken.
--- a/tests/platform/soak/JudgeCase.h
+++ b/tests/platform/soak/JudgeCase.h
@@ -91,6 +91,7 @@
 
 void CheckRuns(JudgeCase& judged);
 void CheckRoutes(JudgeCase& judged);
+void CheckGangs(JudgeCase& judged);
 void CheckJobs(JudgeCase& judged);
 void CheckManifests(JudgeCase& judged);
 void CheckVmOrders(JudgeCase& judged);
