Peers hand the manifest and the age of their knowledge on

A daemon that has been behind a version reported by a peer for 750 ms asks that peer for the content (ConfigRequest), at most once a second, and applies it as if it came from the store.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -6,6 +6,7 @@
 #include "base/Clock.h"
 #include "base/Hash.h"
 #include "base/Random.h"
+#include "config/ConfigRows.h"
 #include "node/PeerReplies.h"
 #include "telemetry/Log.h"
 
@@ -26,6 +27,17 @@
 /// A permit request without an answer ends after this, which is longer than an
 /// answer should take.
 constexpr TimeMs kPermitTimeoutMs = 2'500;
+/// A daemon asks a peer for its configuration after it could not read a
+/// reported version from the store for this long. With a heartbeat before and
+/// one after it, the content arrives within the 2 s in which a version must be
+/// in force. Not at once, since a large configuration would delay the peer's
+/// heartbeats.
+constexpr TimeMs kConfigRequestDelayMs = 750;
+/// A large configuration may take this long over a slow link, where several
+/// copies would delay one another.
+constexpr TimeMs kConfigRequestIntervalMs = 1'000;
+/// Leaves room for the other fields of the frame.
+constexpr size_t kMaxConfigBytes = kMaxFrameBytes - 4'096;
 
 /// A time on this process's clock after which the heartbeat was sent, or
 /// nothing if the peer does not know of any yet. The time of receipt does not
@@ -335,6 +347,12 @@
   heartbeat.config_version = this->config_version;
   heartbeat.draining = this->stopping;
   heartbeat.relays_calls = true;
+  const TimeMs known_ms =
+      this->config_keeper.known_ms ? this->config_keeper.known_ms() : -1;
+  heartbeat.config_known = known_ms >= 0;
+  if (heartbeat.config_known) {
+    heartbeat.config_age_ms = this->runtime.now() - known_ms;
+  }
   if (!this->controller) {
     const std::optional<TimeMs> age_ms = this->leadership->view_age_ms();
     if (!age_ms) return heartbeat;
@@ -383,11 +401,63 @@
   this->leadership->OnReport(report);
 }
 
+void Node::NoteConfig(const PeerInfo& info, const wire::HeartbeatT& heartbeat) {
+  if (heartbeat.config_version < this->config_version) return;
+  if (heartbeat.config_version == this->config_version) {
+    const std::optional<TimeMs> sent_ms = SentAfter(heartbeat);
+    if (!sent_ms || !heartbeat.config_known || !this->config_keeper.confirmed) {
+      return;
+    }
+    this->config_keeper.confirmed(*sent_ms -
+                                  std::max<TimeMs>(heartbeat.config_age_ms, 0));
+    return;
+  }
+  if (this->config_keeper.behind) {
+    this->config_keeper.behind(heartbeat.config_version);
+  }
+  const TimeMs now_ms = this->runtime.now();
+  if (this->config_behind_since_ms < 0) this->config_behind_since_ms = now_ms;
+  if (now_ms < this->config_behind_since_ms + kConfigRequestDelayMs) return;
+  if (now_ms < this->next_config_request_ms) return;
+  this->next_config_request_ms = now_ms + kConfigRequestIntervalMs;
+  Log(LogLevel::kInfo, "config_requested",
+      {F("peer", info.process), F("version", heartbeat.config_version),
+       F("current_version", this->config_version)});
+  wire::ConfigRequestT request;
+  request.version = heartbeat.config_version;
+  this->peers->Send(info.link, request);
+}
+
+void Node::AnswerConfigRequest(LinkId link,
+                               const wire::ConfigRequestT& request) {
+  if (!this->config_keeper.content) return;
+  if (this->config_version < request.version) return;
+  wire::ConfigReplyT reply;
+  reply.version = this->config_version;
+  reply.content = this->config_keeper.content();
+  if (reply.content.size() > kMaxConfigBytes) {
+    Log(LogLevel::kWarning, "config_too_large_for_peers",
+        {F("version", reply.version), F("bytes", reply.content.size())});
+    return;
+  }
+  reply.digest = DigestOf(reply.content);
+  this->peers->Send(link, std::move(reply));
+}
+
+void Node::OnConfigReply(const wire::ConfigReplyT& reply) {
+  if (!this->config_keeper.received) return;
+  if (reply.version <= this->config_version) return;
+  if (DigestOf(reply.content) != reply.digest) {
+    Log(LogLevel::kWarning, "config_reply_digest_mismatch",
+        {F("version", reply.version)});
+    return;
+  }
+  this->config_keeper.received(reply.content);
+}
+
 void Node::OnHeartbeat(const PeerInfo& info,
                        const wire::HeartbeatT& heartbeat) {
-  if (heartbeat.config_version > this->config_version && this->config_behind) {
-    this->config_behind(heartbeat.config_version);
-  }
+  this->NoteConfig(info, heartbeat);
   this->UpdateRelay(info, heartbeat);
   this->NoteEvidence(info, heartbeat);
   if (!heartbeat.serving) {
@@ -454,6 +524,14 @@
     this->AnswerWorkerCall(info.link, *call);
     return;
   }
+  if (const auto* request = frame.body.AsConfigRequest()) {
+    this->AnswerConfigRequest(info.link, *request);
+    return;
+  }
+  if (const auto* reply = frame.body.AsConfigReply()) {
+    this->OnConfigReply(*reply);
+    return;
+  }
   if (const auto* reply = frame.body.AsWorkerReply()) {
     EndCallWithReply(this->calls, info.link, reply->call, frame);
     return;
@@ -476,6 +554,7 @@
     uint64_t version) {
   this->policies = std::move(new_policies);
   this->config_version = version;
+  this->config_behind_since_ms = -1;
   if (this->controller) {
     workflow::UpdatePolicies(*this->controller, this->policies);
   }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -66,6 +66,23 @@
   const char* source = "";
 };
 
+/// How the daemon's configuration is kept, for the exchange with its peers;
+/// each may be empty.
+struct ConfigKeeper {
+  /// Called when a peer reports a newer configuration than this daemon's.
+  std::function<void(uint64_t version)> behind;
+  /// Content of the configuration in force, as it was stored.
+  std::function<std::string()> content;
+  /// Time as of which the configuration in force is known to be the newest, -1
+  /// for never.
+  std::function<TimeMs()> known_ms;
+  /// Called with the content that a peer has sent on request.
+  std::function<void(const std::string&)> received;
+  /// Called with a time as of which a peer knew that the configuration in force
+  /// here was the newest.
+  std::function<void(TimeMs)> confirmed;
+};
+
 class Node {
  public:
   Node(EventLoop& loop, Runtime runtime, NodeOptions options, NodePorts ports,
@@ -89,8 +106,7 @@
   void UpdatePolicies(std::map<std::string, workflow::QueuePolicy> policies,
                       uint64_t config_version);
   void UpdateWaves(std::vector<workflow::MaintenanceWave> waves);
-  /// Called when a peer reports a newer configuration than this daemon's.
-  std::function<void(uint64_t version)> config_behind;
+  ConfigKeeper config_keeper;
 
   bool is_owner() const { return this->controller != nullptr; }
   /// Releases ownership; requests of callers are served until the process ends.
@@ -116,6 +132,10 @@
   /// Records what the heartbeat tells an owner of the store and the peer.
   void NoteEvidence(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
   void OnHeartbeat(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
+  /// Compares the peer's configuration with this daemon's.
+  void NoteConfig(const PeerInfo& info, const wire::HeartbeatT& heartbeat);
+  void AnswerConfigRequest(LinkId link, const wire::ConfigRequestT& request);
+  void OnConfigReply(const wire::ConfigReplyT& reply);
   wire::HeartbeatT MakeHeartbeat() const;
   void NotifyOwner(const StoreRow& row);
   bool OwnerReachesStore() const;
@@ -139,6 +159,10 @@
   std::map<std::string, workflow::QueuePolicy> policies;
   std::vector<workflow::MaintenanceWave> waves;
   uint64_t config_version = 0;
+  /// Since when peers have reported a newer configuration, -1 if none has.
+  TimeMs config_behind_since_ms = -1;
+  /// No peer is asked for its configuration before this time.
+  TimeMs next_config_request_ms = 0;
   /// The connection to the current owner, 0 for none.
   LinkId owner_link = 0;
   PeerCalls calls;
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -1011,6 +1011,8 @@
   bool pending_known = false;
   int64_t sent_ms = 0;
   int64_t echo_ms = 0;
+  bool config_known = false;
+  int64_t config_age_ms = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1033,7 +1035,9 @@
     VT_RELAYS_CALLS = 20,
     VT_PENDING_KNOWN = 22,
     VT_SENT_MS = 24,
-    VT_ECHO_MS = 26
+    VT_ECHO_MS = 26,
+    VT_CONFIG_KNOWN = 28,
+    VT_CONFIG_AGE_MS = 30
   };
   uint64_t owner_epoch() const {
     return GetField<uint64_t>(VT_OWNER_EPOCH, 0);
@@ -1071,6 +1075,12 @@
   int64_t echo_ms() const {
     return GetField<int64_t>(VT_ECHO_MS, 0);
   }
+  bool config_known() const {
+    return GetField<uint8_t>(VT_CONFIG_KNOWN, 0) != 0;
+  }
+  int64_t config_age_ms() const {
+    return GetField<int64_t>(VT_CONFIG_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_EPOCH, 8) &&
@@ -1088,6 +1098,8 @@
            VerifyField<uint8_t>(verifier, VT_PENDING_KNOWN, 1) &&
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_ECHO_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIG_KNOWN, 1) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_AGE_MS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1135,6 +1147,12 @@
   void add_echo_ms(int64_t echo_ms) {
     fbb_.AddElement<int64_t>(Heartbeat::VT_ECHO_MS, echo_ms, 0);
   }
+  void add_config_known(bool config_known) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_CONFIG_KNOWN, static_cast<uint8_t>(config_known), 0);
+  }
+  void add_config_age_ms(int64_t config_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_CONFIG_AGE_MS, config_age_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1159,8 +1177,11 @@
     bool relays_calls = false,
     bool pending_known = false,
     int64_t sent_ms = 0,
-    int64_t echo_ms = 0) {
+    int64_t echo_ms = 0,
+    bool config_known = false,
+    int64_t config_age_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_config_age_ms(config_age_ms);
   builder_.add_echo_ms(echo_ms);
   builder_.add_sent_ms(sent_ms);
   builder_.add_store_age_ms(store_age_ms);
@@ -1169,6 +1190,7 @@
   builder_.add_owner_epoch(owner_epoch);
   builder_.add_pending(pending);
   builder_.add_owner_process(owner_process);
+  builder_.add_config_known(config_known);
   builder_.add_pending_known(pending_known);
   builder_.add_relays_calls(relays_calls);
   builder_.add_draining(draining);
@@ -1194,7 +1216,9 @@
     bool relays_calls = false,
     bool pending_known = false,
     int64_t sent_ms = 0,
-    int64_t echo_ms = 0) {
+    int64_t echo_ms = 0,
+    bool config_known = false,
+    int64_t config_age_ms = 0) {
   auto owner_process__ = owner_process ? _fbb.CreateString(owner_process) : 0;
   auto pending__ = pending ? _fbb.CreateVector<flatbuffers::Offset<dotterelcove::wire::QueueCount>>(*pending) : 0;
   return dotterelcove::wire::CreateHeartbeat(
@@ -1210,7 +1234,9 @@
       relays_calls,
       pending_known,
       sent_ms,
-      echo_ms);
+      echo_ms,
+      config_known,
+      config_age_ms);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5140,7 +5166,9 @@
         relays_calls(o.relays_calls),
         pending_known(o.pending_known),
         sent_ms(o.sent_ms),
-        echo_ms(o.echo_ms) {
+        echo_ms(o.echo_ms),
+        config_known(o.config_known),
+        config_age_ms(o.config_age_ms) {
   pending.reserve(o.pending.size());
   for (const auto &pending_ : o.pending) { pending.emplace_back((pending_) ? new dotterelcove::wire::QueueCountT(*pending_) : nullptr); }
 }
@@ -5158,6 +5186,8 @@
   std::swap(pending_known, o.pending_known);
   std::swap(sent_ms, o.sent_ms);
   std::swap(echo_ms, o.echo_ms);
+  std::swap(config_known, o.config_known);
+  std::swap(config_age_ms, o.config_age_ms);
   return *this;
 }
 
@@ -5182,6 +5212,8 @@
   { auto _e = pending_known(); _o->pending_known = _e; }
   { auto _e = sent_ms(); _o->sent_ms = _e; }
   { auto _e = echo_ms(); _o->echo_ms = _e; }
+  { auto _e = config_known(); _o->config_known = _e; }
+  { auto _e = config_age_ms(); _o->config_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5204,6 +5236,8 @@
   auto _pending_known = _o->pending_known;
   auto _sent_ms = _o->sent_ms;
   auto _echo_ms = _o->echo_ms;
+  auto _config_known = _o->config_known;
+  auto _config_age_ms = _o->config_age_ms;
   return dotterelcove::wire::CreateHeartbeat(
       _fbb,
       _owner_epoch,
@@ -5217,7 +5251,9 @@
       _relays_calls,
       _pending_known,
       _sent_ms,
-      _echo_ms);
+      _echo_ms,
+      _config_known,
+      _config_age_ms);
 }
 
 inline QueueCountT *QueueCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/ConfigHandoverTest.cpp
+++ b/tests/ConfigHandoverTest.cpp
@@ -4,7 +4,9 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "config/ConfigRows.h"
 #include "loop/LoopRuntime.h"
 #include "node/Node.h"
 #include "telemetry/Log.h"
@@ -100,4 +102,84 @@
   cr_expect_eq(harness.requested_version, 9U);
 }
 
+// Guards against content of a peer that is not taken, or is asked for again and
+// again while it is on its way, and against content that was damaged or not
+// newer than the version in force.
+Test(ConfigHandover, content_of_a_peer_is_taken) {
+  HandoverHarness harness;
+  std::vector<std::string> received;
+  harness.node->config_keeper.received = [&](const std::string& content) {
+    received.push_back(content);
+  };
+  harness.node->UpdatePolicies({}, 7);
+  harness.heartbeat.config_version = 9;
+  cr_assert(harness.WaitUntil([&] { return harness.requests > 0; }, 2'000));
+  harness.WaitUntil([] { return false; }, 600);
+  cr_expect_eq(harness.requests, 1);
+  const auto send = [&](uint64_t version, const std::string& content,
+                        const std::string& digest) {
+    wire::ConfigReplyT reply;
+    reply.version = version;
+    reply.content = content;
+    reply.digest = digest;
+    harness.peer->Send(harness.link, std::move(reply));
+  };
+  send(7, "same", DigestOf("same"));
+  send(9, "damaged", DigestOf("other"));
+  send(9, "newer", DigestOf("newer"));
+  cr_assert(harness.WaitUntil([&] { return !received.empty(); }));
+  cr_expect_eq(received.size(), 1U);
+  cr_expect_eq(received[0], "newer");
+}
+
+// Guards against a daemon that does not answer the request of a peer that the
+// store turns away, or answers with an older version than requested.
+Test(ConfigHandover, daemon_hands_its_configuration_on) {
+  HandoverHarness harness;
+  harness.node->config_keeper.content = [] { return std::string("routes"); };
+  harness.node->UpdatePolicies({}, 9);
+  cr_assert(harness.WaitUntil([&] { return harness.link != 0; }));
+  wire::ConfigRequestT request;
+  request.version = 10;
+  harness.peer->Send(harness.link, request);
+  request.version = 9;
+  harness.peer->Send(harness.link, request);
+  cr_assert(harness.WaitUntil([&] { return harness.reply.version != 0; }));
+  cr_expect_eq(harness.reply.version, 9U);
+  cr_expect_eq(harness.reply.content, "routes");
+  cr_expect_eq(harness.reply.digest, DigestOf("routes"));
+}
+
+// Guards against 503 of a daemon that the store turns away although a peer with
+// the same version knows that it is the newest, and against an age that is
+// counted from the receipt of the heartbeat or is taken for another version.
+Test(ConfigHandover, age_of_the_configuration_travels) {
+  HandoverHarness harness;
+  std::vector<TimeMs> confirmed;
+  const Runtime runtime = harness.runtimes.MakeRuntime();
+  const TimeMs began_ms = runtime.now();
+  harness.node->config_keeper.known_ms = [&] { return runtime.now() - 1'234; };
+  harness.node->config_keeper.confirmed = [&](TimeMs known_ms) {
+    confirmed.push_back(known_ms);
+  };
+  harness.node->UpdatePolicies({}, 9);
+  harness.heartbeat.config_version = 8;
+  harness.heartbeat.config_known = true;
+  harness.heartbeat.config_age_ms = 400;
+  cr_assert(harness.WaitUntil(
+      [&] { return harness.last_heartbeat.config_age_ms == 1'234; }));
+  cr_expect(harness.last_heartbeat.config_known);
+  harness.WaitUntil([] { return false; }, 400);
+  cr_expect(confirmed.empty());
+  harness.heartbeat.config_version = 9;
+  cr_assert(harness.WaitUntil([&] { return confirmed.size() >= 3; }));
+  cr_expect_leq(confirmed.back(), runtime.now() - 400);
+  cr_expect_geq(confirmed.back(), began_ms - 400);
+  harness.heartbeat.config_known = false;
+  harness.WaitUntil([] { return false; }, 300);
+  const size_t before = confirmed.size();
+  harness.WaitUntil([] { return false; }, 300);
+  cr_expect_eq(confirmed.size(), before);
+}
+
 }  // namespace dotterelcove
--- a/tests/platform/ManifestFollowerTest.cpp
+++ b/tests/platform/ManifestFollowerTest.cpp
@@ -217,4 +217,29 @@
   cr_expect_geq(store.reads, 5);
 }
 
+// Guards against a manifest of a peer that is not applied while the store is
+// away, or takes the daemon back to a lower version, and against evidence of a
+// peer that does not end the wait of a caller.
+Test(ManifestFollower, manifest_and_evidence_of_a_peer) {
+  HeldStore store;
+  const std::string newer = R"({"version": 9, "routes": []})";
+  ApplyPeerManifest(*store.follower, newer);
+  cr_expect_eq(store.follower->current.version, 9U);
+  cr_expect_eq(store.follower->current_text, newer);
+  ApplyPeerManifest(*store.follower, R"({"version": 7, "routes": []})");
+  ApplyPeerManifest(*store.follower, "damaged");
+  cr_expect_eq(store.follower->current.version, 9U);
+  cr_expect_eq(store.follower->current_text, newer);
+  store.RunFor(5'000);
+  bool done = false;
+  AwaitManifest(*store.follower, 3'000, 300, [&] { done = true; });
+  ConfirmManifest(*store.follower, 2'999);
+  cr_expect_not(done);
+  ConfirmManifest(*store.follower, 3'000);
+  cr_expect(done);
+  // Later evidence of an earlier time changes nothing.
+  ConfirmManifest(*store.follower, 1'000);
+  cr_expect_eq(store.follower->known_ms, 3'000);
+}
+
 }  // namespace dotterelcove::platform
