A route that cannot be decoded keeps its earlier version

One field of an unexpected type made the daemon answer 404 for the queue for as long as that manifest was in force.

--- a/tests/platform/ManifestFollowerTest.cpp
+++ b/tests/platform/ManifestFollowerTest.cpp
@@ -242,4 +242,26 @@
   cr_expect_eq(store.follower->known_ms, 3'000);
 }
 
+// Guards against 404 for all callers of a queue because one field of its new
+// entry has an unexpected type, while the earlier version of the route is
+// sound.
+Test(ManifestFollower, route_that_cannot_be_decoded_keeps_its_earlier_version) {
+  HeldStore store;
+  ApplyPeerManifest(*store.follower, R"({"version": 7, "routes": [
+      {"host": "a", "path_prefix": "/x/", "service": "s", "attempts": 3},
+      {"host": "a", "path_prefix": "/dropped/", "service": "s"}]})");
+  const auto bad = [](int version) {
+    return R"({"version": )" + std::to_string(version) + R"(, "routes": [
+        {"host": "a", "path_prefix": "/x/", "service": "s", "attempts": "3"},
+        {"host": "a", "path_prefix": "/y/", "service": 5}, 17, {}]})";
+  };
+  ApplyPeerManifest(*store.follower, bad(8));
+  ApplyPeerManifest(*store.follower, bad(9));
+  const Manifest& manifest = store.follower->current;
+  cr_expect_eq(manifest.version, 9U);
+  cr_assert_eq(manifest.routes.size(), 1U);
+  cr_expect_eq(manifest.routes[0].path_prefix, "/x/");
+  cr_expect_eq(manifest.routes[0].policy.attempts, 3U);
+}
+
 }  // namespace dotterelcove::platform
