No 404 while a peer has reported a newer manifest

A daemon that knows a newer version by number only looks for it first and then answers 503, also within config_apply_ms.

--- a/tests/platform/MissingQueueTest.cpp
+++ b/tests/platform/MissingQueueTest.cpp
@@ -116,7 +116,7 @@
 Test(MissingQueue, not_found_needs_recent_evidence) {
   using Step = AbsentQueueStep;
   const auto decide = [](TimeMs known_ms, bool looked_again) {
-    return DecideAbsentQueue(known_ms, 10'000, 2'000, looked_again);
+    return DecideAbsentQueue({known_ms, false}, 10'000, 2'000, looked_again);
   };
   cr_expect(decide(9'500, false) == Step::kNotFound);
   cr_expect(decide(8'000, false) == Step::kNotFound);
@@ -124,7 +124,26 @@
   cr_expect(decide(7'999, true) == Step::kUnavailable);
   cr_expect(decide(8'000, true) == Step::kNotFound);
   // Never known, shortly after the start of the clock.
-  cr_expect(DecideAbsentQueue(-1, 1'000, 2'000, false) == Step::kLookAgain);
+  cr_expect(DecideAbsentQueue({-1, false}, 1'000, 2'000, false) ==
+            Step::kLookAgain);
+}
+
+// Guards against 404 from a daemon that knows of a newer manifest by number
+// only, however recent its own is.
+Test(MissingQueue, daemon_that_is_behind_answers_503) {
+  using Step = AbsentQueueStep;
+  cr_expect(DecideAbsentQueue({9'900, true}, 10'000, 2'000, false) ==
+            Step::kLookAgain);
+  cr_expect(DecideAbsentQueue({9'900, true}, 10'000, 2'000, true) ==
+            Step::kUnavailable);
+  CallerHarness harness;
+  harness.SetAge(100);
+  harness.follower->reported_version = 9;
+  harness.StoreAnswers(StoreStatus::kRefused, "");
+  cr_expect(harness.Get("/new/").starts_with("HTTP/1.1 503"));
+  harness.follower->runtime.after(
+      50, [&] { ApplyPeerManifest(*harness.follower, kNewManifest); });
+  cr_expect(harness.Get("/new/x", "PUT").starts_with("HTTP/1.1 405"));
 }
 
 // Guards against a delay or a read for each request for a queue that never
