--- a/tests/platform/SoakJudgeRouteTest.cpp
+++ b/tests/platform/SoakJudgeRouteTest.cpp
@@ -9,7 +9,7 @@
 namespace dotterelcove::soak {
 namespace {
 
-/// A step of two tasks without an order among them.
+/// A step of three tasks without an order among them.
 Observations MakeRouteRecord(const std::string& label, uint32_t limit) {
   Observations seen = MakeRecord();
   seen.calls.clear();
@@ -152,6 +152,17 @@
                   Started(2'000, "j2.0.0.0")));
 }
 
+Test(SoakJudge, route_finds_a_start_on_another_service) {
+  Observations seen = With(MakeRouteRecord("", 0), Started(2'000, kTask));
+  seen.lives[0].service = "other";
+  ExpectOnly(seen, Rule::kRoute);
+  // "To which no manifest sends the queue": one is enough.
+  seen.manifests.push_back({9'000, 2, {kQueue}, 8'990, "other"});
+  ExpectNone(seen);
+  seen.manifests.back().queues = {"new"};
+  ExpectOnly(seen, Rule::kRoute);
+}
+
 // LIMIT.
 
 /// Each task takes half of a worker.
@@ -189,15 +200,4 @@
   ExpectNone(With(seen, next));
 }
 
-Test(SoakJudge, route_finds_a_start_on_another_service) {
-  Observations seen = With(MakeRouteRecord("", 0), Started(2'000, kTask));
-  seen.lives[0].service = "other";
-  ExpectOnly(seen, Rule::kRoute);
-  // "To which no manifest sends the queue": one is enough.
-  seen.manifests.push_back({9'000, 2, {kQueue}, 8'990, "other"});
-  ExpectNone(seen);
-  seen.manifests.back().queues = {"new"};
-  ExpectOnly(seen, Rule::kRoute);
-}
-
 }  // namespace dotterelcove::soak
