--- a/src/node/WorkerRelay.cpp
+++ b/src/node/WorkerRelay.cpp
@@ -89,6 +89,7 @@
   call.kind = kind;
   call.worker = worker.id;
   call.address = worker.address;
+  call.incarnation = worker.incarnation;
   return call;
 }
 
@@ -248,7 +249,7 @@
 void MakeRelayedCall(const workflow::WorkerPort& direct,
                      const wire::WorkerCallT& call,
                      const std::function<void(wire::WorkerReplyT)>& done) {
-  const WorkerAddress worker{call.worker, call.address, ""};
+  const WorkerAddress worker{call.worker, call.address, "", call.incarnation};
   const auto order_done = [number = call.call,
                            done](const OrderAnswer& answer) {
     wire::WorkerReplyT reply;
--- a/src/peer/wire/Frame_generated.h
+++ b/src/peer/wire/Frame_generated.h
@@ -4219,6 +4219,7 @@
   int32_t percent = 0;
   uint64_t acked = 0;
   int64_t wait_ms = 0;
+  uint64_t incarnation = 0;
 };
 
 struct WorkerCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4239,7 +4240,8 @@
     VT_TICKET = 24,
     VT_PERCENT = 26,
     VT_ACKED = 28,
-    VT_WAIT_MS = 30
+    VT_WAIT_MS = 30,
+    VT_INCARNATION = 32
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -4283,6 +4285,9 @@
   int64_t wait_ms() const {
     return GetField<int64_t>(VT_WAIT_MS, 0);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -4305,6 +4310,7 @@
            VerifyField<int32_t>(verifier, VT_PERCENT, 4) &&
            VerifyField<uint64_t>(verifier, VT_ACKED, 8) &&
            VerifyField<int64_t>(verifier, VT_WAIT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
   WorkerCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4358,6 +4364,9 @@
   void add_wait_ms(int64_t wait_ms) {
     fbb_.AddElement<int64_t>(WorkerCall::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_INCARNATION, incarnation, 0);
+  }
   explicit WorkerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4384,8 +4393,10 @@
     flatbuffers::Offset<flatbuffers::String> ticket = 0,
     int32_t percent = 0,
     uint64_t acked = 0,
-    int64_t wait_ms = 0) {
+    int64_t wait_ms = 0,
+    uint64_t incarnation = 0) {
   WorkerCallBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_wait_ms(wait_ms);
   builder_.add_acked(acked);
   builder_.add_token(token);
@@ -4423,7 +4434,8 @@
     const char *ticket = nullptr,
     int32_t percent = 0,
     uint64_t acked = 0,
-    int64_t wait_ms = 0) {
+    int64_t wait_ms = 0,
+    uint64_t incarnation = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto task__ = task ? _fbb.CreateString(task) : 0;
@@ -4445,7 +4457,8 @@
       ticket__,
       percent,
       acked,
-      wait_ms);
+      wait_ms,
+      incarnation);
 }
 
 flatbuffers::Offset<WorkerCall> CreateWorkerCall(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6250,6 +6263,7 @@
   { auto _e = percent(); _o->percent = _e; }
   { auto _e = acked(); _o->acked = _e; }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
 }
 
 inline flatbuffers::Offset<WorkerCall> WorkerCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6274,6 +6288,7 @@
   auto _percent = _o->percent;
   auto _acked = _o->acked;
   auto _wait_ms = _o->wait_ms;
+  auto _incarnation = _o->incarnation;
   return dotterelcove::wire::CreateWorkerCall(
       _fbb,
       _call,
@@ -6289,7 +6304,8 @@
       _ticket,
       _percent,
       _acked,
-      _wait_ms);
+      _wait_ms,
+      _incarnation);
 }
 
 inline RunReportT *RunReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/workflow/Fleet.h
+++ b/src/workflow/Fleet.h
@@ -247,7 +247,8 @@
 void RemoveWorker(Fleet& fleet, const std::string& id);
 
 inline WorkerAddress AddressOf(const Worker& worker) {
-  return {worker.info.id, worker.info.address, worker.info.zone};
+  return {worker.info.id, worker.info.address, worker.info.zone,
+          worker.info.incarnation};
 }
 
 inline Resources FreeOf(const Worker& worker) {
--- a/src/workflow/Ports.h
+++ b/src/workflow/Ports.h
@@ -60,6 +60,9 @@
   std::string id;
   std::string address;
   std::string zone;
+  /// The incarnation that the order is meant for: no other one receives it. 0
+  /// for unknown: whichever incarnation answers at the address receives it.
+  uint64_t incarnation = 0;
 };
 
 struct StartOrder {
--- a/tests/WorkerRelayTest.cpp
+++ b/tests/WorkerRelayTest.cpp
@@ -15,7 +15,7 @@
 using workflow::SyncAnswer;
 using workflow::WorkerAddress;
 
-const WorkerAddress kWorker{"i-1", "10.0.0.1:80", "z1"};
+const WorkerAddress kWorker{"i-1", "10.0.0.1:80", "z1", 4};
 
 /// Relays whose calls are recorded in place of being sent.
 struct Fixture {
@@ -86,6 +86,7 @@
                     const workflow::OrderCallback& done) {
     cr_expect_str_eq(address.id.c_str(), "i-1");
     cr_expect_str_eq(address.address.c_str(), "10.0.0.1:80");
+    cr_expect_eq(address.incarnation, 4U);
     cr_expect_str_eq(order.task.c_str(), "t.0.0.1");
     cr_expect_eq(order.run, 3U);
     cr_expect_str_eq(order.payload.c_str(), "payload");
@@ -95,8 +96,10 @@
     cr_expect_str_eq(order.ticket.c_str(), "ticket");
     done({OrderStatus::kNoRoom, 77});
   };
-  worker.sync = [](const WorkerAddress&, const workflow::SyncOrder& order,
+  worker.sync = [](const WorkerAddress& address,
+                   const workflow::SyncOrder& order,
                    const workflow::SyncCallback& done) {
+    cr_expect_eq(address.incarnation, 4U);
     cr_expect_eq(order.token, 12U);
     cr_expect_eq(order.acked, 57U);
     cr_expect_eq(order.lease_end_clock_ms, 9'500);
@@ -185,7 +188,7 @@
 Test(WorkerRelay, only_relays_in_the_zone_are_used) {
   const auto f = MakeFixture();
   cr_expect_eq(ChooseRelay(*f->relays, kWorker), 7U);
-  cr_expect_eq(ChooseRelay(*f->relays, {"i-2", "", "z2"}), 0U);
+  cr_expect_eq(ChooseRelay(*f->relays, {"i-2", "", "z2", 0}), 0U);
   f->relays->enabled = false;
   cr_expect_eq(ChooseRelay(*f->relays, kWorker), 0U);
 }
@@ -200,13 +203,13 @@
   std::vector<uint64_t> before;
   for (int i = 0; i < 100; ++i) {
     before.push_back(
-        ChooseRelay(*f->relays, {"i-" + std::to_string(i), "", "z1"}));
+        ChooseRelay(*f->relays, {"i-" + std::to_string(i), "", "z1", 0}));
   }
   f->relays->relays.erase(9);
   int moved = 0;
   for (int i = 0; i < 100; ++i) {
     const uint64_t now =
-        ChooseRelay(*f->relays, {"i-" + std::to_string(i), "", "z1"});
+        ChooseRelay(*f->relays, {"i-" + std::to_string(i), "", "z1", 0});
     const uint64_t was = before[static_cast<size_t>(i)];
     if (was != 9) cr_expect_eq(now, was);
     if (now != was) ++moved;
