Orders travel only on connections that the intended incarnation has accepted

The wire names a worker by its id, so between a restart and the first sync the next incarnation carried out starts, stops and paces for the earlier one (ROUTE, TWICE). A connection does not outlive the incarnation that accepted it. HttpClient now tags a connection by an answer and sends a call with `required_tag` only on an open connection with that tag; else it fails as not sent.

Rejected: a header or token of the incarnation, since a new incarnation accepts any token; asking before each start, which costs a round trip and a look each and leaves the time between; sending without the tag when a worker closes its connections after each answer, which reopens the fault (such a worker gets no orders). Open: acknowledgments and lease ends of syncs. Price: an order that finds no idle connection waits one round trip more and costs one more look at the worker.

The whole unit tests were not run yet on this commit.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include <curl/curl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
@@ -12,6 +13,22 @@
 namespace dotterelcove {
 namespace {
 
+/// The tags of open connections.
+struct ConnectionTags {
+  /// By MakeConnectionKey().
+  std::map<std::string, uint64_t> tags;
+  /// The keys of the connections that have a tag.
+  std::map<curl_socket_t, std::string> keys;
+};
+
+/// The local port alone does not identify a connection: connections to
+/// different servers may share it.
+std::string MakeConnectionKey(const std::string& remote_ip, long remote_port,
+                              long local_port) {
+  return remote_ip + " " + std::to_string(remote_port) + " " +
+         std::to_string(local_port);
+}
+
 /// One call in progress.
 struct Transfer {
   uint64_t id = 0;
@@ -25,6 +42,7 @@
   TimeMs deadline_ms = 0;
   /// Times that libcurl has begun to send the request.
   int attempts = 0;
+  ConnectionTags* tags = nullptr;
   /// Fires at the limit of silence; null without one.
   std::unique_ptr<Timer> silence;
 };
@@ -69,17 +87,60 @@
 /// Rejects a request whose deadline has passed. Without it, after a pause of
 /// the process since Send(), libcurl would write an expired request if its
 /// connection was established in the meantime. Rejects the second attempt of a
-/// call that is not a read.
-int OnBeforeRequest(void* context, char*, char*, int, int) {
+/// call that is not a read, and a connection without the required tag.
+int OnBeforeRequest(void* context, char* remote_ip, char*, int remote_port,
+                    int local_port) {
   auto* transfer = static_cast<Transfer*>(context);
   transfer->attempts++;
   const HttpCall& call = transfer->call;
   const bool is_read = call.is_read || call.method == "GET";
   if (!is_read && transfer->attempts > 1) return CURL_PREREQFUNC_ABORT;
+  if (call.required_tag != 0) {
+    const auto found = transfer->tags->tags.find(
+        MakeConnectionKey(remote_ip, remote_port, local_port));
+    if (found == transfer->tags->tags.end() ||
+        found->second != call.required_tag) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+  }
   return MonotonicMs() < transfer->deadline_ms ? CURL_PREREQFUNC_OK
                                                : CURL_PREREQFUNC_ABORT;
 }
 
+curl_socket_t RefuseSocket(void*, curlsocktype, curl_sockaddr*) {
+  return CURL_SOCKET_BAD;
+}
+
+/// The connection ends, and its key may be that of another one later.
+int CloseSocket(void* context, curl_socket_t fd) {
+  auto* tags = static_cast<ConnectionTags*>(context);
+  const auto found = tags->keys.find(fd);
+  if (found != tags->keys.end()) {
+    tags->tags.erase(found->second);
+    tags->keys.erase(found);
+  }
+  return close(fd);
+}
+
+/// Tags the connection of an answered call unless it has a tag or is closed.
+void TagConnection(const Transfer& transfer) {
+  if (!transfer.call.make_tag) return;
+  curl_socket_t fd = CURL_SOCKET_BAD;
+  curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &fd);
+  if (fd == CURL_SOCKET_BAD || transfer.tags->keys.contains(fd)) return;
+  char* remote_ip = nullptr;
+  long remote_port = 0;
+  long local_port = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_PRIMARY_IP, &remote_ip);
+  curl_easy_getinfo(transfer.easy, CURLINFO_PRIMARY_PORT, &remote_port);
+  curl_easy_getinfo(transfer.easy, CURLINFO_LOCAL_PORT, &local_port);
+  const uint64_t tag = transfer.call.make_tag(transfer.result);
+  if (remote_ip == nullptr || tag == 0) return;
+  const std::string key = MakeConnectionKey(remote_ip, remote_port, local_port);
+  transfer.tags->tags[key] = tag;
+  transfer.tags->keys[fd] = key;
+}
+
 HttpFailure ClassifyFailure(const Transfer& transfer, CURLcode code) {
   if (code == CURLE_OK) return HttpFailure::kNone;
   if (transfer.too_large) return HttpFailure::kTooLarge;
@@ -176,6 +237,7 @@
                         &first_byte_us);
       constexpr curl_off_t kUsPerMs = 1'000;
       transfer->result.first_byte_ms = first_byte_us / kUsPerMs;
+      if (code == CURLE_OK) TagConnection(*transfer);
       this->Finish(transfer->id);
     }
   }
@@ -219,6 +281,7 @@
   }
 
   EventLoop& loop;
+  ConnectionTags tags;
   CURLM* multi;
   Timer timer;
   std::map<curl_socket_t, std::unique_ptr<IoWatch>> watches;
@@ -280,6 +343,12 @@
                    static_cast<long>(sent.timeout_ms));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(sent.connect_timeout_ms));
+  transfer->tags = &this->state->tags;
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, CloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer->tags);
+  if (sent.required_tag != 0) {
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, RefuseSocket);
+  }
   if (sent.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   const uint64_t id = transfer->id;
   if (sent.max_silence_ms > 0) {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -34,6 +34,8 @@
                                 {HttpFailure::kTooLarge, "too_large"},
                                 {HttpFailure::kCancelled, "cancelled"}});
 
+struct HttpResult;
+
 struct HttpCall {
   std::string method = "GET";
   std::string url;
@@ -56,6 +58,12 @@
   /// read is resent: any other one may have been performed the first time, so
   /// the second answer would not tell its outcome, and the call fails instead.
   bool is_read = false;
+  /// Returns the tag that the connection of this call has from the answer on, 0
+  /// for none. Not called for a connection that has a tag.
+  std::function<uint64_t(const HttpResult&)> make_tag = {};
+  /// If not 0, the call is sent only on an open connection that has this tag.
+  /// It opens none: without an idle one it fails with `kNotSent`.
+  uint64_t required_tag = 0;
 };
 
 struct HttpResult {
--- a/tests/platform/IncarnationTest.cpp
+++ b/tests/platform/IncarnationTest.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/Clock.h"
 #include "platform/WorkerAdapter.h"
 #include "telemetry/Log.h"
 
@@ -35,10 +36,14 @@
   }
 
   void StartAgain() {
+    this->incarnation++;
+    this->ResetConnections();
+  }
+
+  void ResetConnections() {
     HttpServerOptions options;
     options.port = this->server ? this->server->port() : 0;
     this->server.reset();
-    this->incarnation++;
     auto started =
         HttpServer::Start(this->loop, options,
                           [this](const HttpRequest& request, HttpReply reply) {
@@ -51,6 +56,8 @@
   void OnRequest(const HttpRequest& request, HttpReply reply) {
     this->calls.push_back(
         {this->incarnation, request.path, Json::parse(request.body)});
+    this->held.push_back(reply);
+    if (this->is_silent) return;
     HttpResponse response;
     response.body = Json{{"clock_ms", 5}, {"born", this->incarnation}}.dump();
     reply.Send(response);
@@ -112,6 +119,9 @@
   std::unique_ptr<HttpServer> server;
   uint64_t incarnation = 0;
   std::vector<Call> calls;
+  std::vector<HttpReply> held;
+  /// Calls are received and not answered.
+  bool is_silent = false;
 };
 
 }  // namespace
@@ -144,4 +154,76 @@
   cr_expect_eq(worker.CountCalls(2, "/pace"), 0);
 }
 
+// Guards against a new connection, and a sync, for each of many orders to one
+// worker, and against orders of a burst that are not sent.
+Test(PlatformWorkers, burst_of_starts_opens_few_connections) {
+  RestartingWorker worker;
+  cr_assert(worker.Sync(1).status == OrderStatus::kOk);
+  constexpr int kOrders = 20;
+  int started = 0;
+  int answered = 0;
+  for (int i = 0; i < kOrders; ++i) {
+    worker.port.start(worker.AddressOf(1),
+                      {"t" + std::to_string(i), 1, "", 9'000, 7, "", ""},
+                      [&](const OrderAnswer& answer) {
+                        ++answered;
+                        if (answer.status == OrderStatus::kOk) ++started;
+                      });
+  }
+  cr_assert(worker.loop.RunUntil([&] { return answered == kOrders; }, kWaitMs));
+  cr_expect_eq(started, kOrders);
+  cr_expect_eq(worker.CountCalls(1, "/run-start"), kOrders);
+  cr_expect_leq(worker.server->open_connections(), 2U);
+  cr_expect_leq(worker.CountCalls(1, "/hold"), 2);
+}
+
+// Guards against a worker that counts as gone because its idle connections were
+// closed: the order follows a sync on a new one.
+Test(PlatformWorkers, order_after_a_closed_connection_is_sent) {
+  RestartingWorker worker;
+  cr_assert(worker.Sync(1).status == OrderStatus::kOk);
+  worker.ResetConnections();
+  cr_expect(worker.Start(1) == OrderStatus::kOk);
+  cr_expect_eq(worker.CountCalls(1, "/run-start"), 1);
+  cr_expect_eq(worker.CountCalls(1, "/hold"), 2);
+}
+
+// Guards against an order that waits for a connection beyond its time limit, or
+// that counts as possibly carried out although it was not sent.
+Test(PlatformWorkers, order_without_a_connection_in_time_is_not_sent) {
+  RestartingWorker worker;
+  cr_assert(worker.Sync(1).status == OrderStatus::kOk);
+  worker.ResetConnections();
+  worker.is_silent = true;
+  constexpr TimeMs kOrderLimitMs = 400;
+  const TimeMs begun_ms = MonotonicMs();
+  cr_expect(worker.Start(1) == OrderStatus::kNotSent);
+  cr_expect_lt(MonotonicMs() - begun_ms, kOrderLimitMs);
+  cr_expect_eq(worker.CountCalls(1, "/run-start"), 0);
+}
+
+// Guards against an order that was sent and reset and counts as not sent.
+Test(PlatformWorkers, order_that_was_sent_and_reset_is_unknown) {
+  RestartingWorker worker;
+  cr_assert(worker.Sync(1).status == OrderStatus::kOk);
+  worker.is_silent = true;
+  std::optional<OrderAnswer> got;
+  worker.port.start(worker.AddressOf(1), {"t", 1, "", 9'000, 7, "", ""},
+                    [&](const OrderAnswer& answer) { got = answer; });
+  cr_assert(worker.loop.RunUntil(
+      [&] { return worker.CountCalls(1, "/run-start") == 1; }, kWaitMs));
+  worker.is_silent = false;
+  worker.StartAgain();
+  cr_assert(worker.loop.RunUntil([&] { return got.has_value(); }, kWaitMs));
+  cr_expect(got->status == OrderStatus::kUnknown);
+  cr_expect_eq(worker.CountCalls(2, "/run-start"), 0);
+}
+
+// Guards against an unknown incarnation that keeps orders from being sent.
+Test(PlatformWorkers, order_for_any_incarnation_is_sent_at_once) {
+  RestartingWorker worker;
+  cr_expect(worker.Start(0) == OrderStatus::kOk);
+  cr_expect_eq(worker.CountCalls(1, "/hold"), 0);
+}
+
 }  // namespace dotterelcove::platform
