--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,17 +7,17 @@
 #include <cassert>
 #include <cctype>
 #include <map>
+#include <utility>
 
 #include "base/Clock.h"
 
 namespace dotterelcove {
 namespace {
 
-/// The tags of open connections.
+/// The open connections that results have named.
 struct ConnectionTags {
-  /// By MakeConnectionKey().
+  /// By MakeConnectionKey(); 0 for no tag.
   std::map<std::string, uint64_t> tags;
-  /// The keys of the connections that have a tag.
   std::map<curl_socket_t, std::string> keys;
 };
 
@@ -122,23 +122,27 @@
   return close(fd);
 }
 
-/// Tags the connection of an answered call unless it has a tag or is closed.
-void TagConnection(const Transfer& transfer) {
-  if (!transfer.call.make_tag) return;
-  curl_socket_t fd = CURL_SOCKET_BAD;
-  curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &fd);
-  if (fd == CURL_SOCKET_BAD || transfer.tags->keys.contains(fd)) return;
+/// Names the connection of an answered call in its result.
+void NameConnection(Transfer& transfer) {
+  if (!transfer.call.wants_connection) return;
   char* remote_ip = nullptr;
   long remote_port = 0;
   long local_port = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_PRIMARY_IP, &remote_ip);
   curl_easy_getinfo(transfer.easy, CURLINFO_PRIMARY_PORT, &remote_port);
   curl_easy_getinfo(transfer.easy, CURLINFO_LOCAL_PORT, &local_port);
-  const uint64_t tag = transfer.call.make_tag(transfer.result);
-  if (remote_ip == nullptr || tag == 0) return;
+  if (remote_ip == nullptr) return;
   const std::string key = MakeConnectionKey(remote_ip, remote_port, local_port);
-  transfer.tags->tags[key] = tag;
-  transfer.tags->keys[fd] = key;
+  ConnectionTags& known = *transfer.tags;
+  if (!known.tags.contains(key)) {
+    // Searches all open connections, so only the first answer asks for it.
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &fd);
+    if (fd == CURL_SOCKET_BAD) return;
+    known.tags[key] = 0;
+    known.keys[fd] = key;
+  }
+  transfer.result.connection = key;
 }
 
 HttpFailure ClassifyFailure(const Transfer& transfer, CURLcode code) {
@@ -237,7 +241,7 @@
                         &first_byte_us);
       constexpr curl_off_t kUsPerMs = 1'000;
       transfer->result.first_byte_ms = first_byte_us / kUsPerMs;
-      if (code == CURLE_OK) TagConnection(*transfer);
+      if (code == CURLE_OK) NameConnection(*transfer);
       this->Finish(transfer->id);
     }
   }
@@ -370,6 +374,12 @@
   this->state->Finish(id);
 }
 
+uint64_t HttpClient::Tag(const std::string& connection, uint64_t tag) {
+  const auto found = this->state->tags.tags.find(connection);
+  if (found == this->state->tags.tags.end()) return 0;
+  return std::exchange(found->second, tag);
+}
+
 size_t HttpClient::in_progress() const { return this->state->transfers.size(); }
 
 }  // namespace dotterelcove
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -58,9 +58,8 @@
   /// read is resent: any other one may have been performed the first time, so
   /// the second answer would not tell its outcome, and the call fails instead.
   bool is_read = false;
-  /// Returns the tag that the connection of this call has from the answer on, 0
-  /// for none. Not called for a connection that has a tag.
-  std::function<uint64_t(const HttpResult&)> make_tag = {};
+  /// The result names the connection, so that it can be tagged.
+  bool wants_connection = false;
   /// If not 0, the call is sent only on an open connection that has this tag.
   /// It opens none: without an idle one it fails with `kNotSent`.
   uint64_t required_tag = 0;
@@ -73,6 +72,9 @@
   FieldMap headers;
   /// libcurl's error text; empty without a failure and for `kCancelled`.
   std::string detail;
+  /// Names the connection of an answered call that wanted it, for Tag(); empty
+  /// if the connection was closed.
+  std::string connection;
   /// Time from the call to the first byte of the answer, 0 without one.
   int64_t first_byte_ms = 0;
 };
@@ -94,6 +96,9 @@
   uint64_t Send(HttpCall call, HttpCallback callback);
   /// Ends a call with `kCancelled`; ignores an unknown id.
   void Cancel(uint64_t id);
+  /// Gives an open connection a tag, in place of the one that it had, which is
+  /// returned; 0 for none. Does nothing if it has been closed since.
+  uint64_t Tag(const std::string& connection, uint64_t tag);
   size_t in_progress() const;
 
  private:
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -36,6 +36,13 @@
 /// A large configuration may take this long over a slow link, where several
 /// copies would delay one another.
 constexpr TimeMs kConfigRequestIntervalMs = 1'000;
+/// Bandwidth for the configurations that this daemon hands on, less than half
+/// of a link of 10 Mbit/s: many peers ask at the same time when the store turns
+/// them away, and the heartbeats share the link.
+constexpr size_t kConfigBytesPerSecond = 500'000;
+/// Requests that would exceed that bandwidth for longer are left unanswered;
+/// the peer repeats them.
+constexpr TimeMs kMaxConfigBacklogMs = 1'000;
 /// Leaves room for the other fields of the frame.
 constexpr size_t kMaxConfigBytes = kMaxFrameBytes - 4'096;
 
@@ -440,6 +447,17 @@
         {F("version", reply.version), F("bytes", reply.content.size())});
     return;
   }
+  const TimeMs now_ms = this->runtime.now();
+  if (this->config_bandwidth_used_until_ms > now_ms + kMaxConfigBacklogMs) {
+    Log(LogLevel::kInfo, "config_request_postponed",
+        {F("version", reply.version), F("bytes", reply.content.size())});
+    return;
+  }
+  constexpr size_t kMsPerSecond = 1'000;
+  this->config_bandwidth_used_until_ms =
+      std::max(this->config_bandwidth_used_until_ms, now_ms) +
+      static_cast<TimeMs>(reply.content.size() * kMsPerSecond /
+                          kConfigBytesPerSecond);
   reply.digest = DigestOf(reply.content);
   this->peers->Send(link, std::move(reply));
 }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -163,6 +163,8 @@
   TimeMs config_behind_since_ms = -1;
   /// No peer is asked for its configuration before this time.
   TimeMs next_config_request_ms = 0;
+  /// Until then the bandwidth for handing the configuration on is used up.
+  TimeMs config_bandwidth_used_until_ms = 0;
   /// The connection to the current owner, 0 for none.
   LinkId owner_link = 0;
   PeerCalls calls;
--- a/src/workflow/ControllerOrders.cpp
+++ b/src/workflow/ControllerOrders.cpp
@@ -185,16 +185,19 @@
       Unplace(c, key, found, kMalformedPauseMs);
       return;
     case OrderStatus::kLate:
-    case OrderStatus::kOtherIncarnation:
-      worker.synced = false;
+    case OrderStatus::kOtherIncarnation: {
+      // Many orders may get this answer: the first one asks.
+      const bool is_first = std::exchange(worker.synced, false);
       Unplace(c, key, found, 0);
-      Sync(c, worker, 0);
+      if (is_first || worker.syncs == 0) Sync(c, worker, 0);
       return;
-    case OrderStatus::kNotSent:
-      worker.reachable = false;
+    }
+    case OrderStatus::kNotSent: {
+      const bool is_first = std::exchange(worker.reachable, false);
       Unplace(c, key, found, 0);
-      Sync(c, worker, 0);
+      if (is_first || worker.syncs == 0) Sync(c, worker, 0);
       return;
+    }
     default:
       Unplace(c, key, found, 0);
       return;
--- a/tests/ConfigHandoverTest.cpp
+++ b/tests/ConfigHandoverTest.cpp
@@ -62,6 +62,7 @@
       }
       if (const auto* reply = frame.body.AsConfigReply()) {
         this->reply = *reply;
+        this->replies++;
       }
     };
     this->peer = leaf::try_handle_all(
@@ -87,6 +88,7 @@
   wire::HeartbeatT last_heartbeat;
   wire::ConfigReplyT reply;
   int requests = 0;
+  int replies = 0;
   uint64_t requested_version = 0;
 };
 
@@ -150,6 +152,25 @@
   cr_expect_eq(harness.reply.digest, DigestOf("routes"));
 }
 
+// Guards against a daemon whose heartbeats come late because many peers fetch a
+// large configuration from it over a slow link at the same time.
+Test(ConfigHandover, large_configuration_is_handed_on_at_a_limited_rate) {
+  HandoverHarness harness;
+  constexpr size_t kBytes = 600'000;
+  constexpr int kRequests = 5;
+  harness.node->config_keeper.content = [] { return std::string(kBytes, 'x'); };
+  harness.node->UpdatePolicies({}, 9);
+  cr_assert(harness.WaitUntil([&] { return harness.link != 0; }));
+  wire::ConfigRequestT request;
+  request.version = 9;
+  for (int i = 0; i < kRequests; ++i) {
+    harness.peer->Send(harness.link, request);
+  }
+  cr_assert(harness.WaitUntil([&] { return harness.replies > 0; }));
+  harness.WaitUntil([] { return false; }, 500);
+  cr_expect_eq(harness.replies, 1);
+}
+
 // Guards against 503 of a daemon that the store turns away although a peer with
 // the same version knows that it is the newest, and against an age that is
 // counted from the receipt of the heartbeat or is taken for another version.
--- a/tests/platform/IncarnationTest.cpp
+++ b/tests/platform/IncarnationTest.cpp
@@ -60,6 +60,9 @@
     if (this->is_silent) return;
     HttpResponse response;
     response.body = Json{{"clock_ms", 5}, {"born", this->incarnation}}.dump();
+    if (this->closes_connections) {
+      response.headers.emplace_back("Connection", "close");
+    }
     reply.Send(response);
   }
 
@@ -120,6 +123,8 @@
   uint64_t incarnation = 0;
   std::vector<Call> calls;
   std::vector<HttpReply> held;
+  /// Each answer closes its connection.
+  bool closes_connections = false;
   /// Calls are received and not answered.
   bool is_silent = false;
 };
@@ -177,6 +182,46 @@
   cr_expect_leq(worker.CountCalls(1, "/hold"), 2);
 }
 
+// Guards against a connection and a sync for each order of a burst that a
+// restart has overtaken, and against orders of it that count as possibly
+// carried out.
+Test(PlatformWorkers, burst_before_a_restart_asks_once) {
+  RestartingWorker worker;
+  cr_assert(worker.Sync(1).status == OrderStatus::kOk);
+  worker.StartAgain();
+  constexpr int kOrders = 20;
+  int refused = 0;
+  int answered = 0;
+  for (int i = 0; i < kOrders; ++i) {
+    worker.port.start(worker.AddressOf(1),
+                      {"t" + std::to_string(i), 1, "", 9'000, 7, "", ""},
+                      [&](const OrderAnswer& answer) {
+                        ++answered;
+                        const bool is_refused =
+                            answer.status == OrderStatus::kOtherIncarnation;
+                        if (is_refused) ++refused;
+                      });
+  }
+  cr_assert(worker.loop.RunUntil([&] { return answered == kOrders; }, kWaitMs));
+  cr_expect_eq(refused, kOrders);
+  cr_expect_eq(worker.CountCalls(2, "/run-start"), 0);
+  cr_expect_leq(worker.CountCalls(2, "/hold"), 2);
+}
+
+// Guards against a worker that does not tell its incarnation and gets no
+// orders, and against one that keeps no connection open and is asked for ever.
+Test(PlatformWorkers, unusual_workers_end_the_search_for_a_connection) {
+  RestartingWorker nameless;
+  nameless.incarnation = 0;
+  cr_expect(nameless.Start(1) == OrderStatus::kOk);
+  cr_expect_eq(nameless.CountCalls(0, "/run-start"), 1);
+  RestartingWorker closing;
+  closing.closes_connections = true;
+  cr_expect(closing.Start(1) == OrderStatus::kNotSent);
+  cr_expect_eq(closing.CountCalls(1, "/run-start"), 0);
+  cr_expect_leq(closing.CountCalls(1, "/hold"), 3);
+}
+
 // Guards against a worker that counts as gone because its idle connections were
 // closed: the order follows a sync on a new one.
 Test(PlatformWorkers, order_after_a_closed_connection_is_sent) {
--- a/tests/platform/MissingQueueTest.cpp
+++ b/tests/platform/MissingQueueTest.cpp
@@ -146,6 +146,25 @@
   cr_expect(harness.Get("/new/x", "PUT").starts_with("HTTP/1.1 405"));
 }
 
+// Guards against 404 for a queue whose route, or whose whole manifest, this
+// daemon cannot decode: the queue exists.
+Test(MissingQueue, unreadable_route_or_manifest_answers_503) {
+  CallerHarness route;
+  ApplyPeerManifest(*route.follower,
+                    R"({"version": 8, "routes": [{"host": "a",
+                        "path_prefix": "/new/", "service": 5}]})");
+  route.SetAge(100);
+  cr_expect(route.Get("/new/").starts_with("HTTP/1.1 503"));
+  cr_expect(route.Get("/none/").starts_with("HTTP/1.1 404"));
+  CallerHarness whole;
+  whole.SetAge(100);
+  ApplyPeerManifest(*whole.follower, R"({"version": "odd"})");
+  whole.StoreAnswers(StoreStatus::kRefused, "");
+  cr_expect(whole.Get("/new/").starts_with("HTTP/1.1 503"));
+  ApplyPeerManifest(*whole.follower, kNewManifest);
+  cr_expect(whole.Get("/none/").starts_with("HTTP/1.1 404"));
+}
+
 // Guards against a delay or a read for each request for a queue that never
 // existed, while the store answers.
 Test(MissingQueue, queue_that_never_existed_gets_404_at_once) {
