A stopping daemon waits for requests that it is receiving

Requests counted as open from the end of their body on, and the check of the shutdown is a timer, which may run before arrived bytes are read on a VM short of processor time. Test: HttpServer/request_that_is_being_received_is_open.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -67,7 +67,6 @@
   bool resumed = false;
   bool close_after_answers = false;
   std::map<HttpExchange*, std::shared_ptr<HttpExchange>> exchanges;
-  size_t open_requests = 0;
   size_t open_connections = 0;
   bool closing = false;
 
@@ -272,7 +271,6 @@
   }
   if (!exchange.handled) {
     exchange.handled = true;
-    this->open_requests++;
     this->receiving_since[exchange.connection] = 0;
     this->Handle(exchange);
     if (!exchange.answered) {
@@ -323,7 +321,6 @@
   auto* exchange = static_cast<HttpExchange*>(*context);
   if (exchange == nullptr) return;
   exchange->completed = true;
-  if (exchange->handled) state->open_requests--;
   state->receiving_since[connection] = MonotonicMs();
   state->exchanges.erase(exchange);
   *context = nullptr;
@@ -405,7 +402,9 @@
   return info->port;
 }
 
-size_t HttpServer::open_requests() const { return this->state->open_requests; }
+size_t HttpServer::open_requests() const {
+  return this->state->exchanges.size();
+}
 
 size_t HttpServer::open_connections() const {
   return this->state->open_connections;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -93,7 +93,7 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   uint16_t port() const;
-  /// Requests that were received completely and whose response is not complete.
+  /// Requests whose header was received and whose response is not complete.
   size_t open_requests() const;
   size_t open_connections() const;
   /// Closes the listening socket; open connections stay in service.
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -184,6 +184,21 @@
   cr_expect_eq(harness.server->open_requests(), 0u);
 }
 
+// Guards against a shutdown that takes a server for idle while it receives the
+// body of a request: the caller gets no answer.
+Test(HttpServer, request_that_is_being_received_is_open) {
+  Harness harness;
+  RawSocket raw(harness.server->port());
+  raw.Send("POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  cr_expect(
+      harness.WaitUntil([&] { return harness.server->open_requests() == 1; }));
+  raw.Send("cd");
+  cr_assert(harness.WaitUntil([&] { return harness.held.size() == 1; }));
+  harness.held[0].Send({});
+  cr_expect(
+      harness.WaitUntil([&] { return harness.server->open_requests() == 0; }));
+}
+
 // Guards against a destroyed server that responds to requests whose outcome it
 // does not know, or that leaves their connections open.
 Test(HttpServer, destroyed_server_closes_open_requests) {
