The soak's judge keeps a manifest due through later store faults

An older version served while the store partly refused calls was excused as soon as the store had been down at any time since the confirmation, even if calm time in touch lay between. The judge asked for a sound store from the confirmation to the call, without limit.

RULES.md excuses a store that was down only while the core is unstable: `stable_window_ms` after the end of the impairment, calm machines are in touch. The store now has to be sound since the core was last stable, or since the confirmation if that is later. A version also stays due for a process for which it was due at an earlier moment, by either bound. A daemon that is not in touch itself at the call, or for which the store was down in the window before it, is excused as before.

Two unit cases fail with the judge before this change: a store down for 1 s, calm, then a refusal; and a store that is down after the stretched bound.

--- a/tests/platform/SoakJudgeConfigTest.cpp
+++ b/tests/platform/SoakJudgeConfigTest.cpp
@@ -147,6 +147,49 @@
   ExpectOnly(seen, Rule::kConfig);
 }
 
+// "The two spans don't add up": a daemon that was in touch between a store that
+// was down and a later refusal had its time, so the refusal excuses nothing.
+Test(SoakJudge, config_keeps_a_version_due_through_a_later_refusal) {
+  Observations seen = MakeManifestRecord();
+  const Disruption down =
+      Disrupted(11'000, 12'000, "", DisruptionScope::kStore);
+  seen.disruptions = {
+      down, Disrupted(22'000, 29'000, "", DisruptionScope::kStorePartly)};
+  seen.calls = {Probed(24'000, 404, "new")};
+  ExpectOnly(seen, Rule::kConfig);
+  // No moment in touch: the refusal begins before the core is stable again.
+  seen.disruptions[1].from_ms = 14'900;
+  ExpectNone(seen);
+  // In touch until the store is refused, 2,050 ms after the confirmation.
+  seen.disruptions = {
+      Disrupted(12'050, 20'000, "", DisruptionScope::kStorePartly)};
+  seen.calls = {Probed(13'000, 404, "new")};
+  ExpectOnly(seen, Rule::kConfig);
+  seen.disruptions[0].from_ms = 11'950;
+  ExpectNone(seen);
+}
+
+// A store that is down after the stretched bound was over takes nothing back
+// from the same process. A new one is judged by the current instability alone.
+Test(SoakJudge, config_keeps_a_version_due_for_the_same_process) {
+  Observations seen = MakeManifestRecord();
+  seen.disruptions = {
+      Disrupted(9'000, 29'000, "", DisruptionScope::kStorePartly),
+      Disrupted(18'000, 19'000, "", DisruptionScope::kStore)};
+  seen.calls = {Probed(24'000, 404, "new")};
+  ExpectOnly(seen, Rule::kConfig);
+  seen.disruptions[1].from_ms = 16'900;
+  ExpectNone(seen);
+  seen.disruptions[1].from_ms = 18'000;
+  seen.daemon_starts = {{1'000, "d1"}, {18'500, "d1"}};
+  ExpectNone(seen);
+  // Down and stable again before the refusal: sound all the while.
+  seen.disruptions = {
+      Disrupted(11'000, 12'000, "", DisruptionScope::kStore),
+      Disrupted(17'000, 29'000, "", DisruptionScope::kStorePartly)};
+  ExpectOnly(seen, Rule::kConfig);
+}
+
 Test(SoakJudge, config_finds_a_daemon_that_regresses) {
   Observations seen = MakeManifestRecord();
   // Within config_apply_ms of version 2, so only the regression is wrong.
--- a/tests/platform/soak/Judge.cpp
+++ b/tests/platform/soak/Judge.cpp
@@ -181,6 +181,24 @@
                       });
 }
 
+int64_t CoreUnstableSince(const JudgeCase& judged, int64_t at_ms) {
+  int64_t since_ms = at_ms;
+  for (bool is_extended = true; is_extended;) {
+    is_extended = false;
+    for (const Disruption& disruption : judged.seen.disruptions) {
+      const bool is_core = disruption.scope == DisruptionScope::kStore ||
+                           disruption.scope == DisruptionScope::kStorePartly;
+      if (!is_core || disruption.from_ms >= since_ms) continue;
+      if (disruption.to_ms + judged.bounds.stable_window_ms < since_ms) {
+        continue;
+      }
+      since_ms = disruption.from_ms;
+      is_extended = true;
+    }
+  }
+  return since_ms;
+}
+
 bool IsInTouch(const JudgeCase& judged, const std::string& daemon,
                int64_t from_ms, int64_t to_ms) {
   for (const Disruption& disruption : judged.seen.disruptions) {
--- a/tests/platform/soak/JudgeCase.h
+++ b/tests/platform/soak/JudgeCase.h
@@ -86,6 +86,9 @@
                           int64_t from_ms, int64_t to_ms);
 /// Whether the store was neither down nor slow and lost no answers.
 bool WasStoreSound(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
+/// Since when the core has not been stable ("without impairment for
+/// `stable_window_ms`"), `at_ms` if it is stable then.
+int64_t CoreUnstableSince(const JudgeCase& judged, int64_t at_ms);
 /// Whether no disruption of any kind touches the span.
 bool IsCalm(const JudgeCase& judged, int64_t from_ms, int64_t to_ms);
 
--- a/tests/platform/soak/JudgeConfig.cpp
+++ b/tests/platform/soak/JudgeConfig.cpp
@@ -31,15 +31,6 @@
   return allowed;
 }
 
-/// The newest version that was confirmed before `by_ms`.
-std::optional<size_t> ConfirmedBefore(const JudgeCase& judged, int64_t by_ms) {
-  std::optional<size_t> newest;
-  for (size_t i = 0; i < judged.seen.manifests.size(); ++i) {
-    if (judged.seen.manifests[i].confirmed_ms < by_ms) newest = i;
-  }
-  return newest;
-}
-
 void Report(JudgeCase& judged, const ClientCall& call, size_t version,
             const std::string& text) {
   judged.found.push_back(
@@ -49,33 +40,75 @@
            std::to_string(judged.seen.manifests[version].version)});
 }
 
+/// The newest start of the daemon's process by then, -1 if none was noted.
+int64_t ProcessStart(const JudgeCase& judged, const ClientCall& call) {
+  int64_t started_ms = -1;
+  for (const DaemonStart& start : judged.seen.daemon_starts) {
+    if (start.daemon != call.daemon || start.at_ms > call.ended_ms) continue;
+    started_ms = std::max(started_ms, start.at_ms);
+  }
+  return started_ms;
+}
+
+/// Whether a request that the daemon gets in that span would be held to a
+/// version confirmed at `confirmed_ms` (RULES.md, In touch and CONFIG).
+bool IsHeldTo(const JudgeCase& judged, const std::string& daemon,
+              int64_t confirmed_ms, int64_t from_ms, int64_t to_ms) {
+  const int64_t due_ms = confirmed_ms + judged.bounds.config_apply_ms;
+  if (from_ms <= due_ms) return false;
+  if (IsInTouch(judged, daemon, from_ms, to_ms)) return true;
+  // Outer: the bound is stretched "as long as the store has not been down or
+  // slow and has lost no answers all the while". Impairments that had ended
+  // before the core was stable for the last time do not count.
+  if (from_ms <= due_ms + judged.bounds.max_skew_ms) return false;
+  if (!IsInTouchBeyondStore(judged, daemon, from_ms, to_ms)) return false;
+  const int64_t unstable_ms = CoreUnstableSince(judged, from_ms);
+  return WasStoreSound(judged, std::max(confirmed_ms, unstable_ms), to_ms);
+}
+
+/// Whether the version has to be in force when the call is handled: a request
+/// at that time, or an earlier one to the same process, is held to it. What
+/// disturbs the store later does not return an older version to a process.
+bool IsDue(const JudgeCase& judged, const ClientCall& call,
+           int64_t confirmed_ms) {
+  if (!IsInTouchBeyondStore(judged, call.daemon, call.sent_ms, call.ended_ms)) {
+    return false;
+  }
+  if (IsHeldTo(judged, call.daemon, confirmed_ms, call.sent_ms,
+               call.ended_ms)) {
+    return true;
+  }
+  const int64_t started_ms = ProcessStart(judged, call);
+  const int64_t due_ms = confirmed_ms + judged.bounds.config_apply_ms;
+  const auto was_held_at = [&](int64_t at_ms) {
+    return at_ms >= started_ms && at_ms <= call.sent_ms &&
+           IsHeldTo(judged, call.daemon, confirmed_ms, at_ms, at_ms);
+  };
+  // Each span in which requests are held to the version begins at one of these.
+  if (was_held_at(started_ms) || was_held_at(due_ms + 1) ||
+      was_held_at(due_ms + judged.bounds.max_skew_ms + 1)) {
+    return true;
+  }
+  const auto& disruptions = judged.seen.disruptions;
+  return std::any_of(
+      disruptions.begin(), disruptions.end(), [&](const Disruption& ended) {
+        return was_held_at(ended.to_ms + judged.bounds.stable_window_ms + 1);
+      });
+}
+
 /// Returns whether the answer is only that of a version that is too old.
 bool IsTooOld(JudgeCase& judged, const ClientCall& call,
               const Versions& allowed) {
-  int64_t bound_ms = judged.bounds.config_apply_ms;
-  const bool is_stretched =
-      !IsInTouch(judged, call.daemon, call.sent_ms, call.ended_ms);
-  if (is_stretched) {
-    // RULES.md, In touch, Outer.
-    bound_ms += judged.bounds.max_skew_ms;
-    if (!IsInTouchBeyondStore(judged, call.daemon, call.sent_ms,
-                              call.ended_ms)) {
-      return false;
-    }
+  const size_t first_newer = allowed.empty() ? 0 : allowed.back() + 1;
+  for (size_t i = judged.seen.manifests.size(); i > first_newer; --i) {
+    const int64_t confirmed_ms = judged.seen.manifests[i - 1].confirmed_ms;
+    if (!IsDue(judged, call, confirmed_ms)) continue;
+    const int64_t late_ms = call.sent_ms - confirmed_ms;
+    Report(judged, call, i - 1,
+           std::to_string(late_ms) + " ms after the confirmation of");
+    return true;
   }
-  const auto due = ConfirmedBefore(judged, call.sent_ms - bound_ms);
-  if (!due) return false;
-  if (!allowed.empty() && allowed.back() >= *due) return false;
-  const int64_t confirmed_ms = judged.seen.manifests[*due].confirmed_ms;
-  // "As long as the store has not been down or slow and has lost no answers all
-  // the while": otherwise no bound holds until the core is stable again.
-  if (is_stretched && !WasStoreSound(judged, confirmed_ms, call.ended_ms)) {
-    return false;
-  }
-  const int64_t late_ms = call.sent_ms - confirmed_ms;
-  Report(judged, call, *due,
-         std::to_string(late_ms) + " ms after the confirmation of");
-  return true;
+  return false;
 }
 
 /// A version whose effect a client has seen.
@@ -88,11 +121,7 @@
 std::optional<size_t> ShownBefore(const JudgeCase& judged,
                                   const std::vector<SeenEffect>& effects,
                                   const ClientCall& call) {
-  int64_t started_ms = -1;
-  for (const DaemonStart& start : judged.seen.daemon_starts) {
-    if (start.daemon != call.daemon || start.at_ms > call.ended_ms) continue;
-    started_ms = std::max(started_ms, start.at_ms);
-  }
+  const int64_t started_ms = ProcessStart(judged, call);
   int64_t slack_ms = judged.bounds.downgrade_slack_ms;
   if (!IsInTouch(judged, call.daemon, call.sent_ms, call.ended_ms)) {
     slack_ms *= kSlowedFactor;
