--- a/tests/platform/soak/Plant.h
+++ b/tests/platform/soak/Plant.h
@@ -16,7 +16,8 @@
   kRefused,
   /// The store acknowledges some inserts of jobs without performing them.
   kLost,
-  /// The store hides new manifests from one daemon.
+  /// The store hides new manifests from all daemons. Hidden from one, they
+  /// would reach it from the others.
   kConfig,
   /// Workers list ends `failed` as `stopped`.
   kBudget,
--- a/tests/platform/soak/StoreStandin.cpp
+++ b/tests/platform/soak/StoreStandin.cpp
@@ -207,7 +207,7 @@
     return Error(503);
   }
   const bool is_hidden =
-      request.caller == "daemon-1" && Field(request, "table") == "op";
+      request.caller.starts_with("daemon-") && Field(request, "table") == "op";
   if (this->plant == Plant::kConfig && is_hidden) {
     return this->HideChanges(request);
   }
