Model: orders reach only the incarnation that they are meant for

Guards against tests that pass or fail by orders which the platform no longer sends: an order for another incarnation is answered with kOtherIncarnation. Orders that the platform carries out late still reach the next incarnation.

--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -182,6 +182,13 @@
   /// A worker that a task has crashed returns under another id, at the same
   /// address.
   bool new_id_after_crash = false;
+  /// Orders reach whichever incarnation of a worker answers, as those for an
+  /// unknown incarnation do, and not only the one that they are meant for.
+  bool orders_reach_next_incarnation = false;
+  /// A restart under the same id adds `changed_label` to a worker or removes
+  /// it, and the list may have the earlier entry for some seconds. Empty for
+  /// restarts that change nothing.
+  std::string changed_label = {};
 };
 
 struct Daemon;
--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -123,7 +123,10 @@
 Test(CellModel, acknowledgment_for_an_earlier_incarnation_discards_no_end,
      .init = DiscardLogs) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    Cell cell({.workers = 3, .seed = seed, .failure_share = 0});
+    Cell cell({.workers = 3,
+               .seed = seed,
+               .failure_share = 0,
+               .orders_reach_next_incarnation = true});
     cell.time.RunUntil(2 * kSecond);
     SubmitShortTasks(cell, 8 * kSecond);
     const std::string id = "w" + std::to_string(seed % 3);
@@ -170,7 +173,9 @@
 // earlier one's clock, for the longest lease that it grants.
 Test(CellModel, start_on_a_worker_whose_restart_is_not_noticed_runs_once,
      .init = DiscardLogs) {
-  Cell cell({.workers = 2, .failure_share = 0});
+  Cell cell({.workers = 2,
+             .failure_share = 0,
+             .orders_reach_next_incarnation = true});
   // Between two syncs of idle workers.
   cell.time.RunUntil(5 * kSecond);
   for (auto& [id, worker] : cell.workers) {
@@ -199,7 +204,8 @@
     Cell cell({.workers = 2,
                .seed = seed,
                .failure_share = 0,
-               .max_lease_ms = kMaxLeaseMs});
+               .max_lease_ms = kMaxLeaseMs,
+               .orders_reach_next_incarnation = true});
     cell.time.RunUntil(5 * kSecond);
     for (auto& [id, worker] : cell.workers) {
       worker.outdated_entry = worker.info;
--- a/tests/CellModelSeededTest.cpp
+++ b/tests/CellModelSeededTest.cpp
@@ -176,10 +176,39 @@
   }
 }
 
+/// Whether restarts change the labels of workers on the day of the seed.
+bool HasKindChanges(uint64_t seed, const DayOptions& day) {
+  constexpr uint64_t kPeriod = 4;
+  return day.limited == LimitedJobs::kSome && seed % kPeriod >= kPeriod / 2;
+}
+
+/// Restarts workers as others of another kind. In the end both workers on which
+/// every step gets permits have the label, so that every step has a place.
+void ScheduleKindChanges(Cell& cell) {
+  constexpr int kChanges = 4;
+  for (int i = 0; i < kChanges; ++i) {
+    const TimeMs at_ms = UniformInt(cell.random, 0, 12 * kSecond);
+    const int64_t worker = UniformInt(cell.random, 0, 3);
+    cell.time.After(at_ms, [&cell, id = "w" + std::to_string(worker)] {
+      if (cell.workers.at(id).up) RestartWorker(cell, id);
+    });
+  }
+  TimeMs at_ms = 25 * kSecond;
+  for (const char* id : {"w0", "w1"}) {
+    cell.time.After(at_ms, [&cell, id] {
+      const ModelWorker& worker = cell.workers.at(id);
+      if (!worker.info.labels.contains(kLabel)) RestartWorker(cell, id);
+    });
+    at_ms += 3 * kSecond;
+  }
+}
+
 void RunSeed(uint64_t seed, const DayOptions& day) {
+  const bool has_kind_changes = HasKindChanges(seed, day);
   Cell cell({.seed = seed,
              .permits = seed % 3 == 0,
-             .new_id_after_crash = seed % 2 == 0});
+             .new_id_after_crash = seed % 2 == 0,
+             .changed_label = has_kind_changes ? kLabel : ""});
   if (day.limited == LimitedJobs::kSome) LabelWorkers(cell);
   cell.time.RunUntil(2 * kSecond);
   SubmitRandomJobs(cell, 12, 5);
@@ -199,6 +228,7 @@
   const int64_t faults = UniformInt(cell.random, 1, 4);
   for (int64_t i = 0; i < faults; ++i) ScheduleRandomFault(cell);
   if (day.delays == Delays::kRandom) ScheduleDelays(cell);
+  if (has_kind_changes) ScheduleKindChanges(cell);
   cell.time.RunUntil(70 * kSecond);
   ExpectNoViolations(cell, true);
 }
@@ -252,7 +282,8 @@
 }
 
 // Guards against starts beyond a step's limit per worker or without its label
-// under the same faults, with work of all priorities and tasks that last.
+// under the same faults, with work of all priorities and tasks that last. On
+// half of the days restarts change the labels of workers.
 Test(CellModel, random_faults_and_limits_violate_no_invariant,
      .init = DiscardLogs) {
   RunSeeds(100, {.delays = Delays::kRandom, .limited = LimitedJobs::kSome});
--- a/tests/CellModelWorkers.cpp
+++ b/tests/CellModelWorkers.cpp
@@ -284,12 +284,22 @@
   });
 }
 
+/// Whether an order for `incarnation` reaches the worker's present one, as
+/// `WorkerAddress::incarnation` requires.
+bool IsMeantFor(const Cell& cell, const ModelWorker& worker,
+                uint64_t incarnation) {
+  return incarnation == 0 || incarnation == worker.info.incarnation ||
+         cell.options.orders_reach_next_incarnation;
+}
+
 /// Sends one order over the simulated network. The answer may be lost, and the
-/// order may be carried out late.
+/// order may be carried out late, then also by a later incarnation than the one
+/// that it is meant for.
 template <class Order, class Answer, class CarryOut>
 void SendOrder(Cell& cell, int daemon, const std::shared_ptr<bool>& alive,
-               const std::string& worker, const Order& order,
+               const workflow::WorkerAddress& address, const Order& order,
                const std::function<void(Answer)>& done, CarryOut carry_out) {
+  const std::string& worker = address.id;
   ModelWorker* target = FindReachable(cell, daemon, worker);
   const auto unanswered = [&cell, daemon, alive, done] {
     Deliver(cell, daemon, alive, kOrderTimeoutMs, [done] { done(Answer{}); });
@@ -316,14 +326,19 @@
   }
   const TimeMs timeout_at_ms = cell.time.now_ms + kOrderTimeoutMs;
   const TimeMs hop_ms = HopDelay(cell, *target);
-  cell.time.After(hop_ms, [&cell, daemon, alive, worker, order, done, carry_out,
-                           unanswered, timeout_at_ms] {
-    ModelWorker* there = FindReachable(cell, daemon, worker);
+  cell.time.After(hop_ms, [&cell, daemon, alive, address, order, done,
+                           carry_out, unanswered, timeout_at_ms] {
+    ModelWorker* there = FindReachable(cell, daemon, address.id);
     if (there == nullptr) {
       unanswered();
       return;
     }
-    const Answer answer = carry_out(*there, order);
+    Answer answer;
+    if (IsMeantFor(cell, *there, address.incarnation)) {
+      answer = carry_out(*there, order);
+    } else {
+      answer.status = workflow::OrderStatus::kOtherIncarnation;
+    }
     if (there->lost_order_share > 0 && Chance(cell) < there->lost_order_share) {
       unanswered();
       return;
@@ -402,7 +417,7 @@
                                       const workflow::OrderCallback& done) {
     CountCall(cell, daemon);
     SendOrder(
-        cell, daemon, alive, worker.id, order, done,
+        cell, daemon, alive, worker, order, done,
         [&cell, daemon](ModelWorker& there, const workflow::StartOrder& sent) {
           return HandleStart(cell, daemon, there, sent);
         });
@@ -411,7 +426,7 @@
                                      const workflow::StopOrder& order,
                                      const workflow::OrderCallback& done) {
     CountCall(cell, daemon);
-    SendOrder(cell, daemon, alive, worker.id, order, done,
+    SendOrder(cell, daemon, alive, worker, order, done,
               [&cell](ModelWorker& there, const workflow::StopOrder& sent) {
                 return HandleStop(cell, there, sent);
               });
@@ -496,6 +511,24 @@
   });
 }
 
+namespace {
+
+/// Makes a worker that restarts one of another kind.
+void ChangeKind(Cell& cell, const std::string& id) {
+  constexpr TimeMs kLongestLateMs = 4'000;
+  ModelWorker& worker = cell.workers.at(id);
+  if (UniformInt(cell.random, 0, 1) == 0) {
+    worker.outdated_entry = worker.info;
+    cell.time.After(UniformInt(cell.random, 1, kLongestLateMs),
+                    [&worker] { worker.outdated_entry.reset(); });
+  }
+  std::set<std::string>& labels = worker.info.labels;
+  const std::string& label = cell.options.changed_label;
+  if (labels.erase(label) == 0) labels.insert(label);
+}
+
+}  // namespace
+
 void RestartWorker(Cell& cell, const std::string& id) {
   // Its address is in use by the worker that came after it.
   if (IsReplaced(cell, id)) return;
@@ -506,6 +539,7 @@
   worker.next_end = 1;
   worker.token = 0;
   worker.lease_end_ms = 0;
+  if (!cell.options.changed_label.empty()) ChangeKind(cell, id);
   worker.info.incarnation++;
   worker.up = true;
   worker.clock_offset_ms = 1'000 - cell.time.now_ms;
