Test takeovers with a late list while a worker changes its kind

Guards against a start on a worker without the required label: fleet rows name incarnations and no labels, so a new owner must not combine a row with labels that the list gives for another incarnation. The worker restarts before, at and after the loss of the owner; the test requires that both an older and a newer row than the list occur.

--- a/tests/CellModelRestartTest.cpp
+++ b/tests/CellModelRestartTest.cpp
@@ -8,6 +8,7 @@
 
 #include "telemetry/Log.h"
 #include "tests/CellModelDays.h"
+#include "workflow/JobRows.h"
 
 namespace dotterelcove::model {
 namespace {
@@ -80,6 +81,88 @@
   });
 }
 
+/// When a worker restarts as another kind, and for how long the list has the
+/// entry of its earlier incarnation.
+struct KindChange {
+  uint64_t seed = 1;
+  TimeMs restart_ms = 0;
+  TimeMs list_late_ms = 0;
+};
+
+constexpr TimeMs kKilledMs = 2'500;
+constexpr const char* kChangedWorker = "w0";
+
+/// How the incarnation of a worker in the fleet row compares with that in the
+/// list.
+enum class RowAge : uint8_t { kNone, kSame, kOlderThanList, kNewerThanList };
+
+RowAge CompareRowWithList(const Cell& cell, const std::string& id) {
+  const auto row =
+      cell.store.rows.find({workflow::kFleetTable, workflow::FleetKeyOf(id)});
+  if (row == cell.store.rows.end()) return RowAge::kNone;
+  const ModelWorker& worker = cell.workers.at(id);
+  const uint64_t listed =
+      worker.outdated_entry.value_or(worker.info).incarnation;
+  for (const auto& recorded :
+       workflow::DecodeFleet(row->second.value).workers) {
+    if (recorded.info.id != id) continue;
+    if (recorded.info.incarnation == listed) return RowAge::kSame;
+    return recorded.info.incarnation < listed ? RowAge::kOlderThanList
+                                              : RowAge::kNewerThanList;
+  }
+  return RowAge::kNone;
+}
+
+/// Submits jobs that require the old or the new label of the changed worker.
+void SubmitLabelledJobs(Cell& cell, TimeMs until_ms) {
+  constexpr TimeMs kEveryMs = 100;
+  for (TimeMs at_ms = 0; at_ms < until_ms; at_ms += kEveryMs) {
+    cell.time.After(at_ms, [&cell, is_old = at_ms % (2 * kEveryMs) == 0] {
+      workflow::JobSpec spec = MakeChain(cell, 1, 2, {2'000, 500, 0},
+                                         UniformInt(cell.random, 100, 1'500));
+      spec.steps.front().required_label = is_old ? "old" : "new";
+      Submit(cell, 1, spec);
+    });
+  }
+}
+
+/// Restarts a worker as another kind around the loss of the owner. Returns how
+/// the fleet row compared with the list when the owner was lost.
+RowAge RunKindChange(const KindChange& change) {
+  Cell cell({.workers = 3, .seed = change.seed, .failure_share = 0});
+  cell.workers.at("w0").info.labels = {"old"};
+  cell.workers.at("w1").info.labels = {"old"};
+  cell.workers.at("w2").info.labels = {"new"};
+  cell.time.RunUntil(3 * kSecond);
+  SubmitLabelledJobs(cell, 14 * kSecond);
+  cell.time.After(change.restart_ms, [&cell, &change] {
+    ModelWorker& worker = cell.workers.at(kChangedWorker);
+    if (change.list_late_ms > 0) worker.outdated_entry = worker.info;
+    worker.info.labels = {"new"};
+    RestartWorker(cell, kChangedWorker);
+    cell.time.After(change.list_late_ms,
+                    [&worker] { worker.outdated_entry.reset(); });
+  });
+  // The owner is d0, and jobs arrive through another daemon.
+  RowAge age = RowAge::kNone;
+  cell.time.After(kKilledMs, [&cell, &age] {
+    const int owner = FindOwner(cell);
+    cr_assert_eq(owner, 0);
+    age = CompareRowWithList(cell, kChangedWorker);
+    KillDaemon(cell, owner);
+  });
+  cell.time.RunUntil(50 * kSecond);
+  ExpectNoViolations(cell, true);
+  const auto is_new_kind = [](const RunRecord& record) {
+    return record.worker == kChangedWorker && record.labels.contains("new");
+  };
+  cr_expect(std::any_of(cell.run_records.begin(), cell.run_records.end(),
+                        is_new_kind),
+            "seed %llu: the worker is not used as its new kind",
+            static_cast<unsigned long long>(change.seed));
+  return age;
+}
+
 void ExpectFields(const std::string& line,
                   const std::vector<const char*>& fields) {
   for (const char* field : fields) {
@@ -277,6 +360,33 @@
   ExpectNoViolations(cell, false);
 }
 
+// Guards against a start on a worker without the required label around a
+// takeover: fleet rows name incarnations and no labels, so the new owner must
+// not combine a row with labels that a late list gives for another incarnation.
+Test(CellModel, takeover_with_a_late_list_starts_nothing_without_its_label,
+     .init = DiscardLogs) {
+  // When the worker restarts, after the first job was submitted. The owner is
+  // killed at `kKilledMs`.
+  constexpr TimeMs kRestartsMs[] = {500, 2'200, 2'450, 2'510, 2'700, 3'500};
+  // For how long the list has the entry of the earlier incarnation.
+  constexpr TimeMs kListLateMs[] = {0, 600, 3'000, 9'000};
+  int newer_rows = 0;
+  int older_rows = 0;
+  uint64_t seed = 0;
+  for (const TimeMs restart_ms : kRestartsMs) {
+    for (const TimeMs list_late_ms : kListLateMs) {
+      const RowAge age = RunKindChange({.seed = ++seed,
+                                        .restart_ms = restart_ms,
+                                        .list_late_ms = list_late_ms});
+      if (age == RowAge::kNewerThanList) ++newer_rows;
+      if (age == RowAge::kOlderThanList) ++older_rows;
+    }
+  }
+  // The orders of events must contain both cases.
+  cr_expect_gt(newer_rows, 0);
+  cr_expect_gt(older_rows, 0);
+}
+
 // Guards against lines on a lost run that do not tell the lease which the owner
 // has waited for: whether it was too short cannot be seen without it.
 Test(CellModel, line_on_a_lapsed_run_tells_its_lease) {
