--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,13 +13,15 @@
   g++ "${flags[@]}" -c "tests/platform/soak/$name.cpp" -o "$out/$name.o" &
   jobs+=($!)
 done
-for source in review/{6,7,8,9,10}/Case.cpp; do
+g++ "${flags[@]}" -c review/standin-2/Spans.cpp -o "$out/Spans.o" &
+jobs+=($!)
+for source in review/{6,7,8,9,10}/Program.cpp; do
   [ -e "$source" ] || continue
   g++ "${flags[@]}" -c "$source" -o "$out/$(basename "$(dirname "$source")").case.o" &
   jobs+=($!)
 done
 for job in "${jobs[@]}"; do wait "$job"; done
-objects=("${standins[@]/#/$out/}")
+objects=("${standins[@]/#/$out/}" "$out/Spans")
 for case in "$out"/*.case.o; do
   g++ "$case" "${objects[@]/%/.o}" target/libdotterelcove.a "${libraries[@]}" -o "${case%.case.o}.case"
 done
