--- a/review/standin-2/Spans.cpp
+++ b/review/standin-2/Spans.cpp
@@ -32,9 +32,9 @@
   return std::min(span.to_ms, span.stopping_ms);
 }
 
-/// Whether the task is away when `ended` ends: its last run was ended by an
-/// order and it is not at work again, or it has not been at work for
-/// `kNoticeMs`.
+/// Whether the task is away when `ended` ends: its last run that was at work
+/// was ended by an order before, and it is not at work again, or it has not
+/// been at work for `kNoticeMs`.
 bool IsAway(const std::vector<Span>& spans, const std::string& task,
             const Span& ended, OrderKind kind) {
   const int64_t at_ms = ended.to_ms;
@@ -42,10 +42,10 @@
   for (const Span& span : spans) {
     if (span.task != task || span.from_ms > at_ms) continue;
     if (IsAtWork(span, at_ms)) return false;
-    if (EndMs(span) <= at_ms) last = &span;
+    const bool was_at_work = EndMs(span) - span.from_ms > kStartupMs;
+    if (was_at_work && EndMs(span) < at_ms) last = &span;
   }
   if (last == nullptr) return false;
-  if (last->worker == ended.worker && EndMs(*last) == at_ms) return false;
   const bool by_order =
       last->stopping_ms < INT64_MAX || last->end == EndOf(kind);
   return by_order || at_ms - EndMs(*last) >= kNoticeMs;
--- a/review/standin-2/Spans.h
+++ b/review/standin-2/Spans.h
@@ -44,7 +44,8 @@
 };
 
 /// The tasks at work that an order of this kind ended although `may_miss`
-/// others or more were away. Tasks that the same order ended do not count.
+/// others or more were away. Tasks that were ended at the same moment do not
+/// count, nor runs that were not at work yet.
 std::vector<Ended> FindBeyond(const std::vector<Span>& spans, OrderKind kind,
                               size_t may_miss);
 
