Review case 14: a gang that prefers one rack is never started across racks

A gang of 52 cores with same_rack had 0 starts in 34 s beside 144 free cores, since each rack had 48 of them free (LOST).

--- a/review/standin-3/CaseCell.cpp
+++ b/review/standin-3/CaseCell.cpp
@@ -246,6 +246,10 @@
       about.zone = "khan-uul";
       about.milli_cores = service.milli_cores;
       about.memory_mb = service.memory_mb;
+      if (service.workers_per_rack > 0) {
+        const int rack = i / service.workers_per_rack + 1;
+        about.rack = "r1-" + std::to_string(rack);
+      }
       about.max_hold_ms = kMaxHoldMs;
       about.clock_rate = kRates[i % 3];
       this->workers.push_back(std::make_unique<soak::CellWorker>(
--- a/review/standin-3/CaseCell.h
+++ b/review/standin-3/CaseCell.h
@@ -32,6 +32,8 @@
   int workers = 4;
   int64_t milli_cores = 16'000;
   int64_t memory_mb = 32'768;
+  /// 0 for a single rack.
+  int workers_per_rack = 0;
 };
 
 /// A queue as the manifest sends it to a service.
