--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,3 +17,8 @@
   g++ -std=c++20 -O1 -g -Wall -Wextra -I src -I . "$case/Case.cpp" "$out"/*.o target/libdotterelcove.a -pthread \
     -o "$out/case-$(basename "$case")"
 done
+# Programs for findings that are no cases; REPORT-3.md tells how to run them.
+for entry in review/entries-3/*.cpp; do
+  g++ -std=c++20 -O1 -g -Wall -Wextra -I src -I . "$entry" "$out"/*.o target/libdotterelcove.a -pthread \
+    -o "$out/$(basename "$entry" .cpp)"
+done
