Soak: client accounts depend on the cell, so a program with the cell alone links again

Cause: moved the cell's own manifest into a file beside the accounts, which a list of the cell's files does not have. Change: the manifest is written in Cell.cpp again; AddAccounts() adds accounts and public queues through a function that the soak sets.

--- a/tests/platform/soak/Cell.cpp
+++ b/tests/platform/soak/Cell.cpp
@@ -25,6 +25,25 @@
 /// The last two numbers of the address of the VM service.
 constexpr const char* kVmServiceIp = "0.79";
 constexpr const char* kRegion = "region-1";
+/// A daemon that has missed several manifests answers 404 for the queue of the
+/// newest, as the one before would, so it shows only by serving a queue that
+/// was dropped long ago.
+constexpr size_t kProbedQueues = 5;
+/// Of queues that come and go.
+constexpr int kExtraPriority = 2;
+
+Json MakeRoute(const std::string& queue, int priority, uint32_t attempts) {
+  return {{"name", "route-" + queue},
+          {"host", kHost},
+          {"path_prefix", "/" + queue + "/"},
+          {"kind", "unsafe"},
+          {"timeout_ms", 3000},
+          {"target_duration_ms", 1200},
+          {"priority", priority},
+          {"service", kService},
+          {"attempts", attempts},
+          {"stretch", 2.2}};
+}
 
 }  // namespace
 
@@ -269,6 +288,63 @@
   return true;
 }
 
+void Cell::WriteManifest(const std::vector<std::string>& extras) {
+  const std::lock_guard<std::mutex> lock(this->manifest_mutex);
+  this->extra_queues = extras;
+  this->WriteNextManifest();
+}
+
+void Cell::WriteNextManifest() {
+  ManifestChange change;
+  Json routes = Json::array();
+  const auto add = [&](const std::string& queue, int priority) {
+    change.queues.push_back(queue);
+    routes.push_back(MakeRoute(queue, priority, this->options.attempts));
+  };
+  for (const QueueOptions& queue : kQueues) add(queue.name, queue.priority);
+  for (const std::string& queue : this->extra_queues) {
+    add(queue, kExtraPriority);
+  }
+  const Json service{{"name", kService}, {"health_path", "/health"},
+                     {"max_conns", 64},  {"protocol", "h1"},
+                     {"tls", false},     {"admission_check", false},
+                     {"standby", false}};
+  // Versions rise in uneven steps.
+  constexpr uint64_t kStep = 7;
+  this->manifest_version += kStep;
+  change.version = this->manifest_version;
+  change.service = kService;
+  Json manifest{{"version", change.version},
+                {"routes", std::move(routes)},
+                {"services", {service}},
+                {"limits", Json::object()}};
+  if (this->options.add_accounts != nullptr) {
+    this->options.add_accounts(this->options, this->account_settings, manifest,
+                               change);
+  }
+  change.sent_ms = NowMs();
+  this->store->Put("op", "config", manifest.dump());
+  change.confirmed_ms = NowMs();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->seen.manifests.push_back(std::move(change));
+}
+
+std::vector<std::string> Cell::ChangedQueues() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<std::string> changed;
+  const auto& all = this->seen.manifests;
+  for (auto manifest = all.rbegin(); manifest != all.rend(); ++manifest) {
+    for (size_t i = std::size(kQueues); i < manifest->queues.size(); ++i) {
+      const std::string& queue = manifest->queues[i];
+      const bool is_new =
+          std::find(changed.begin(), changed.end(), queue) == changed.end();
+      if (is_new) changed.push_back(queue);
+      if (changed.size() == kProbedQueues) return changed;
+    }
+  }
+  return changed;
+}
+
 bool Cell::Start() {
   if (!std::filesystem::exists(this->options.daemon_program))
     return this->Fail(this->options.daemon_program + " does not exist");
--- a/tests/platform/soak/Cell.h
+++ b/tests/platform/soak/Cell.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,6 +60,19 @@
 /// The shape with this name: "stepcare" or "yard". Returns false for another.
 bool FindShape(const std::string& name, CellShape& shape);
 
+struct CellOptions;
+
+/// Adds client accounts to a manifest and notes them in the change. Kept out of
+/// Cell, so that a program without accounts needs no more than the cell itself.
+using AccountWriter = void (*)(const CellOptions& options,
+                               const AccountSettings& settings,
+                               nlohmann::json& manifest,
+                               ManifestChange& change);
+
+/// The accounts of `MakeAccounts()`.
+void AddAccounts(const CellOptions& options, const AccountSettings& settings,
+                 nlohmann::json& manifest, ManifestChange& change);
+
 struct CellOptions {
   CellShape shape;
   uint64_t seed = 1;
@@ -73,6 +87,8 @@
   bool late_to_next_life = false;
   /// Whether clients need a key and have quotas.
   bool has_accounts = false;
+  /// Writes them into each manifest; null for a cell without accounts.
+  AccountWriter add_accounts = nullptr;
   /// What the clients hand in, for the quotas.
   double jobs_per_second = 10;
 };
--- a/tests/platform/soak/SoakMain.cpp
+++ b/tests/platform/soak/SoakMain.cpp
@@ -249,6 +249,7 @@
   about.plant = options.plant;
   about.late_to_next_life = options.late_to_next_life;
   about.has_accounts = options.has_accounts;
+  if (about.has_accounts) about.add_accounts = AddAccounts;
   about.jobs_per_second = options.jobs_per_second;
   about.shape.daemons = options.daemons;
   about.shape.workers = options.workers;
