Quota: one task may exceed it while less than half is in use

Cause: CountInDimension() started a task only if all of it was within the quota. Where the rest is in use by tasks that do not end, and the quota was lowered after they had started, that never comes. Change: MayStartTogether() lets one task (of a gang the last member) exceed a dimension of which less than half is in use. In use is counted as before, over unanswered starts, unreported runs and orphans, so the excess is one task at a time. Related: a gang under half of its quota holds back later work of its account at intervals only; the processors that may be taken of the reserves are rounded up to a whole task (2 workers, 7.5 of 16 cores in use on each, a task of 8 waited for ever).

--- a/src/accounts/Quota.h
+++ b/src/accounts/Quota.h
@@ -26,6 +26,24 @@
 bool MayRunTogether(const Resources& quota, const Resources& size,
                     uint32_t count);
 
+/// The quota of an account as it binds one kind of its work.
+struct QuotaLimits {
+  /// The part that this work may fill.
+  Resources usable;
+  Resources whole;
+};
+
+/// Whether the account has less than half of its quota running, in every
+/// dimension that the quota limits.
+bool IsUnderHalf(const Resources& quota, const Resources& running);
+
+/// Whether `count` tasks of `size` may start together beside what is running. A
+/// dimension that they do not fit may be exceeded by one task while less than
+/// half of it is in use: the rest of it may be in use by tasks that do not end,
+/// so work larger than what is free could wait for ever.
+bool MayStartTogether(const QuotaLimits& limits, const Resources& running,
+                      const Resources& size, uint32_t count);
+
 /// By how much `count` tasks of `size` would exceed the quota, 0 in a dimension
 /// in which they would not.
 Resources ExcessOverQuota(const Resources& quota, const Resources& running,
--- a/src/workflow/ControllerAccounts.cpp
+++ b/src/workflow/ControllerAccounts.cpp
@@ -166,12 +166,13 @@
        F("recovering", IsRecovering(c))});
 }
 
-/// The part of the account's quota that the step's tasks may use. Work that is
-/// neither urgent nor long-running leaves a part of it free, or the account's
-/// urgent tasks would wait for the end of its batch tasks.
-Resources QuotaFor(const Resources& quota, const QueuePolicy& policy,
-                   const StepSpec& spec) {
-  if (policy.priority <= 1) return quota;
+/// What the account's quota is for the step's tasks. Work that is neither
+/// urgent nor long-running leaves a part of it free, or the account's urgent
+/// tasks would wait for the end of its batch tasks.
+accounts::QuotaLimits LimitsFor(const Resources& quota,
+                                const QueuePolicy& policy,
+                                const StepSpec& spec) {
+  if (policy.priority <= 1) return {quota, quota};
   // Urgent tasks are short, so a small part serves many of them.
   constexpr int64_t kUsablePercent = 80;
   const Resources usable{quota.milli_cores * kUsablePercent / 100,
@@ -180,7 +181,17 @@
   const uint32_t together = spec.gang ? spec.count : 1;
   const bool is_enough =
       accounts::ExcessOverQuota(usable, {}, spec.size, together) == Resources();
-  return is_enough ? usable : quota;
+  return {is_enough ? usable : quota, quota};
+}
+
+/// Whether the account's later tasks, which fit, have to wait behind the step,
+/// which does not. While less than half of the quota is in use they do so at
+/// intervals only: runs that take long may be all that the step waits for.
+bool HoldsBackLaterSteps(const StepState& step, const Resources& quota,
+                         const Resources& used, TimeMs now_ms) {
+  constexpr TimeMs kIntervalMs = 2'000;
+  if (!accounts::IsUnderHalf(quota, used)) return true;
+  return (now_ms - step.ready_since_ms) / kIntervalMs % 2 == 0;
 }
 
 double WeightOf(const Controller& c, const std::string& account) {
@@ -272,24 +283,28 @@
                                      ? job.spec.account_quota
                                      : account->second.quota;
   if (whole_quota == Resources()) return waiting;
-  const Resources quota = QuotaFor(whole_quota, job.spec.policy, spec);
+  const accounts::QuotaLimits limits =
+      LimitsFor(whole_quota, job.spec.policy, spec);
   const Resources used = job.usage->running + UnreportedUsageOf(c, name) +
                          OrphanedUsageOf(c, name);
   const uint32_t count =
-      accounts::CountWithinQuota(quota, used, spec.size, waiting);
+      accounts::CountWithinQuota(limits.usable, used, spec.size, waiting);
   if (count == waiting) return waiting;
-  LogQuotaReached(c, job, quota, used, waiting - count);
+  LogQuotaReached(c, job, limits.usable, used, waiting - count);
   if (!spec.gang && count > 0) return count;
+  const uint32_t needed = spec.gang ? spec.count : 1;
+  if (accounts::MayStartTogether(limits, used, spec.size, needed)) {
+    return needed;
+  }
   // Smaller tasks of the account that start in its place would keep it waiting
   // for ever, unless it waits for runs that do not end.
-  const uint32_t needed = spec.gang ? spec.count : 1;
-  const bool has_room_later =
-      accounts::CountWithinQuota(quota, job.usage->long_running, spec.size,
-                                 needed) >= needed;
-  if (has_room_later) {
+  const bool has_room_later = accounts::MayStartTogether(
+      limits, job.usage->long_running, spec.size, needed);
+  if (has_room_later &&
+      HoldsBackLaterSteps(StepOf(step), whole_quota, used, pass.now_ms)) {
     pass.quota_shortfall[name] =
         pass.quota_shortfall[name] +
-        accounts::ExcessOverQuota(quota, used, spec.size, needed);
+        accounts::ExcessOverQuota(limits.usable, used, spec.size, needed);
   }
   return 0;
 }
--- a/src/workflow/ControllerMemos.cpp
+++ b/src/workflow/ControllerMemos.cpp
@@ -60,7 +60,9 @@
   if (milli_cores <= 0) return 0;
   if (need.step->gang) return need.step->count;
   const int64_t size = std::max<int64_t>(need.step->size.milli_cores, 1);
-  return static_cast<size_t>(milli_cores / size);
+  // Rounded up: a task may be larger than what the reserves still give, and
+  // where the rest is in use by tasks that do not end it would wait for ever.
+  return static_cast<size_t>((milli_cores + size - 1) / size);
 }
 
 bool HoldsMemo(const Controller& c, const SchedulePass& pass, const Job& job,
--- a/tests/AccountsTest.cpp
+++ b/tests/AccountsTest.cpp
@@ -7,6 +7,7 @@
 #include "accounts/Accounts.h"
 #include "accounts/KeyCheck.h"
 #include "accounts/Quota.h"
+#include "base/Random.h"
 #include "base/SuspendedTime.h"
 #include "fairness/ShareLedger.h"
 
@@ -110,6 +111,52 @@
   cr_expect_not(MayRunTogether({5'000, 0, 0}, size, 6));
 }
 
+// Guards against work that is larger than what tasks which do not end leave of
+// the quota, and so is accepted and never started; and against an excess of
+// more than one task.
+Test(Quota, one_task_may_exceed_it_while_less_than_half_is_in_use) {
+  const auto may_start = [](int64_t running, int64_t size, uint32_t count) {
+    const Resources quota{40'000, 0, 0};
+    return MayStartTogether({quota, quota}, {running, 0, 0}, {size, 0, 0},
+                            count);
+  };
+  cr_expect(may_start(16'000, 26'000, 1));
+  cr_expect(may_start(16'000, 90'000, 1));
+  cr_expect(may_start(16'000, 8'000, 4));
+  cr_expect(may_start(16'000, 10'000, 3));
+  cr_expect_not(may_start(16'000, 10'000, 4));
+  cr_expect_not(may_start(20'000, 26'000, 1));
+  cr_expect(may_start(20'000, 20'000, 1));
+  // Not under half: only what fits the part that this work may fill.
+  const Resources whole{40'000, 1'000, 2};
+  const QuotaLimits limits{{32'000, 800, 2}, whole};
+  cr_expect(MayStartTogether(limits, {19'000, 0, 0}, {14'000, 10, 0}, 1));
+  cr_expect_not(MayStartTogether(limits, {20'000, 0, 0}, {14'000, 10, 0}, 1));
+  cr_expect_not(MayStartTogether(limits, {0, 500, 0}, {14'000, 400, 0}, 1));
+  cr_expect(MayStartTogether(limits, {0, 0, 0}, {1'000, 10, 3}, 1));
+  cr_expect_not(MayStartTogether(limits, {0, 0, 1}, {1'000, 10, 2}, 1));
+}
+
+// Guards against an account with less than half of its quota in use, of which a
+// task cannot start, in any dimension, and against starts beside an excess.
+Test(Quota, any_task_may_start_while_less_than_half_is_in_use) {
+  Random random(53);
+  const auto draw = [&](int64_t most) {
+    return Resources{UniformInt(random, 0, most), UniformInt(random, 0, most),
+                     UniformInt(random, 0, most)};
+  };
+  for (int i = 0; i < 20'000; ++i) {
+    const Resources quota = draw(12);
+    const Resources running = draw(12);
+    const Resources size = draw(20);
+    const bool may_start = MayStartTogether({quota, quota}, running, size, 1);
+    if (IsUnderHalf(quota, running)) cr_expect(may_start);
+    if (!may_start) continue;
+    const Resources excess = ExcessOverQuota(quota, running, {1, 1, 1}, 0);
+    cr_expect_not(NeedsAnyOf(size, excess));
+  }
+}
+
 // Guards against a step that waits for one dimension of the quota and holds
 // back tasks that need nothing of it.
 Test(Quota, only_the_lacking_dimensions_are_held_back) {
--- a/tests/ReserveTest.cpp
+++ b/tests/ReserveTest.cpp
@@ -81,6 +81,21 @@
   }
 }
 
+// Guards against a task that waits for ever although each worker has room for
+// it, because it is larger than what tasks that last leave of the processors
+// below the limit of use.
+Test(Reserve, task_larger_than_the_rest_below_the_limit_starts,
+     .init = DiscardLogs) {
+  Cell cell({.workers = 2, .failure_share = 0});
+  cell.time.RunUntil(4 * kSecond);
+  OccupyEachWorker(cell, 7'500);
+  cell.time.RunUntil(6 * kSecond);
+  const std::string id =
+      SubmitLow(cell, MakeChain(cell, 1, 1, {8'000, 500, 0}, 200));
+  cell.time.RunUntil(cell.time.now_ms + kStartMs);
+  cr_expect_eq(CountStarts(cell, id), 1U);
+}
+
 // Guards against a gang that waits for ever on an idle fleet because two of its
 // members do not fit beside the reserve of one worker.
 Test(Reserve, gang_that_fills_an_idle_fleet_is_started, .init = DiscardLogs) {
