Cancellation of an unknown job is stored, so that no later insert takes effect

Cause: TryCancel() answered kNotFound for a job without a row and wrote nothing, so an insert that was under way at a daemon which stood still, or in the store, took effect afterwards. Change: the job is stored as cancelled under its own key, on the condition that there is no row. Every insert has that condition. A daemon stores 20 such rows a second at most and answers 503 beyond that. They are removed like any outcome.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -21,6 +21,8 @@
   std::string value;
   TimeMs deadline_ms = 0;
   JobOutcomeCallback done;
+  /// For a cancellation: whether one of an unknown job may be stored now.
+  std::function<bool()> may_store_unknown;
   /// An earlier attempt without an answer may have taken effect.
   bool in_doubt = false;
   int refusals = 0;
@@ -124,6 +126,41 @@
       });
 }
 
+/// Stores the job as cancelled under its own key. Each insert of a job is
+/// conditional on the absence of that row, so one that is still under way, at a
+/// daemon that stood still or in the store, changes nothing any more.
+void PutTombstone(const AttemptPtr& attempt) {
+  const std::string value = workflow::EncodeJobEnd(
+      {workflow::JobPhase::kCancelled, attempt->runtime.wall_ms()});
+  RowTransaction transaction;
+  transaction.conditions.push_back({workflow::kJobTable, attempt->key, 0});
+  transaction.puts.push_back({workflow::kJobTable, attempt->key, value});
+  attempt->store.transact(
+      std::move(transaction), [attempt, value](const StoreAnswer& answer) {
+        CountCall(*attempt, answer);
+        if (answer.status == StoreStatus::kOk) {
+          Finish(attempt, JobAnswer::kNotFound,
+                 {workflow::kJobTable, attempt->key, value, answer.version,
+                  false});
+          return;
+        }
+        // On a conflict the job has been stored since it was looked up.
+        const bool is_unwritten = answer.status == StoreStatus::kRefused ||
+                                  answer.status == StoreStatus::kConflict;
+        if (!is_unwritten) attempt->in_doubt = true;
+        TryAgain(attempt, answer.status, TryCancel);
+      });
+}
+
+void CancelUnknown(const AttemptPtr& attempt) {
+  if (attempt->in_doubt || attempt->may_store_unknown()) {
+    PutTombstone(attempt);
+    return;
+  }
+  attempt->reason = "too_many_unknown";
+  Finish(attempt, JobAnswer::kRefused);
+}
+
 void TryCancel(const AttemptPtr& attempt) {
   attempt->store.read_one(
       workflow::kJobTable, attempt->key, [attempt](const StoreAnswer& answer) {
@@ -133,7 +170,7 @@
           return;
         }
         if (answer.rows.empty()) {
-          Finish(attempt, JobAnswer::kNotFound);
+          CancelUnknown(attempt);
           return;
         }
         if (workflow::DecodeJob(answer.rows.front().value).ended) {
@@ -176,8 +213,12 @@
 
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
                         const std::string& id, TimeMs deadline_ms,
+                        std::function<bool()> may_store_unknown,
                         JobOutcomeCallback done) {
-  TryCancel(MakeAttempt(runtime, store, id, deadline_ms, std::move(done)));
+  const AttemptPtr attempt =
+      MakeAttempt(runtime, store, id, deadline_ms, std::move(done));
+  attempt->may_store_unknown = std::move(may_store_unknown);
+  TryCancel(attempt);
 }
 
 namespace {
--- a/src/node/JobStore.h
+++ b/src/node/JobStore.h
@@ -57,9 +57,13 @@
                TimeMs deadline_ms, JobOutcomeCallback done);
 
 /// Stores a cancellation request for a job, with retries as in InsertJob. For a
-/// job that has ended it gives kStored without writing a row.
+/// job that has ended it gives kStored without writing a row. One that is not
+/// stored may still be on its way: it is stored as cancelled, and the answer is
+/// kNotFound with that row. `may_store_unknown` limits such rows: if it returns
+/// false, the answer is kRefused.
 void InsertCancellation(const Runtime& runtime, const RowStore& store,
                         const std::string& id, TimeMs deadline_ms,
+                        std::function<bool()> may_store_unknown,
                         JobOutcomeCallback done);
 
 struct JobLookup {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -14,6 +14,7 @@
 #include "accounts/Accounts.h"
 #include "base/HybridClock.h"
 #include "base/Runtime.h"
+#include "fairness/ShareLedger.h"
 #include "loop/EventLoop.h"
 #include "node/Isolation.h"
 #include "node/JobStore.h"
@@ -147,6 +148,8 @@
   wire::HeartbeatT MakeHeartbeat() const;
   void NotifyOwner(const StoreRow& row);
   bool OwnerReachesStore() const;
+  /// Whether the cancellation of a job that is not stored may be stored now.
+  bool MayCancelUnknown();
   void InsertThroughOwner(const std::string& key, const std::string& value,
                           JobOutcomeCallback done);
   /// Stores a job on behalf of a peer and sends it the answer.
@@ -181,6 +184,7 @@
   bool pending_jobs_known = false;
   /// Time since the store last answered the owner, as the owner last reported.
   TimeMs owner_store_age_ms = 0;
+  fairness::ShareLedger unknown_cancellations;
   Isolation isolation;
   bool stopping = false;
   /// False once this object is destroyed; callbacks hold a copy of the pointer.
--- a/src/node/NodeCallers.cpp
+++ b/src/node/NodeCallers.cpp
@@ -126,21 +126,30 @@
 
 void Node::Cancel(const std::string& id, TimeMs timeout_ms,
                   std::function<void(JobAnswer)> done) {
+  const auto may_store_unknown = [this, alive = this->alive] {
+    return *alive && this->MayCancelUnknown();
+  };
   InsertCancellation(
       this->runtime, this->ports.store, id, this->runtime.now() + timeout_ms,
+      may_store_unknown,
       [this, id, done = std::move(done),
        alive = this->alive](const JobOutcome& outcome) {
         if (!*alive) return;
         Log(LogLevel::kInfo, "cancel_answered",
             {F("job", id), F("answer", NameOf(kJobAnswerNames, outcome.answer)),
              F("reason", outcome.reason), F("calls", outcome.calls)});
-        if (outcome.answer == JobAnswer::kStored) {
-          this->NotifyOwner(outcome.row);
-        }
+        this->NotifyOwner(outcome.row);
         done(outcome.answer);
       });
 }
 
+bool Node::MayCancelUnknown() {
+  // Each takes a row that is kept as long as the outcome of a job.
+  constexpr double kPerSecond = 20;
+  return fairness::TakeShare(this->unknown_cancellations, {}, kPerSecond,
+                             this->runtime.now());
+}
+
 void Node::Query(const std::string& id,
                  const std::function<void(JobStatus)>& done) {
   const auto from_store = [this, id, done] {
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -446,17 +446,20 @@
   if (!daemon.up) return;
   cell.jobs.at(id).cancel_sent = true;
   constexpr TimeMs kWaitMs = 2'800;
-  InsertCancellation(MakeModelRuntime(cell, index, daemon.alive),
-                     MakeStore(cell, index, daemon.alive), id,
-                     cell.time.now_ms + kWaitMs,
-                     [&cell, id](const JobOutcome& outcome) {
-                       if (outcome.answer != JobAnswer::kStored) return;
-                       CallerJob& submitted = cell.jobs.at(id);
-                       if (submitted.cancelled_ms < 0) {
-                         submitted.cancelled_ms = cell.time.now_ms;
-                       }
-                       NotifyOwners(cell, outcome.row);
-                     });
+  InsertCancellation(
+      MakeModelRuntime(cell, index, daemon.alive),
+      MakeStore(cell, index, daemon.alive), id, cell.time.now_ms + kWaitMs,
+      [] { return true; },
+      [&cell, id](const JobOutcome& outcome) {
+        const bool is_acknowledged = outcome.answer == JobAnswer::kStored ||
+                                     outcome.answer == JobAnswer::kNotFound;
+        if (!is_acknowledged) return;
+        CallerJob& submitted = cell.jobs.at(id);
+        if (submitted.cancelled_ms < 0) {
+          submitted.cancelled_ms = cell.time.now_ms;
+        }
+        NotifyOwners(cell, outcome.row);
+      });
 }
 
 }  // namespace dotterelcove::model
--- a/tests/platform/StoreErrorTest.cpp
+++ b/tests/platform/StoreErrorTest.cpp
@@ -168,11 +168,12 @@
   fake.calls.clear();
   JobOutcome got;
   bool done = false;
-  InsertCancellation(fake.runtime, fake.store, kJob, MonotonicMs() + 400,
-                     [&](JobOutcome outcome) {
-                       got = std::move(outcome);
-                       done = true;
-                     });
+  InsertCancellation(
+      fake.runtime, fake.store, kJob, MonotonicMs() + 400, [] { return true; },
+      [&](JobOutcome outcome) {
+        got = std::move(outcome);
+        done = true;
+      });
   cr_assert(fake.loop.RunUntil([&] { return done; }, 2'000));
   cr_expect(got.answer == JobAnswer::kRefused);
   cr_expect_leq(fake.calls["/rows-tx"], 10);
