Jobs follow their queue to another service

Cause: the service was stored with the job, UpdatePolicies() replaced the queue's policy only, and IsEligible() compared workers with the stored service. After a takeover the stored policy held as well until the next configuration. Change: the service is a part of the queue's policy, and AdoptPolicy() derives the policy from the configuration in force at admission, at each change and after a takeover. A job carries the version its policy is from; an older configuration does not overrule it. Jobs that have moved store their service in the progress row, for a queue that is dropped later. An owner without a configuration starts nothing. A progress row of a job that has not started is shown as queued.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -227,18 +227,23 @@
 /// outcome may already be stored.
 void LookUpProgress(const RowStore& store, const std::string& id,
                     const std::function<void(JobLookup)>& done) {
-  store.read_one(
-      workflow::kProgressTable, id, [done](const StoreAnswer& answer) {
-        JobLookup lookup;
-        lookup.status = answer.status;
-        lookup.found = true;
-        lookup.phase = workflow::JobPhase::kQueued;
-        if (!answer.rows.empty()) {
-          const auto end = workflow::DecodeEnd(answer.rows.front().value);
-          lookup.phase = end ? end->phase : workflow::JobPhase::kRunning;
-        }
-        done(lookup);
-      });
+  store.read_one(workflow::kProgressTable, id,
+                 [done](const StoreAnswer& answer) {
+                   JobLookup lookup;
+                   lookup.status = answer.status;
+                   lookup.found = true;
+                   lookup.phase = workflow::JobPhase::kQueued;
+                   if (!answer.rows.empty()) {
+                     const std::string& progress = answer.rows.front().value;
+                     const auto end = workflow::DecodeEnd(progress);
+                     if (end) {
+                       lookup.phase = end->phase;
+                     } else if (workflow::HasStarted(progress)) {
+                       lookup.phase = workflow::JobPhase::kRunning;
+                     }
+                   }
+                   done(lookup);
+                 });
 }
 
 }  // namespace
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -181,6 +181,8 @@
   c.log = log;
   c.epoch = log->row().epoch;
   c.policies = this->policies;
+  c.policy_version = this->config_version;
+  c.awaits_configuration = this->config_version == 0;
   // Without a configuration it is not known what the accounts may run.
   if (this->config_version > 0) workflow::UpdateAccounts(c, this->accounts);
   c.acts_until = [this, current = this->controller.get(), alive = this->alive] {
@@ -666,7 +668,7 @@
   this->config_version = version;
   this->config_behind_since_ms = -1;
   if (this->controller) {
-    workflow::UpdatePolicies(*this->controller, this->policies);
+    workflow::UpdatePolicies(*this->controller, this->policies, version);
   }
 }
 
--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -54,6 +54,7 @@
     Log(LogLevel::kError, "progress_row_unreadable",
         {F("job", row.key), F("version", row.version)});
   }
+  ApplyPolicies(c);
 }
 
 /// Follows the changes of the job table in the store, for rows that no entry
@@ -443,17 +444,6 @@
   return c.acts_until && c.runtime.now() > c.acts_until();
 }
 
-void UpdatePolicies(Controller& c,
-                    std::map<std::string, QueuePolicy> policies) {
-  c.policies = std::move(policies);
-  for (const auto& [id, job] : c.jobs.jobs) {
-    const auto found = c.policies.find(job->spec.queue);
-    if (found != c.policies.end()) job->spec.policy = found->second;
-  }
-  TryAllSteps(c);
-  RequestSchedule(c);
-}
-
 void AddPermitClient(Controller& c, const std::string& name,
                      PermitPort request) {
   c.permit_clients[name] = PermitClient{name, std::move(request), 0, 0, 0};
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -196,7 +196,12 @@
   /// into the job's own row.
   std::map<std::string, JobPhase> to_compact;
   TimeMs next_compaction_ms = 0;
+  /// The queues of the configuration in force, and its version.
   std::map<std::string, QueuePolicy> policies;
+  uint64_t policy_version = 0;
+  /// No configuration has been read. Nothing starts until then: the services
+  /// that jobs were stored with may not be those of their queues any more.
+  bool awaits_configuration = false;
   /// The client accounts. One that the configuration has dropped is kept, for
   /// its jobs that still run.
   accounts::AccountTable accounts;
@@ -280,8 +285,10 @@
 /// already known are skipped.
 void UpdateWaves(Controller& controller,
                  const std::vector<MaintenanceWave>& waves);
+/// Applies a new version of the configuration of the queues.
 void UpdatePolicies(Controller& controller,
-                    std::map<std::string, QueuePolicy> policies);
+                    std::map<std::string, QueuePolicy> policies,
+                    uint64_t version);
 /// Applies a new version of the client accounts.
 void UpdateAccounts(Controller& controller,
                     const accounts::AccountTable& table);
--- a/src/workflow/ControllerInternal.h
+++ b/src/workflow/ControllerInternal.h
@@ -216,6 +216,15 @@
 /// ended or does not exist, they are dropped.
 void ApplyDeferredEnds(Controller& controller, const std::string& job);
 
+// Policies.
+/// Gives the job the policy of its queue in the configuration in force, unless
+/// it has one of a later version. Runs on workers of an earlier service go on;
+/// what ends there starts again at the present one.
+void AdoptPolicy(const Controller& controller, Job& job);
+/// The same for all jobs, and stores the services of those that have moved.
+/// Their progress must have been applied.
+void ApplyPolicies(Controller& controller);
+
 // Jobs.
 /// Returns a task to the waiting phase after its run left the worker without
 /// being done.
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -53,6 +53,7 @@
   ApplyRunTimes(c, *job);
   Job* admitted = job.get();
   c.jobs.jobs[row.key] = std::move(job);
+  AdoptPolicy(c, *admitted);
   if (c.cancelled_ids.erase(row.key) > 0) {
     admitted->cancel_requested = true;
     CloseJob(c, *admitted, JobPhase::kCancelled, "cancelled_by_caller");
--- a/src/workflow/ControllerMemos.cpp
+++ b/src/workflow/ControllerMemos.cpp
@@ -53,7 +53,7 @@
 
 size_t CountReserveTasks(const Controller& c, SchedulePass& pass,
                          const PlacementNeed& need) {
-  const std::string& service = need.job->service;
+  const std::string& service = need.job->policy.service;
   const int64_t milli_cores =
       pass.is_placing ? ReserveCoresOf(c, pass, service)
                       : ServiceOf(c, pass, service).initial_reserve_cores;
@@ -122,7 +122,7 @@
   const uint32_t startable = memo.ready;
   if (MayHaveRoom(c, pass, need, startable)) return StepPlanning::kPlace;
   if (IsActionDue(need, state)) return StepPlanning::kRequest;
-  ServicePass& totals = ServiceOf(c, pass, need.job->service);
+  ServicePass& totals = ServiceOf(c, pass, need.job->policy.service);
   if (need.reserve > 0 && totals.initial_reserve_cores > 0) {
     const OrderKey key = OrderKeyOf(c, pass, step);
     if (!totals.first_skipped || key < *totals.first_skipped) {
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -149,7 +149,7 @@
       if (state.ready_since_ms < 0) state.ready_since_ms = pass.now_ms;
       if (state.waiting == 0) continue;
       is_watched = true;
-      ServiceOf(c, pass, job.spec.service).waiting_work +=
+      ServiceOf(c, pass, job.spec.policy.service).waiting_work +=
           job.spec.steps[i].size.milli_cores * job.spec.steps[i].estimate_ms *
           state.waiting;
       CollectStep(c, pass, {&job, number, i, 0}, steps);
@@ -359,7 +359,7 @@
   if (waiting > limit) rest.tasks.resize(limit);
   const size_t tried = rest.tasks.size();
   const size_t placed = tried - PlaceWaiting(c, rest, candidates, need);
-  ReserveCoresOf(c, pass, need.job->service) -=
+  ReserveCoresOf(c, pass, need.job->policy.service) -=
       static_cast<int64_t>(placed) * need.step->size.milli_cores;
   return static_cast<uint32_t>(waiting - placed);
 }
@@ -423,9 +423,9 @@
   const TaskRef ref{step.job, step.occurrence, step.step, 0};
   StepState& state = StepOf(ref);
   PlacementNeed need = NeedOf(pass, ref);
-  const ServicePass& totals = ServiceOf(c, pass, need.job->service);
+  const ServicePass& totals = ServiceOf(c, pass, need.job->policy.service);
   if (totals.first_skipped && *totals.first_skipped < step.key) {
-    ReserveCoresOf(c, pass, need.job->service);
+    ReserveCoresOf(c, pass, need.job->policy.service);
   }
   const uint32_t ready = step.has_memo
                              ? state.memo.ready
@@ -506,7 +506,7 @@
 
 void RunSchedule(Controller& c) {
   c.schedule_wanted = false;
-  if (!c.loaded || IsSuspended(c)) return;
+  if (!c.loaded || c.awaits_configuration || IsSuspended(c)) return;
   RecordFleet(c);
   SchedulePass pass;
   pass.now_ms = c.runtime.now();
@@ -556,7 +556,7 @@
 OrderKey OrderKeyOf(const Controller& c, const SchedulePass& pass,
                     const TaskRef& step) {
   const OrderTime time{pass.now_ms, pass.wall_ms,
-                       IsOverloaded(c, step.job->spec.service)};
+                       IsOverloaded(c, step.job->spec.policy.service)};
   return MakeOrderKey(*step.job, step.occurrence, step.step, time);
 }
 
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -103,7 +103,6 @@
   JobSpec spec;
   spec.id = json.at("id").get<std::string>();
   spec.queue = Get(json, "queue", std::string());
-  spec.service = Get(json, "service", std::string());
   spec.account = Get(json, "account", std::string());
   const auto quota = json.find("account_quota");
   if (quota != json.end()) {
@@ -119,6 +118,8 @@
   spec.first_start_wall_ms = Get(json, "first_start", int64_t{0});
   spec.interval_ms = Get(json, "interval", int64_t{0});
   spec.policy = PolicyFromJson(json.at("policy"));
+  spec.policy.service = Get(json, "service", std::string());
+  spec.policy_version = Get(json, "policy_version", uint64_t{0});
   spec.accepted_wall_ms = Get(json, "accepted", int64_t{0});
   return spec;
 }
@@ -200,10 +201,11 @@
 std::string EncodeJob(const JobSpec& spec) {
   Json json{{"id", spec.id},
             {"queue", spec.queue},
-            {"service", spec.service},
+            {"service", spec.policy.service},
             {"payload", spec.payload},
             {"policy", PolicyToJson(spec.policy)},
             {"accepted", spec.accepted_wall_ms}};
+  PutUnless(json, "policy_version", spec.policy_version, uint64_t{0});
   PutUnless(json, "account", spec.account, std::string());
   if (spec.account_quota != Resources()) {
     json["account_quota"] = {spec.account_quota.milli_cores,
@@ -248,9 +250,18 @@
   return DecodeJob(text).ended;
 }
 
+bool HasStarted(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  return json.is_object() && Get(json, "started", false);
+}
+
 std::string EncodeProgress(const Job& job) {
-  Json json = Json::object();
+  // Daemons of older versions expect the member.
+  Json json{{"occurrences", Json::object()}};
   if (job.started) json["started"] = true;
+  if (job.has_moved) {
+    json["route"] = {job.spec.policy.service, job.spec.policy_version};
+  }
   for (const auto& [number, occurrence] : job.occurrences) {
     Json steps = Json::array();
     if (!occurrence.complete) {
@@ -267,7 +278,14 @@
   try {
     const Json json = Json::parse(text);
     job.started = Get(json, "started", false);
-    for (const auto& [key, steps] : json.at("occurrences").items()) {
+    const auto route = json.find("route");
+    if (route != json.end()) {
+      job.has_moved = true;
+      job.spec.policy.service = route->at(0).get<std::string>();
+      job.spec.policy_version = route->at(1).get<uint64_t>();
+    }
+    const Json occurrences = Get(json, "occurrences", Json::object());
+    for (const auto& [key, steps] : occurrences.items()) {
       const auto number = static_cast<uint32_t>(std::stoul(key));
       Occurrence& occurrence = job.occurrences[number];
       occurrence.steps.resize(job.spec.steps.size());
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -49,6 +49,9 @@
 /// open job.
 std::optional<JobEnd> DecodeEnd(const std::string& text);
 
+/// Whether a task of the job with this progress row has started.
+bool HasStarted(const std::string& text);
+
 std::string EncodeProgress(const Job& job);
 /// Returns false for text that does not match the job; `job` may then be partly
 /// changed.
--- a/src/workflow/JobTable.cpp
+++ b/src/workflow/JobTable.cpp
@@ -78,6 +78,14 @@
   return {job, name.occurrence, name.step, name.index};
 }
 
+void UpdateObjective(Job& job) {
+  const QueuePolicy& policy = job.spec.policy;
+  job.objective_ms =
+      static_cast<TimeMs>(policy.stretch *
+                          static_cast<double>(job.critical_path_ms)) +
+      policy.target_ms;
+}
+
 std::unique_ptr<Job> MakeJob(JobSpec spec, TimeMs now_ms, int64_t wall_ms) {
   auto job = std::make_unique<Job>();
   job->spec = std::move(spec);
@@ -86,10 +94,7 @@
   const TimeMs age_ms =
       std::max<int64_t>(wall_ms - job->spec.accepted_wall_ms, 0);
   job->accepted_ms = now_ms - age_ms;
-  job->objective_ms =
-      static_cast<TimeMs>(job->spec.policy.stretch *
-                          static_cast<double>(job->critical_path_ms)) +
-      job->spec.policy.target_ms;
+  UpdateObjective(*job);
   AddDueOccurrences(*job, wall_ms);
   return job;
 }
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -158,6 +158,8 @@
   bool cancel_requested = false;
   /// A task of the job has started at some time.
   bool started = false;
+  /// Its queue was sent to another service after it was accepted.
+  bool has_moved = false;
   /// Store version at which it was accepted.
   uint64_t version = 0;
   /// Number of events that may let its steps be placed differently: tasks wait
@@ -234,6 +236,9 @@
 /// Creates the state of a job that has not started.
 std::unique_ptr<Job> MakeJob(JobSpec spec, TimeMs now_ms, int64_t wall_ms);
 
+/// Computes the job's objective from its policy.
+void UpdateObjective(Job& job);
+
 /// Adds the occurrences that are due at `wall_ms`; returns whether any was
 /// added.
 bool AddDueOccurrences(Job& job, int64_t wall_ms);
--- a/src/workflow/Placement.cpp
+++ b/src/workflow/Placement.cpp
@@ -80,7 +80,7 @@
 
 bool IsEligible(const Worker& worker, const JobSpec& job,
                 const StepSpec& step) {
-  if (worker.info.service != job.service) return false;
+  if (worker.info.service != job.policy.service) return false;
   if (step.required_label.empty()) return true;
   return worker.info.labels.contains(step.required_label);
 }
--- a/src/workflow/Workflow.h
+++ b/src/workflow/Workflow.h
@@ -22,6 +22,8 @@
 
 /// The configuration of a queue.
 struct QueuePolicy {
+  /// The service whose workers run its tasks.
+  std::string service;
   /// 0 is the highest and may preempt others.
   int priority = 0;
   /// Number of failed runs of one task at which the job fails.
@@ -67,7 +69,6 @@
   /// 16 hexadecimal digits chosen by the caller.
   std::string id;
   std::string queue;
-  std::string service;
   /// The client account that submitted it, empty for none.
   std::string account;
   /// The quota of that account at the time, for an owner that does not know the
@@ -81,6 +82,8 @@
   int64_t first_start_wall_ms = 0;
   int64_t interval_ms = 0;
   QueuePolicy policy;
+  /// Version of the configuration that `policy` is from, 0 for unknown.
+  uint64_t policy_version = 0;
   int64_t accepted_wall_ms = 0;
 };
 
--- a/tests/CellModel.cpp
+++ b/tests/CellModel.cpp
@@ -402,7 +402,7 @@
                 static_cast<unsigned long long>(cell.next_job++));
   spec.id = id;
   spec.queue = "queue";
-  spec.service = "service";
+  spec.policy.service = "service";
   spec.payload = "payload of " + spec.id;
   spec.policy.attempts = 3;
   spec.policy.stretch = 2;
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -36,7 +36,7 @@
 std::unique_ptr<Job> MakeOneStep(StepSpec step, int priority = 0) {
   JobSpec spec;
   spec.id = "0123456789abcdef";
-  spec.service = "service";
+  spec.policy.service = "service";
   spec.steps = {step};
   spec.policy.priority = priority;
   spec.policy.stretch = 2;
--- a/tests/platform/DecodingTest.cpp
+++ b/tests/platform/DecodingTest.cpp
@@ -96,9 +96,9 @@
 // Guards against matching a route of another host or with a shorter path.
 Test(PlatformManifest, longest_path_of_the_host_wins) {
   Manifest manifest;
-  manifest.routes = {{"h", "/a/", "s", "short", {}},
-                     {"h", "/a/b/", "s", "long", {}},
-                     {"other", "/a/b/c/", "s", "other", {}}};
+  manifest.routes = {{"h", "/a/", "short", {}},
+                     {"h", "/a/b/", "long", {}},
+                     {"other", "/a/b/c/", "other", {}}};
   cr_expect_str_eq(FindRoute(manifest, "h", "/a/b/c/1")->queue.c_str(), "long");
   cr_expect_str_eq(FindRoute(manifest, "h", "/a/1")->queue.c_str(), "short");
   cr_expect_null(FindRoute(manifest, "h", "/b/1"));
