Standbys take over at once from an owner that has given up

Cause: MayTakeOver() took the process that the owner row names for alive while it was connected, though it reported that it serves nothing. Change: a process that does not serve and names itself as the owner of the present epoch has given up. One that is about to acquire ownership names an earlier epoch, so its report says nothing.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -579,6 +579,9 @@
       report.epoch = this->leadership->view().epoch;
       report.incarnation = info.incarnation;
       report.releasing = true;
+      // A process that is about to acquire ownership reports an earlier epoch.
+      report.has_given_up = heartbeat.owner_epoch == report.epoch &&
+                            heartbeat.owner_process == info.process;
       this->leadership->OnReport(report);
     }
     return;
--- a/src/store/Leadership.cpp
+++ b/src/store/Leadership.cpp
@@ -128,6 +128,9 @@
   // Held by an earlier incarnation of this process, which has certainly ended.
   if (this->row.process == this->options.process) return true;
   if (this->owner_exited) return true;
+  if (this->report.has_given_up && this->report.epoch == this->row.epoch) {
+    return true;
+  }
   if (unchanged_ms < this->options.stale_ms) return false;
   if (!this->is_owner_connected) return true;
   return now_ms - this->report_ms >= this->options.stale_ms ||
@@ -157,7 +160,8 @@
             {F("epoch", next.epoch), F("previous", self->row.process),
              F("row_age_ms", self->runtime.now() - self->row_changed_ms),
              F("owner_connected", self->is_owner_connected),
-             F("owner_exited", self->owner_exited)});
+             F("owner_exited", self->owner_exited),
+             F("owner_has_given_up", self->report.has_given_up)});
         self->sent_ms = self->runtime.now();
         self->store.transact(std::move(transaction),
                              [weak, next](const StoreAnswer& answer) {
--- a/src/store/Leadership.h
+++ b/src/store/Leadership.h
@@ -52,6 +52,9 @@
   TimeMs store_age_ms = 0;
   /// The owner is about to give ownership up, or has given it up.
   bool releasing = false;
+  /// The process that the owner row names says that it does not own the cell in
+  /// `epoch` any more.
+  bool has_given_up = false;
 };
 
 struct LeadershipCallbacks {
