A rejected commit is taken apart, and costs the record at fault only

Cause: OnRejected() gave ownership up without naming the row, and the next owner began with the same one. The last record of a transaction was not counted against its limit of bytes. Change: rows of a rejected commit are logged; its records are written one by one; a record that is rejected alone is given back to its writer if it answers for it, else ownership is given up as before. Records are counted before they are added. Before: OwnerCommitter/rejected_record_is_isolated and last_record_counts_against_the_limit failed with the logic before. After: they pass, and rejected_commit_ends_the_ownership as before.

--- a/src/store/OwnerCommitter.cpp
+++ b/src/store/OwnerCommitter.cpp
@@ -14,6 +14,12 @@
 /// store.
 constexpr int kMaxRejections = 3;
 
+size_t CountBytes(const std::vector<RowPut>& puts) {
+  size_t bytes = 0;
+  for (const RowPut& put : puts) bytes += put.value.size();
+  return bytes;
+}
+
 }  // namespace
 
 std::string OwnerRowToJson(const OwnerRow& row) {
@@ -74,10 +80,11 @@
 
 void OwnerCommitter::Commit(std::vector<RowPut> puts,
                             std::vector<RowRemoval> removals,
-                            std::function<void()> done) {
+                            std::function<void()> done,
+                            std::function<void()> rejected) {
   if (this->stopped) return;
-  this->queue.push_back(
-      {std::move(puts), std::move(removals), std::move(done)});
+  this->queue.push_back({std::move(puts), std::move(removals), std::move(done),
+                         std::move(rejected)});
   this->Pump();
 }
 
@@ -124,12 +131,15 @@
   size_t taken = 0;
   for (const Record& record : this->queue) {
     const size_t size = record.puts.size() + record.removals.size();
+    const size_t record_bytes = CountBytes(record.puts);
     if (taken > 0 && entries + size > this->options.max_entries) break;
-    if (taken > 0 && bytes > this->options.max_bytes) break;
+    if (taken > 0 && bytes + record_bytes > this->options.max_bytes) break;
+    if (taken > 0 && this->single_records > 0) break;
     entries += size;
-    for (const RowPut& put : record.puts) bytes += put.value.size();
+    bytes += record_bytes;
     ++taken;
   }
+  if (this->single_records > 0) this->single_records--;
   const auto end = this->queue.begin() + static_cast<std::ptrdiff_t>(taken);
   std::move(this->queue.begin(), end, std::back_inserter(this->in_flight));
   this->queue.erase(this->queue.begin(), end);
@@ -250,21 +260,46 @@
     this->OnCommitted(row.version);
     return;
   }
+  this->current.version = row.version;
   if (this->rejections >= kMaxRejections) {
     this->OnRejected();
     return;
   }
-  this->current.version = row.version;
   this->Send();
 }
 
 void OwnerCommitter::OnRejected() {
+  for (const Record& record : this->in_flight) {
+    for (const RowPut& put : record.puts) {
+      Log(LogLevel::kError, "row_of_rejected_commit",
+          {F("table", put.table), F("key", put.key),
+           F("bytes", put.value.size()), F("sequence", this->next.sequence)});
+    }
+  }
   Log(LogLevel::kError, "commit_rejected",
       {F("epoch", this->current.epoch), F("sequence", this->next.sequence),
        F("records", this->in_flight.size())});
-  this->Stop();
-  if (this->released) std::exchange(this->released, nullptr)();
-  this->deposed();
+  const bool is_answered_for =
+      this->in_flight.size() == 1 && this->in_flight.front().rejected;
+  if (this->in_flight.size() <= 1 && !is_answered_for) {
+    this->Stop();
+    if (this->released) std::exchange(this->released, nullptr)();
+    this->deposed();
+    return;
+  }
+  std::vector<Record> rejected = std::exchange(this->in_flight, {});
+  this->writing = false;
+  this->rejections = 0;
+  const auto self = this->shared_from_this();
+  if (is_answered_for) {
+    rejected.front().rejected();
+  } else {
+    this->single_records = rejected.size();
+    this->queue.insert(this->queue.begin(),
+                       std::make_move_iterator(rejected.begin()),
+                       std::make_move_iterator(rejected.end()));
+  }
+  this->Pump();
 }
 
 void OwnerCommitter::OnCommitted(uint64_t version) {
--- a/src/store/OwnerCommitter.h
+++ b/src/store/OwnerCommitter.h
@@ -57,7 +57,7 @@
   /// Delay before a transaction or a read without an answer is retried.
   TimeMs retry_ms = 80;
   /// Limits of one transaction: rows written or removed, and bytes of values.
-  /// It holds at least one record, and its last record may exceed the bytes.
+  /// It holds at least one record.
   size_t max_entries = 90;
   size_t max_bytes = 700'000;
 };
@@ -65,7 +65,8 @@
 /// Group commit of the owner in one epoch, with at most one transaction in
 /// flight. Created by a process that has just taken ownership over; ends when
 /// another process takes over, or when the store keeps rejecting a transaction
-/// itself: the next owner begins with what is stored.
+/// itself. Before that its records are written one by one, so that only the one
+/// that is at fault is rejected.
 class OwnerCommitter : public std::enable_shared_from_this<OwnerCommitter> {
  public:
   OwnerCommitter(Runtime runtime, RowStore store, OwnerRow row,
@@ -75,9 +76,12 @@
   void Start(TimeMs confirmed_ms);
   /// Writes these rows in one transaction, together with other queued records.
   /// `done` runs once they are stored; it never runs if ownership is lost
-  /// first.
+  /// first. If the store keeps rejecting the record, `rejected` runs in place
+  /// of it; without that, ownership is given up, and the next owner begins with
+  /// what is stored.
   void Commit(std::vector<RowPut> puts, std::vector<RowRemoval> removals,
-              std::function<void()> done);
+              std::function<void()> done,
+              std::function<void()> rejected = nullptr);
   /// Writes the queued records, then releases the owner row. `done` runs at the
   /// end, also when the release failed.
   void Release(std::function<void()> done);
@@ -103,6 +107,7 @@
     std::vector<RowPut> puts;
     std::vector<RowRemoval> removals;
     std::function<void()> done;
+    std::function<void()> rejected;
   };
 
   /// Starts the next transaction if one is due, else sets a timer for it.
@@ -114,7 +119,9 @@
   void OnAnswer(const StoreAnswer& answer);
   /// Reads the owner row to resolve a transaction with an unknown outcome.
   void ReadBack();
-  /// Gives ownership up, since the transaction in flight is never accepted.
+  /// The transaction in flight is never accepted: writes its records one by
+  /// one, or drops the only one if somebody answers for it, or gives ownership
+  /// up.
   void OnRejected();
   void OnRow(const OwnerRow& row);
   void OnCommitted(uint64_t version);
@@ -133,6 +140,8 @@
   bool writing = false;
   /// Times that the store has rejected the transaction in flight itself.
   int rejections = 0;
+  /// Number of the next records that are written alone.
+  size_t single_records = 0;
   /// When the pending timer fires, -1 if none is set.
   TimeMs armed_for_ms = -1;
   bool stopped = false;
--- a/tests/OwnerCommitterTest.cpp
+++ b/tests/OwnerCommitterTest.cpp
@@ -1,6 +1,7 @@
 // Commits of the owner that the store never accepts.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -36,6 +37,9 @@
 
   StoreAnswer Apply(const RowTransaction& transaction) {
     StoreAnswer answer;
+    size_t bytes = 0;
+    for (const RowPut& put : transaction.puts) bytes += put.value.size();
+    this->largest = std::max(this->largest, bytes);
     for (const RowPut& put : transaction.puts) {
       if (put.key != "poison") continue;
       answer.status = this->answer_to_poison;
@@ -68,6 +72,8 @@
   StoreStatus answer_to_poison = StoreStatus::kInvalid;
   int transactions = 0;
   int reads = 0;
+  /// Bytes of values in the largest transaction.
+  size_t largest = 0;
 };
 
 /// An owner that has committed a poisoned record.
@@ -128,6 +134,77 @@
   cr_expect_gt(owner.log->row().epoch, owner.first_epoch);
 }
 
+// Guards against one rejected record that keeps the others from being stored
+// and costs the ownership, though somebody answers for it.
+Test(OwnerCommitter, rejected_record_is_isolated) {
+  PoisonedOwner owner(StoreStatus::kInvalid);
+  int stored = 0;
+  int rejected = 0;
+  const auto count = [&stored] { stored++; };
+  owner.Run(2'000);
+  owner.Run(4'000);
+  cr_assert(owner.leadership->is_owner());
+  const uint64_t epoch = owner.log->row().epoch;
+  owner.log->Commit({{"progress", "a", "x"}}, {}, count);
+  owner.log->Commit({{"progress", "poison", "x"}}, {}, count,
+                    [&rejected] { rejected++; });
+  owner.log->Commit({{"progress", "b", "x"}}, {}, count);
+  owner.Run(2'000);
+  cr_expect_eq(stored, 2);
+  cr_expect_eq(rejected, 1);
+  cr_expect(owner.leadership->is_owner());
+  cr_expect_eq(owner.log->row().epoch, epoch);
+}
+
+// Guards against a transaction that is larger than the limit by its last
+// record.
+Test(OwnerCommitter, last_record_counts_against_the_limit) {
+  PoisonedOwner owner(StoreStatus::kOk);
+  owner.Run(1'000);
+  owner.store.largest = 0;
+  const std::string value(400'000, 'v');
+  for (const char* key : {"a", "b", "c"}) {
+    owner.log->Commit({{"progress", key, value}}, {}, nullptr);
+  }
+  owner.Run(1'000);
+  cr_expect_geq(owner.store.largest, value.size());
+  cr_expect_leq(owner.store.largest, OwnerCommitterOptions().max_bytes + 1'000);
+}
+
+// Guards against standbys that wait for an owner which has given up and lives
+// on, until its row is stale, or for ever while they are connected to it.
+Test(OwnerCommitter, standby_takes_over_from_an_owner_that_has_given_up) {
+  PoisonedOwner owner(StoreStatus::kOk);
+  LeadershipOptions options;
+  options.process = "front-2";
+  options.incarnation = 9;
+  int acquisitions = 0;
+  LeadershipCallbacks callbacks;
+  callbacks.acquired = [&](const std::shared_ptr<OwnerCommitter>&) {
+    acquisitions++;
+  };
+  callbacks.lost = [] {};
+  callbacks.owner_changed = [](const OwnerRow&) {};
+  const auto standby = std::make_shared<Leadership>(
+      owner.store.MakeRuntime(), owner.store.MakeStore(), options, callbacks);
+  standby->Start();
+  owner.Run(100);
+  standby->OnOwnerLink(true, false);
+  OwnerReport report;
+  report.epoch = owner.first_epoch - 1;
+  report.has_given_up = true;
+  standby->OnReport(report);
+  owner.Run(500);
+  // Of an earlier epoch, so it says nothing of the present one.
+  cr_expect_eq(acquisitions, 0);
+  owner.log->Stop();
+  report.epoch = owner.first_epoch;
+  report.releasing = true;
+  standby->OnReport(report);
+  owner.Run(100);
+  cr_expect_eq(acquisitions, 1);
+}
+
 // Guards against an owner that calls a failing store without a pause.
 Test(OwnerCommitter, failing_commit_is_repeated_at_the_retry_interval) {
   for (const StoreStatus status : {StoreStatus::kUnknown, StoreStatus::kRefused,
