Progress rows are bounded, and a job that cannot be stored ends alone

Cause: the progress row had an entry for each occurrence that was ever completed, which stayed in memory too, and nothing bounded tasks. Change: the row lists the open occurrences and the last one added; those before that are not listed are complete. 64 occurrences or 10,000 tasks are open at most. A row that is too large leaves out checkpoints and ended runs; if it still is, or if the store rejects it alone, the job ends as failed. Earlier rows read the same, and an earlier daemon begins no occurrence of a new row again. The storing of progress has a file of its own.

--- a/src/workflow/Controller.cpp
+++ b/src/workflow/Controller.cpp
@@ -50,7 +50,11 @@
   }
   for (const StoreRow& row : loading.progress.rows) {
     Job* job = FindJob(c.jobs, row.key);
-    if (job == nullptr || ApplyProgress(row.value, *job)) continue;
+    if (job == nullptr) continue;
+    if (ApplyProgress(row.value, *job)) {
+      AddDueOccurrences(*job, c.runtime.wall_ms());
+      continue;
+    }
     Log(LogLevel::kError, "progress_row_unreadable",
         {F("job", row.key), F("version", row.version)});
   }
--- a/src/workflow/Controller.h
+++ b/src/workflow/Controller.h
@@ -54,6 +54,8 @@
   TimeMs isolation_ms = 1'500;
   /// Retention period of the outcome of an ended job.
   TimeMs retention_ms = 180'000;
+  /// The largest progress of a job that the store can hold.
+  size_t max_progress_bytes = 49'152;
   /// How long a VM is down for its maintenance.
   TimeMs maintenance_ms = 2'000;
   /// Learns run times from finished runs. If not, the stated ones are used.
@@ -251,6 +253,8 @@
 
   std::set<Job*> dirty;
   bool flushing = false;
+  /// Number of the next commits that write the progress of one job only.
+  size_t single_flushes = 0;
   bool fleet_dirty = false;
   /// Fleet rows by key, as last submitted to the store.
   std::map<std::string, std::string> fleet_rows;
--- a/src/workflow/ControllerAccounts.cpp
+++ b/src/workflow/ControllerAccounts.cpp
@@ -67,8 +67,7 @@
   }
   // Those of the occurrences that have become due since the job was read: the
   // job is held, so they are not added yet.
-  const uint32_t known =
-      job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
+  const uint32_t known = job.next_occurrence;
   const uint32_t begun = CountBegunOccurrences(c, job.spec);
   if (begun <= known) return;
   for (const StepSpec& step : job.spec.steps) {
--- a/src/workflow/ControllerJobs.cpp
+++ b/src/workflow/ControllerJobs.cpp
@@ -1,4 +1,4 @@
-// Jobs: admission, ends of runs, storing of progress, and completion.
+// Jobs: admission, ends of runs, and completion.
 #include <algorithm>
 #include <utility>
 
@@ -8,8 +8,6 @@
 namespace dotterelcove::workflow {
 namespace {
 
-/// Maximum number of changed jobs written in one transaction.
-constexpr size_t kMaxJobsPerFlush = 60;
 /// Base delay of the retry of a failed task, doubled with each failure.
 constexpr TimeMs kRetryBaseMs = 50;
 
@@ -259,110 +257,6 @@
   MarkDirty(c, job);
 }
 
-void MarkDirty(Controller& c, Job& job) {
-  if (job.closing) {
-    // The outcome is already submitted; only acknowledgments remain.
-    FlushProgress(c);
-    return;
-  }
-  if (job.phase == JobPhase::kQueued && job.started) {
-    job.phase = JobPhase::kRunning;
-  }
-  c.dirty.insert(&job);
-  FlushProgress(c);
-}
-
-namespace {
-
-/// The last end of each worker that a commit covers, with the incarnation of
-/// the worker.
-using SeenEnds = std::map<std::string, std::pair<uint64_t, uint64_t>>;
-
-SeenEnds CollectSeen(const Controller& c) {
-  SeenEnds seen;
-  for (const auto& [id, worker] : c.fleet.workers) {
-    const uint64_t last = LastSettledEnd(worker);
-    if (last > worker.acked) seen[id] = {worker.info.incarnation, last};
-  }
-  return seen;
-}
-
-void OnFlushed(Controller& c, const SeenEnds& seen) {
-  c.flushing = false;
-  for (const auto& [id, end] : seen) {
-    Worker* found = FindWorker(c.fleet, id);
-    if (found == nullptr) continue;
-    Worker& worker = *found;
-    if (worker.info.incarnation != end.first) continue;
-    worker.acked = std::max(worker.acked, end.second);
-    SyncStoredEnds(c, worker);
-  }
-  FlushProgress(c);
-}
-
-void OnCrashesStored(Controller& c, const std::string& id) {
-  Job* job = FindJob(c.jobs, id);
-  // A later crash of the same job is in the next commit.
-  if (job == nullptr || c.dirty.contains(job)) return;
-  job->has_unstored_crashes = false;
-  WatchJob(c, *job);
-}
-
-void OnClosed(Controller& c, const std::string& id) {
-  Job* job = FindJob(c.jobs, id);
-  if (job == nullptr) return;
-  job->committed_phase = job->phase;
-  job->closed = true;
-  job->closed_ms = c.runtime.now();
-  Log(LogLevel::kInfo, "job_ended",
-      {F("job", id), F("phase", NameOf(kJobPhaseNames, job->phase)),
-       F("queue", job->spec.queue),
-       F("took_ms", c.runtime.now() - job->accepted_ms),
-       F("objective_ms", job->objective_ms)});
-  if (c.observe) c.observe("job", c.runtime.now() - job->accepted_ms);
-  c.to_compact[id] = job->phase;
-  EraseIfClosed(c, *job);
-}
-
-}  // namespace
-
-void FlushProgress(Controller& c) {
-  if (c.flushing || c.stopped) return;
-  const SeenEnds seen = CollectSeen(c);
-  if (c.dirty.empty() && seen.empty()) return;
-  std::vector<RowPut> puts;
-  std::vector<std::string> closing;
-  std::vector<std::string> stored;
-  size_t taken = 0;
-  while (!c.dirty.empty() && taken < kMaxJobsPerFlush) {
-    Job* job = *c.dirty.begin();
-    c.dirty.erase(c.dirty.begin());
-    ++taken;
-    if (!IsFinal(job->phase)) {
-      puts.push_back({kProgressTable, job->spec.id, EncodeProgress(*job)});
-      if (job->has_unstored_crashes) stored.push_back(job->spec.id);
-      continue;
-    }
-    puts.push_back({kProgressTable, job->spec.id,
-                    EncodeJobEnd({job->phase, c.runtime.wall_ms()})});
-    closing.push_back(job->spec.id);
-  }
-  c.flushing = true;
-  // Ends count as stored only if no changed job was left out of the commit.
-  const SeenEnds covered = c.dirty.empty() ? seen : SeenEnds();
-  if (puts.empty()) {
-    OnFlushed(c, covered);
-    return;
-  }
-  c.log->Commit(std::move(puts), {},
-                Guard(c, [covered, closing, stored](Controller& self) {
-                  for (const std::string& id : stored)
-                    OnCrashesStored(self, id);
-                  for (const std::string& id : closing) OnClosed(self, id);
-                  OnFlushed(self, covered);
-                }));
-}
-
 void CloseJob(Controller& c, Job& job, JobPhase phase, const char* reason,
               const std::string& evidence) {
   if (IsFinal(job.phase)) return;
--- a/src/workflow/ControllerOrphans.cpp
+++ b/src/workflow/ControllerOrphans.cpp
@@ -80,6 +80,10 @@
 bool MayBecomeKnown(const Controller& c, const TaskName& name,
                     const OrphanedRun& orphan) {
   if (c.ended.contains(name.job)) return false;
+  const auto job = c.jobs.jobs.find(name.job);
+  const bool is_complete = job != c.jobs.jobs.end() &&
+                           name.occurrence < job->second->next_occurrence;
+  if (is_complete) return false;
   return c.runtime.now() - orphan.found_ms < kUnknownJobGraceMs;
 }
 
--- a/src/workflow/ControllerPermits.cpp
+++ b/src/workflow/ControllerPermits.cpp
@@ -83,6 +83,7 @@
   }
   Job* job = FindJob(c.jobs, sent.job);
   if (job == nullptr || job != sent.step.job) return;
+  if (!job->occurrences.contains(sent.step.occurrence)) return;
   KeepWatching(c, *job);
   StepPermits& permits = StepOf(sent.step).permits;
   permits.requests--;
--- a/src/workflow/ControllerSchedule.cpp
+++ b/src/workflow/ControllerSchedule.cpp
@@ -134,8 +134,9 @@
 /// without a further event.
 bool CollectJob(Controller& c, SchedulePass& pass, Job& job,
                 std::vector<WaitingStep>& steps) {
+  DropCompleted(job);
   if (job.spec.occurrences > 0) AddDueOccurrences(job, pass.wall_ms);
-  bool is_watched = job.occurrences.size() < job.spec.occurrences;
+  bool is_watched = job.next_occurrence < job.spec.occurrences;
   bool has_later_steps = false;
   for (auto& [number, occurrence] : job.occurrences) {
     if (occurrence.complete) continue;
--- a/src/workflow/ControllerUnknownJobs.cpp
+++ b/src/workflow/ControllerUnknownJobs.cpp
@@ -60,7 +60,7 @@
   const TaskRef task = FindTask(c.jobs, name);
   if (task.job != nullptr) return task;
   Job* job = FindJob(c.jobs, name.job);
-  if (job == nullptr || job->occurrences.contains(name.occurrence)) return {};
+  if (job == nullptr) return {};
   if (!AddOccurrencesUpTo(*job, name.occurrence)) return {};
   LogAlways(LogLevel::kInfo, "occurrence_reported_before_due",
             {F("job", name.job), F("occurrence", name.occurrence)});
--- a/src/workflow/JobRows.cpp
+++ b/src/workflow/JobRows.cpp
@@ -155,20 +155,42 @@
   return crashes;
 }
 
-Json StepProgressToJson(const StepState& step) {
+/// What a progress row tells of the tasks that are not done. Each level
+/// includes those before it.
+enum class ProgressDetail : uint8_t {
+  /// What limits their further starts.
+  kFailures,
+  /// The runs that have ended. Without them, a successor relies on run numbers
+  /// that rise from owner to owner.
+  kEndedRuns,
+  /// Without them, runs begin at the start of their work.
+  kCheckpoints,
+};
+constexpr ProgressDetail kProgressDetails[] = {ProgressDetail::kCheckpoints,
+                                               ProgressDetail::kEndedRuns,
+                                               ProgressDetail::kFailures};
+
+bool IsStored(const TaskState& task, ProgressDetail detail) {
+  if (!task.failed_runs.empty() || !task.crashes.empty()) return true;
+  if (detail == ProgressDetail::kFailures) return false;
+  if (task.ended_run > 0) return true;
+  return detail == ProgressDetail::kCheckpoints && !task.checkpoint.empty();
+}
+
+Json StepProgressToJson(const StepState& step, ProgressDetail detail) {
   std::string done;
   Json others = Json::object();
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskState& task = step.tasks[i];
     done += task.phase == TaskPhase::kDone ? '1' : '0';
     if (task.phase == TaskPhase::kDone) continue;
-    const bool untouched = task.ended_run == 0 && task.checkpoint.empty() &&
-                           task.failed_runs.empty() && task.crashes.empty();
-    if (untouched) continue;
+    if (!IsStored(task, detail)) continue;
+    const bool has_checkpoint = detail == ProgressDetail::kCheckpoints;
     // Only ended runs are stored: the next owner adopts those that still run.
-    others[std::to_string(i)] = {task.ended_run, task.failed_runs,
-                                 task.checkpoint, CrashesToJson(task.crashes),
-                                 CrashWeightsToJson(task.crashes)};
+    others[std::to_string(i)] = {
+        task.ended_run, task.failed_runs,
+        has_checkpoint ? task.checkpoint : std::string(),
+        CrashesToJson(task.crashes), CrashWeightsToJson(task.crashes)};
   }
   return {done, others};
 }
@@ -255,23 +277,50 @@
   return json.is_object() && Get(json, "started", false);
 }
 
-std::string EncodeProgress(const Job& job) {
-  // Daemons of older versions expect the member.
-  Json json{{"occurrences", Json::object()}};
-  if (job.started) json["started"] = true;
-  if (job.has_moved) {
-    json["route"] = {job.spec.policy.service, job.spec.policy_version};
+namespace {
+
+/// The occurrences that are open, and the last one that was added. Those before
+/// it that are not listed are complete. Daemons of older versions, which expect
+/// all of them, begin none of them again, but do not count them either: they
+/// leave it to the next owner to complete the job.
+Json OccurrencesToJson(const Job& job, ProgressDetail detail) {
+  Json json = Json::object();
+  if (job.next_occurrence > 0) {
+    json[std::to_string(job.next_occurrence - 1)] = Json::array();
   }
   for (const auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.complete) continue;
     Json steps = Json::array();
-    if (!occurrence.complete) {
-      for (const StepState& step : occurrence.steps) {
-        steps.push_back(StepProgressToJson(step));
-      }
+    for (const StepState& step : occurrence.steps) {
+      steps.push_back(StepProgressToJson(step, detail));
     }
-    json["occurrences"][std::to_string(number)] = std::move(steps);
+    json[std::to_string(number)] = std::move(steps);
   }
-  return json.dump();
+  return json;
+}
+
+Occurrence OccurrenceFromJson(const Json& json, const JobSpec& spec) {
+  Occurrence occurrence = MakeOccurrence(spec);
+  for (size_t i = 0; i < occurrence.steps.size() && i < json.size(); ++i) {
+    ApplyStepProgress(json.at(i), occurrence.steps[i]);
+  }
+  return occurrence;
+}
+
+}  // namespace
+
+std::string EncodeProgress(const Job& job, size_t max_bytes) {
+  std::string text;
+  for (const ProgressDetail detail : kProgressDetails) {
+    Json json{{"occurrences", OccurrencesToJson(job, detail)}};
+    if (job.started) json["started"] = true;
+    if (job.has_moved) {
+      json["route"] = {job.spec.policy.service, job.spec.policy_version};
+    }
+    text = json.dump();
+    if (text.size() <= max_bytes) break;
+  }
+  return text;
 }
 
 bool ApplyProgress(const std::string& text, Job& job) {
@@ -284,29 +333,18 @@
       job.spec.policy.service = route->at(0).get<std::string>();
       job.spec.policy_version = route->at(1).get<uint64_t>();
     }
-    const Json occurrences = Get(json, "occurrences", Json::object());
-    for (const auto& [key, steps] : occurrences.items()) {
+    std::map<uint32_t, Occurrence> open;
+    uint32_t next = 0;
+    for (const auto& [key, steps] : json.at("occurrences").items()) {
       const auto number = static_cast<uint32_t>(std::stoul(key));
-      Occurrence& occurrence = job.occurrences[number];
-      occurrence.steps.resize(job.spec.steps.size());
-      for (size_t i = 0; i < occurrence.steps.size(); ++i) {
-        AddTasks(occurrence.steps[i], job.spec.steps[i].count);
-      }
-      if (steps.empty()) {
-        occurrence.complete = true;
-        job.occurrences_done++;
-        for (size_t i = 0; i < occurrence.steps.size(); ++i) {
-          occurrence.steps[i].done = job.spec.steps[i].count;
-          for (TaskState& task : occurrence.steps[i].tasks) {
-            SetPhase(occurrence.steps[i], task, TaskPhase::kDone);
-          }
-        }
-        continue;
-      }
-      for (size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
-        ApplyStepProgress(steps.at(i), occurrence.steps[i]);
-      }
+      next = std::max(next, number + 1);
+      if (steps.empty()) continue;
+      open[number] = OccurrenceFromJson(steps, job.spec);
     }
+    if (next == 0) return true;
+    job.occurrences_done = next - static_cast<uint32_t>(open.size());
+    job.occurrences = std::move(open);
+    job.next_occurrence = next;
   } catch (const std::exception&) {
     return false;
   }
--- a/src/workflow/JobRows.h
+++ b/src/workflow/JobRows.h
@@ -9,6 +9,7 @@
 /// see src/estimates/RunTimes.h.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,7 +53,9 @@
 /// Whether a task of the job with this progress row has started.
 bool HasStarted(const std::string& text);
 
-std::string EncodeProgress(const Job& job);
+/// Leaves out checkpoints, and then the ended runs of tasks that have not
+/// failed, if the row would have more than `max_bytes`. It may still have more.
+std::string EncodeProgress(const Job& job, size_t max_bytes = SIZE_MAX);
 /// Returns false for text that does not match the job; `job` may then be partly
 /// changed.
 bool ApplyProgress(const std::string& text, Job& job);
--- a/src/workflow/JobTable.cpp
+++ b/src/workflow/JobTable.cpp
@@ -9,8 +9,14 @@
 namespace dotterelcove::workflow {
 namespace {
 
-/// Maximum number of open occurrences of one job.
+/// Maximum number of open occurrences of one job, and of their tasks.
 constexpr uint32_t kMaxOpenOccurrences = 64;
+constexpr uint32_t kMaxOpenTasks = kMaxTasksOfAJob;
+
+uint32_t MaxOpenOccurrences(const JobSpec& spec) {
+  const uint32_t tasks = std::max(CountTasks(spec), 1U);
+  return std::clamp(kMaxOpenTasks / tasks, 1U, kMaxOpenOccurrences);
+}
 
 bool ParseNumber(std::string_view& text, uint32_t& value) {
   if (text.empty() || text.front() != '.') return false;
@@ -22,15 +28,6 @@
   return true;
 }
 
-Occurrence MakeOccurrence(const JobSpec& spec) {
-  Occurrence occurrence;
-  for (const StepSpec& step : spec.steps) {
-    occurrence.steps.emplace_back();
-    AddTasks(occurrence.steps.back(), step.count);
-  }
-  return occurrence;
-}
-
 }  // namespace
 
 std::string MakeStepName(const Job& job, uint32_t occurrence, uint32_t step) {
@@ -99,43 +96,61 @@
   return job;
 }
 
-namespace {
-
-uint32_t NextOccurrence(const Job& job) {
-  return job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
+Occurrence MakeOccurrence(const JobSpec& spec) {
+  Occurrence occurrence;
+  for (const StepSpec& step : spec.steps) {
+    occurrence.steps.emplace_back();
+    AddTasks(occurrence.steps.back(), step.count);
+  }
+  return occurrence;
 }
 
-}  // namespace
-
 bool AddDueOccurrences(Job& job, int64_t wall_ms) {
-  if (job.spec.occurrences == 0) {
-    if (!job.occurrences.empty()) return false;
-    job.occurrences.emplace(0, MakeOccurrence(job.spec));
+  const JobSpec& spec = job.spec;
+  if (spec.occurrences == 0) {
+    if (job.next_occurrence > 0) return false;
+    job.occurrences.emplace(job.next_occurrence++, MakeOccurrence(spec));
     return true;
   }
-  bool added = false;
-  while (true) {
-    const uint32_t next = NextOccurrence(job);
-    if (next >= job.spec.occurrences) return added;
+  const uint32_t most_open = MaxOpenOccurrences(spec);
+  const uint32_t first = job.next_occurrence;
+  while (job.next_occurrence < spec.occurrences) {
     const int64_t due_wall_ms =
-        job.spec.first_start_wall_ms + next * job.spec.interval_ms;
-    if (due_wall_ms > wall_ms) return added;
-    if (job.occurrences.size() - job.occurrences_done >= kMaxOpenOccurrences) {
-      return added;
-    }
-    job.occurrences.emplace(next, MakeOccurrence(job.spec));
-    added = true;
+        spec.first_start_wall_ms + job.next_occurrence * spec.interval_ms;
+    if (due_wall_ms > wall_ms) break;
+    if (job.next_occurrence - job.occurrences_done >= most_open) break;
+    job.occurrences.emplace(job.next_occurrence++, MakeOccurrence(spec));
   }
+  return job.next_occurrence > first;
 }
 
 bool AddOccurrencesUpTo(Job& job, uint32_t number) {
-  if (number >= job.spec.occurrences) return false;
-  for (uint32_t next = NextOccurrence(job); next <= number; ++next) {
-    job.occurrences.emplace(next, MakeOccurrence(job.spec));
+  if (number >= job.spec.occurrences || number < job.next_occurrence) {
+    return false;
+  }
+  if (number - job.next_occurrence >= kMaxOpenOccurrences) return false;
+  while (job.next_occurrence <= number) {
+    job.occurrences.emplace(job.next_occurrence++, MakeOccurrence(job.spec));
   }
   return true;
 }
 
+void DropCompleted(Job& job) {
+  if (job.spec.occurrences == 0) return;
+  const bool any =
+      std::any_of(job.occurrences.begin(), job.occurrences.end(),
+                  [](const auto& entry) { return entry.second.complete; });
+  if (!any) return;
+  std::set<uint32_t> in_use;
+  for (const RunLocation& run : job.placed) {
+    TaskName name;
+    if (ParseTaskName(run.task, name)) in_use.insert(name.occurrence);
+  }
+  std::erase_if(job.occurrences, [&](const auto& entry) {
+    return entry.second.complete && !in_use.contains(entry.first);
+  });
+}
+
 bool IsStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) {
   for (const uint32_t before : job.spec.steps[step].after) {
     if (occurrence.steps[before].done < job.spec.steps[before].count) {
--- a/src/workflow/JobTable.h
+++ b/src/workflow/JobTable.h
@@ -153,7 +153,11 @@
   /// Whether it was within its account's share when it was admitted; true
   /// without an account. A new owner counts by the times of acceptance.
   bool is_within_share = true;
+  /// The open occurrences, and complete ones until DropCompleted(). All other
+  /// numbers below `next_occurrence` are complete.
   std::map<uint32_t, Occurrence> occurrences;
+  /// Number of the first occurrence that has not been added.
+  uint32_t next_occurrence = 0;
   uint32_t occurrences_done = 0;
   bool cancel_requested = false;
   /// A task of the job has started at some time.
@@ -239,14 +243,22 @@
 /// Computes the job's objective from its policy.
 void UpdateObjective(Job& job);
 
-/// Adds the occurrences that are due at `wall_ms`; returns whether any was
-/// added.
+/// One occurrence with all its tasks waiting.
+Occurrence MakeOccurrence(const JobSpec& spec);
+
+/// Adds the occurrences that are due at `wall_ms`, as far as the number of open
+/// ones allows; returns whether any was added.
 bool AddDueOccurrences(Job& job, int64_t wall_ms);
 
 /// Adds the occurrences up to `number` that are missing, whether due or not;
-/// returns false for a number that the job does not have.
+/// returns false for one that is complete, that the job does not have, or that
+/// no owner can have begun.
 bool AddOccurrencesUpTo(Job& job, uint32_t number);
 
+/// Forgets the complete occurrences of a recurring job that no run refers to.
+/// They would cost memory and time for as long as the job recurs.
+void DropCompleted(Job& job);
+
 /// Whether every step that `step` depends on is done.
 bool IsStepReady(const Job& job, const Occurrence& occurrence, uint32_t step);
 
--- a/src/workflow/Workflow.cpp
+++ b/src/workflow/Workflow.cpp
@@ -8,7 +8,6 @@
 constexpr size_t kMaxPayloadBytes = 4'000;
 constexpr size_t kIdLength = 16;
 constexpr size_t kMaxSteps = 64;
-constexpr uint32_t kMaxTasksOfAStep = 10'000;
 
 bool IsJobId(const std::string& id) {
   return id.size() == kIdLength &&
@@ -17,6 +16,14 @@
 
 }  // namespace
 
+uint32_t CountTasks(const JobSpec& spec) {
+  uint32_t tasks = 0;
+  for (const StepSpec& step : spec.steps) {
+    tasks += std::min(step.count, kMaxTasksOfAJob + 1 - tasks);
+  }
+  return tasks;
+}
+
 TimeMs CriticalPathMs(const JobSpec& spec) {
   TimeMs longest = 0;
   std::vector<TimeMs> ends;
@@ -46,7 +53,7 @@
   if (spec.steps.size() > kMaxSteps) return "there are too many steps";
   for (size_t i = 0; i < spec.steps.size(); ++i) {
     const StepSpec& step = spec.steps[i];
-    if (step.count == 0 || step.count > kMaxTasksOfAStep) {
+    if (step.count == 0 || step.count > kMaxTasksOfAJob) {
       return "a step's number of tasks is out of range";
     }
     if (step.size.milli_cores < 0 || step.size.memory_mb < 0 ||
@@ -57,6 +64,10 @@
       if (before >= i) return "a step waits for a later one";
     }
   }
+  if (CountTasks(spec) > kMaxTasksOfAJob) {
+    return "the steps have more than " + std::to_string(kMaxTasksOfAJob) +
+           " tasks";
+  }
   return {};
 }
 
--- a/src/workflow/Workflow.h
+++ b/src/workflow/Workflow.h
@@ -87,6 +87,13 @@
   int64_t accepted_wall_ms = 0;
 };
 
+/// The most tasks that all steps of a job may have. The store keeps a mark for
+/// each of them in one row.
+inline constexpr uint32_t kMaxTasksOfAJob = 10'000;
+
+/// Number of tasks of all steps; kMaxTasksOfAJob + 1 for any more.
+uint32_t CountTasks(const JobSpec& spec);
+
 /// The estimated run time of the critical path through the steps, in
 /// milliseconds, including typical permit requests.
 TimeMs CriticalPathMs(const JobSpec& spec);
--- a/tests/CellModel.h
+++ b/tests/CellModel.h
@@ -56,6 +56,9 @@
   /// Extra delay before these transactions are applied, 0 for none.
   TimeMs lost_write_delay_ms = 0;
   TimeMs latency_ms = 4;
+  /// The largest value of a row, and of all rows of a transaction.
+  size_t row_bytes = 65'536;
+  size_t transaction_bytes = 1'000'000;
 };
 
 struct ModelStore {
--- a/tests/CellModelStore.cpp
+++ b/tests/CellModelStore.cpp
@@ -12,8 +12,22 @@
   return answer;
 }
 
+/// Whether the store rejects the transaction for its size.
+bool IsTooLarge(const StoreFaults& limits, const RowTransaction& transaction) {
+  size_t bytes = 0;
+  for (const RowPut& put : transaction.puts) {
+    if (put.value.size() > limits.row_bytes) return true;
+    bytes += put.value.size();
+  }
+  return bytes > limits.transaction_bytes;
+}
+
 StoreAnswer Apply(ModelStore& store, const RowTransaction& transaction) {
   StoreAnswer answer;
+  if (IsTooLarge(store.faults, transaction)) {
+    answer.status = StoreStatus::kInvalid;
+    return answer;
+  }
   for (const RowCondition& condition : transaction.conditions) {
     const auto found = store.rows.find({condition.table, condition.key});
     const uint64_t version =
