Ends of occurrences ahead of the store are kept; one function for both rows of a cancellation

What callers would see: after a takeover from an owner whose commits had taken long, a task of a job that recurs often could run again after its end was acknowledged. Cause, found on reading the diff: AddOccurrencesUpTo() took no more than 64 occurrences beyond the stored ones, so later ends were dropped. Change: as many are added as 100,000 tasks, 10 times what may be open; billions are still refused. After: Cancellation, PlatformStore and CellModelRecurring pass.

--- a/src/node/JobStore.cpp
+++ b/src/node/JobStore.cpp
@@ -101,55 +101,46 @@
 
 void TryCancel(const AttemptPtr& attempt);
 
-void PutCancellation(const AttemptPtr& attempt, uint64_t job_version) {
+/// Puts a row on the condition that the job's own row has `job_version`, and
+/// finishes with `answer` once it is stored.
+void PutIfUnchanged(const AttemptPtr& attempt, uint64_t job_version,
+                    const RowPut& put, JobAnswer answer) {
   RowTransaction transaction;
   transaction.conditions.push_back(
       {workflow::kJobTable, attempt->key, job_version});
-  transaction.puts.push_back(
-      {workflow::kJobTable, attempt->key + workflow::kCancelSuffix, "1"});
+  transaction.puts.push_back(put);
   attempt->store.transact(
-      std::move(transaction), [attempt](const StoreAnswer& answer) {
-        CountCall(*attempt, answer);
-        if (answer.status == StoreStatus::kOk) {
-          StoreRow row{workflow::kJobTable,
-                       attempt->key + workflow::kCancelSuffix, "1",
-                       answer.version, false};
-          Finish(attempt, JobAnswer::kStored, std::move(row));
+      std::move(transaction),
+      [attempt, put, answer](const StoreAnswer& stored) {
+        CountCall(*attempt, stored);
+        if (stored.status == StoreStatus::kOk) {
+          Finish(attempt, answer,
+                 {put.table, put.key, put.value, stored.version, false});
           return;
         }
-        // On a conflict nothing was written: the job row has changed since it
-        // was read, so the job has ended.
-        const bool is_unwritten = answer.status == StoreStatus::kRefused ||
-                                  answer.status == StoreStatus::kConflict;
+        // On a conflict nothing was written: the job has ended, or has been
+        // stored, since it was looked up.
+        const bool is_unwritten = stored.status == StoreStatus::kRefused ||
+                                  stored.status == StoreStatus::kConflict;
         if (!is_unwritten) attempt->in_doubt = true;
-        TryAgain(attempt, answer.status, TryCancel);
+        TryAgain(attempt, stored.status, TryCancel);
       });
 }
 
+void PutCancellation(const AttemptPtr& attempt, uint64_t job_version) {
+  const RowPut put{workflow::kJobTable, attempt->key + workflow::kCancelSuffix,
+                   "1"};
+  PutIfUnchanged(attempt, job_version, put, JobAnswer::kStored);
+}
+
 /// Stores the job as cancelled under its own key. Each insert of a job is
 /// conditional on the absence of that row, so one that is still under way, at a
 /// daemon that stood still or in the store, changes nothing any more.
 void PutTombstone(const AttemptPtr& attempt) {
-  const std::string value = workflow::EncodeJobEnd(
-      {workflow::JobPhase::kCancelled, attempt->runtime.wall_ms()});
-  RowTransaction transaction;
-  transaction.conditions.push_back({workflow::kJobTable, attempt->key, 0});
-  transaction.puts.push_back({workflow::kJobTable, attempt->key, value});
-  attempt->store.transact(
-      std::move(transaction), [attempt, value](const StoreAnswer& answer) {
-        CountCall(*attempt, answer);
-        if (answer.status == StoreStatus::kOk) {
-          Finish(attempt, JobAnswer::kNotFound,
-                 {workflow::kJobTable, attempt->key, value, answer.version,
-                  false});
-          return;
-        }
-        // On a conflict the job has been stored since it was looked up.
-        const bool is_unwritten = answer.status == StoreStatus::kRefused ||
-                                  answer.status == StoreStatus::kConflict;
-        if (!is_unwritten) attempt->in_doubt = true;
-        TryAgain(attempt, answer.status, TryCancel);
-      });
+  const RowPut put{workflow::kJobTable, attempt->key,
+                   workflow::EncodeJobEnd({workflow::JobPhase::kCancelled,
+                                           attempt->runtime.wall_ms()})};
+  PutIfUnchanged(attempt, 0, put, JobAnswer::kNotFound);
 }
 
 void CancelUnknown(const AttemptPtr& attempt) {
--- a/src/workflow/JobTable.cpp
+++ b/src/workflow/JobTable.cpp
@@ -18,6 +18,14 @@
   return std::clamp(kMaxOpenTasks / tasks, 1U, kMaxOpenOccurrences);
 }
 
+/// How many occurrences a predecessor may have added beyond those that it has
+/// stored: the store may have been away while many were open and completed.
+uint32_t MaxOccurrencesAhead(const JobSpec& spec) {
+  constexpr uint32_t kTimesOpen = 10;
+  const uint32_t tasks = std::max(CountTasks(spec), 1U);
+  return std::max(kTimesOpen * kMaxOpenTasks / tasks, MaxOpenOccurrences(spec));
+}
+
 bool ParseNumber(std::string_view& text, uint32_t& value) {
   if (text.empty() || text.front() != '.') return false;
   text.remove_prefix(1);
@@ -128,7 +136,9 @@
   if (number >= job.spec.occurrences || number < job.next_occurrence) {
     return false;
   }
-  if (number - job.next_occurrence >= kMaxOpenOccurrences) return false;
+  if (number - job.next_occurrence >= MaxOccurrencesAhead(job.spec)) {
+    return false;
+  }
   while (job.next_occurrence <= number) {
     job.occurrences.emplace(job.next_occurrence++, MakeOccurrence(job.spec));
   }
--- a/tests/CellModelRecurringTest.cpp
+++ b/tests/CellModelRecurringTest.cpp
@@ -222,6 +222,21 @@
   cr_expect_neq(EncodeProgress(*job).find(R"("10":[])"), std::string::npos);
 }
 
+// Guards against an end that is dropped since its occurrence was added while
+// the store was away, and against a report that makes an owner add billions.
+Test(CellModelRecurring, occurrences_ahead_of_the_store_are_added) {
+  workflow::JobSpec spec;
+  spec.id = "0123456789abcdef";
+  spec.steps.resize(1);
+  spec.occurrences = 4'000'000'000;
+  const auto job = workflow::MakeJob(spec, 0, 0);
+  cr_expect(workflow::AddOccurrencesUpTo(*job, 1'500));
+  cr_expect_eq(job->next_occurrence, 1'501U);
+  cr_expect_not(workflow::AddOccurrencesUpTo(*job, 1'500));
+  cr_expect_not(workflow::AddOccurrencesUpTo(*job, 3'999'999'999));
+  cr_expect_eq(job->occurrences.size(), 1'501U);
+}
+
 // Guards against a job of more tasks than an owner or the store can hold, and
 // against occurrences of a large job that are all open at a time.
 Test(CellModelRecurring, tasks_of_a_job_are_bounded) {
